--- /dev/null
+++ b/base/digest.cpp
@@ -0,0 +1,24 @@
+//===- digest.cpp - Checksums and secret digests --------------------------===//
+
+#include "base/digest.h"
+#include <array>
+#include <sodium.h>
+#include <xxhash.h>
+
+namespace olivevalve {
+
+uint64_t checksum(std::string_view Bytes, uint64_t Seed) {
+  return XXH3_64bits_withSeed(Bytes.data(), Bytes.size(), Seed);
+}
+
+std::string secretDigest(std::string_view Secret) {
+  std::array<unsigned char, 32> Hash{};
+  crypto_generichash(Hash.data(), Hash.size(),
+                     reinterpret_cast<const unsigned char *>(Secret.data()),
+                     Secret.size(), nullptr, 0);
+  std::array<char, 65> Text{};
+  sodium_bin2hex(Text.data(), Text.size(), Hash.data(), Hash.size());
+  return Text.data();
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/base/digest.h
@@ -0,0 +1,21 @@
+//===- digest.h - Checksums and secret digests ------------------*- C++ -*-===//
+
+#ifndef OLIVEVALVE_BASE_DIGEST_H
+#define OLIVEVALVE_BASE_DIGEST_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace olivevalve {
+
+/// XXH3, 64 bits; for checksums and placement, never for secrets.
+uint64_t checksum(std::string_view Bytes, uint64_t Seed = 0);
+
+/// BLAKE2b of \p Secret as 64 hexadecimal digits; what configuration stores
+/// in place of a client account's key.
+std::string secretDigest(std::string_view Secret);
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_BASE_DIGEST_H
--- /dev/null
+++ b/base/fields.cpp
@@ -0,0 +1,243 @@
+//===- fields.cpp - Checked reading of JSON documents ---------------------===//
+
+#include "base/fields.h"
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include <algorithm>
+#include <cerrno>
+#include <cmath>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr int MaxDepth = 64;
+
+std::string_view typeName(const json &Value) { return Value.type_name(); }
+
+std::string wrongType(std::string_view Wanted, const json &Value) {
+  return absl::StrCat("is ", std::string(typeName(Value)), ", must be ",
+                      std::string(Wanted));
+}
+
+// Nesting outside strings; a cheap guard before the recursive parser.
+int nestingOf(std::string_view Text) {
+  int Depth = 0;
+  int Deepest = 0;
+  bool InText = false;
+  for (size_t I = 0; I < Text.size(); ++I) {
+    char C = Text[I];
+    if (InText) {
+      if (C == '\\')
+        ++I;
+      else if (C == '"')
+        InText = false;
+      continue;
+    }
+    if (C == '"')
+      InText = true;
+    else if (C == '{' || C == '[')
+      Deepest = std::max(Deepest, ++Depth);
+    else if (C == '}' || C == ']')
+      --Depth;
+  }
+  return Deepest;
+}
+
+} // namespace
+
+void fault_list::add(std::string_view Path, std::string_view What) {
+  Faults.push_back(std::string(Path) + ": " + std::string(What));
+}
+
+std::string fault_list::text() const {
+  std::string Text;
+  for (const std::string &Fault : Faults) {
+    if (!Text.empty())
+      Text += "\n";
+    Text += Fault;
+  }
+  return Text;
+}
+
+object_reader::object_reader(const json &Value, std::string Path,
+                             fault_list &Faults)
+    : Value(Value), Path(std::move(Path)), Faults(Faults) {
+  if (!Value.is_object())
+    Faults.add(this->Path.empty() ? "document" : this->Path,
+               wrongType("an object", Value));
+}
+
+std::string object_reader::pathOf(std::string_view Key) const {
+  return Path.empty() ? std::string(Key) : Path + "." + std::string(Key);
+}
+
+bool object_reader::has(std::string_view Key) const {
+  return Value.is_object() && Value.contains(Key);
+}
+
+void object_reader::fault(std::string_view Key, std::string_view What) {
+  Faults.add(pathOf(Key), What);
+}
+
+const json *object_reader::find(std::string_view Key, presence Presence) {
+  Known.insert(std::string(Key));
+  if (!Value.is_object())
+    return nullptr;
+  auto It = Value.find(Key);
+  if (It != Value.end())
+    return &*It;
+  if (Presence == presence::Required)
+    fault(Key, "is missing and required");
+  return nullptr;
+}
+
+void object_reader::text(std::string_view Key, std::string &Out,
+                         presence Presence) {
+  const json *Field = find(Key, Presence);
+  if (!Field)
+    return;
+  if (!Field->is_string())
+    return fault(Key, wrongType("a string", *Field));
+  Out = Field->get<std::string>();
+  if (Out.empty())
+    fault(Key, "is empty, must not be");
+}
+
+void object_reader::number(std::string_view Key, double &Out,
+                           number_range Range, presence Presence) {
+  const json *Field = find(Key, Presence);
+  if (!Field)
+    return;
+  if (!Field->is_number())
+    return fault(Key, wrongType("a number", *Field));
+  double Number = Field->get<double>();
+  if (!(Number >= Range.Min && Number <= Range.Max))
+    return fault(Key, absl::StrCat("is ", Number, ", must be from ", Range.Min,
+                                   " to ", Range.Max));
+  Out = Number;
+}
+
+void object_reader::integer(std::string_view Key, int64_t &Out,
+                            number_range Range, presence Presence) {
+  double Number = double(Out);
+  number(Key, Number, Range, Presence);
+  if (Number != std::floor(Number))
+    return fault(Key, "must be a whole number");
+  Out = int64_t(Number);
+}
+
+void object_reader::flag(std::string_view Key, bool &Out) {
+  const json *Field = find(Key, presence::Optional);
+  if (!Field)
+    return;
+  if (!Field->is_boolean())
+    return fault(Key, wrongType("true or false", *Field));
+  Out = Field->get<bool>();
+}
+
+void object_reader::texts(std::string_view Key, std::vector<std::string> &Out) {
+  Out.clear();
+  elements(Key, [&](const json &Element, const std::string &ElementPath) {
+    if (Element.is_string() && !Element.get_ref<const std::string &>().empty())
+      Out.push_back(Element.get<std::string>());
+    else
+      Faults.add(ElementPath, "must be a string that is not empty");
+  });
+}
+
+void object_reader::choice(std::string_view Key, size_t &Out,
+                           const std::vector<std::string_view> &Names) {
+  const json *Field = find(Key, presence::Optional);
+  if (!Field)
+    return;
+  std::string Name = Field->is_string() ? Field->get<std::string>() : "";
+  auto It = std::find(Names.begin(), Names.end(), Name);
+  if (It != Names.end()) {
+    Out = size_t(It - Names.begin());
+    return;
+  }
+  std::string Allowed;
+  for (std::string_view Each : Names)
+    Allowed += (Allowed.empty() ? "" : ", ") + std::string(Each);
+  fault(Key, absl::StrCat("is ", Field->dump(), ", must be one of ", Allowed));
+}
+
+void object_reader::members(
+    std::string_view Key,
+    const std::function<void(const std::string &, const json &,
+                             const std::string &)> &Each) {
+  const json *Field = find(Key, presence::Optional);
+  if (!Field)
+    return;
+  if (!Field->is_object())
+    return fault(Key, wrongType("an object", *Field));
+  for (const auto &[Name, Member] : Field->items())
+    Each(Name, Member, pathOf(Key) + "." + Name);
+}
+
+void object_reader::elements(
+    std::string_view Key,
+    const std::function<void(const json &, const std::string &)> &Each) {
+  const json *Field = find(Key, presence::Optional);
+  if (!Field)
+    return;
+  if (!Field->is_array())
+    return fault(Key, wrongType("an array", *Field));
+  size_t Place = 0;
+  for (const json &Element : *Field)
+    Each(Element, absl::StrCat(pathOf(Key), "[", Place++, "]"));
+}
+
+void object_reader::object(std::string_view Key,
+                           const std::function<void(object_reader &)> &Each) {
+  const json *Field = find(Key, presence::Optional);
+  if (!Field)
+    return;
+  object_reader Reader(*Field, pathOf(Key), Faults);
+  Each(Reader);
+  Reader.finish();
+}
+
+void object_reader::finish() {
+  if (!Value.is_object())
+    return;
+  std::string Allowed;
+  for (const std::string &Name : Known)
+    Allowed += (Allowed.empty() ? "" : ", ") + Name;
+  for (const auto &[Name, Member] : Value.items())
+    if (!Known.contains(Name))
+      fault(Name, "is not a known field; allowed: " + Allowed);
+}
+
+absl::StatusOr<json> parseJson(std::string_view Text, std::string_view Source) {
+  if (nestingOf(Text) > MaxDepth)
+    return makeError(error_kind::BadRequest,
+                     absl::StrCat(std::string(Source), ": nested deeper than ",
+                                  MaxDepth, " levels"));
+  try {
+    return json::parse(Text, nullptr, true, /*ignore_comments=*/true);
+  } catch (const json::parse_error &Error) {
+    size_t Byte = std::min(Error.byte, Text.size());
+    std::string_view Before = Text.substr(0, Byte);
+    auto Line = 1 + std::count(Before.begin(), Before.end(), '\n');
+    return makeError(error_kind::BadRequest,
+                     absl::StrCat(std::string(Source), ": line ", Line,
+                                  ": not valid JSON: ", Error.what()));
+  }
+}
+
+absl::StatusOr<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return makeError(error_kind::BadRequest,
+                     Path + ": cannot be read: " + std::strerror(errno));
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/base/metrics.h
@@ -0,0 +1,50 @@
+//===- metrics.h - Counters and histograms ----------------------*- C++ -*-===//
+//
+// Histograms per client account or class and counters per name, printed as
+// Prometheus text. Times are seconds; cost is in price units of the models.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_BASE_METRICS_H
+#define OLIVEVALVE_BASE_METRICS_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace olivevalve {
+
+enum class measure : uint8_t {
+  TimeToFirstToken,
+  BetweenTokens,
+  TotalTime,
+  QueueTime,
+  Cost,
+  Last = Cost
+};
+
+/// All metrics of one process; every role adds to the same registry.
+class metrics {
+public:
+  metrics();
+  ~metrics();
+  metrics(const metrics &) = delete;
+  metrics &operator=(const metrics &) = delete;
+
+  /// Adds one value to the histogram of \p Class, a client account or
+  /// priority class.
+  void record(measure Measure, std::string_view Class, double Value);
+  void count(std::string_view Counter, std::string_view Label,
+             uint64_t Add = 1);
+  void gauge(std::string_view Name, double Value);
+  std::string prometheusText() const;
+
+private:
+  struct tables;
+  std::unique_ptr<tables> Tables;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_BASE_METRICS_H
--- /dev/null
+++ b/control/control_task.cpp
@@ -0,0 +1,306 @@
+//===- control_task.cpp - The control role --------------------------------===//
+
+#include "control/control_task.h"
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/fields.h"
+#include "base/log.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr double TickSeconds = 0.05;
+constexpr double GuardSeconds = 0.5;
+// New estimates travel to a node after so many ratings; between, they would
+// differ by less than their own error.
+constexpr uint64_t EstimateStep = 20;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<control_task>>
+control_task::start(link_context &Context, struct ev_loop *Loop,
+                    metrics &Metrics, control_options Options) {
+  std::unique_ptr<control_task> Task(
+      new control_task(Context, Loop, Metrics, std::move(Options)));
+  const control_options &O = Task->Options;
+  if (!Task->Server.bind(O.Address))
+    return makeError(error_kind::BadConfiguration,
+                     "control.address: cannot bind " + O.Address);
+  auto Log = replicated_log::open(Context, Loop, O.Log);
+  if (!Log.ok())
+    return Log.status();
+  Task->Log = *std::move(Log);
+  control_task *Raw = Task.get();
+  Task->Log->OnApplied = [Raw](uint64_t Index, const apply_result &Result) {
+    Raw->onApplied(Index, Result);
+  };
+  Task->Log->OnStorageFailed = [Raw] {
+    if (Raw->OnFailed)
+      Raw->OnFailed();
+  };
+  Task->Api = std::make_unique<operator_api>(*Raw, Loop);
+  if (!Task->Api->bind(O.OperatorAddress))
+    return makeError(error_kind::BadConfiguration,
+                     "control.operator_address: cannot bind " +
+                         O.OperatorAddress);
+  Task->Timer.startRepeating(TickSeconds);
+  return Task;
+}
+
+control_task::control_task(link_context &Context, struct ev_loop *Loop,
+                           metrics &Metrics, control_options NewOptions)
+    : Loop(Loop), Metrics(Metrics), Options(std::move(NewOptions)),
+      Server(Context, Loop,
+             [this](const std::string &Peer, const wire::envelope &Message) {
+               receive(Peer, Message);
+             }),
+      Timer(Loop, [this] { tick(); }) {}
+
+void control_task::receive(const std::string &Peer,
+                           const wire::envelope &Message) {
+  if (!Log)
+    return;
+  switch (Message.body_case()) {
+  case wire::envelope::kRaft:
+    return Log->step(Message.raft());
+  case wire::envelope::kRenew:
+    return onRenew(Peer, Message.renew());
+  case wire::envelope::kClaim:
+    return onClaim(Peer, Message.claim());
+  case wire::envelope::kFinish:
+    return onFinish(Peer, Message.finish());
+  case wire::envelope::kBills: {
+    wire::command Command;
+    *Command.mutable_bills() = Message.bills();
+    return onBatch(Peer, Message.bills().call(), std::move(Command));
+  }
+  case wire::envelope::kRatings: {
+    wire::command Command;
+    *Command.mutable_ratings() = Message.ratings();
+    return onBatch(Peer, Message.ratings().call(), std::move(Command));
+  }
+  default:
+    Metrics.count("unexpected_messages", "control");
+  }
+}
+
+void control_task::redirect(const std::string &Peer) {
+  uint64_t Leader = Log->core().leader();
+  if (Leader == Options.Id)
+    return; // Elected, but not sure yet: the node asks again.
+  wire::envelope Message;
+  Message.mutable_redirect()->set_leader(Leader);
+  Server.send(Peer, Message);
+}
+
+void control_task::onRenew(const std::string &Peer, const wire::renew &Renew) {
+  double Now = steadySeconds();
+  if (!leads(Now))
+    return redirect(Peer);
+  Nodes.renewed(Peer, Renew, Now);
+  if (Renew.stopping())
+    Nodes.left(Peer);
+  else
+    grant(Peer, Renew, Now);
+  Nodes.poll(Now);
+}
+
+void control_task::grant(const std::string &Peer, const wire::renew &Renew,
+                         double Now) {
+  const state_machine &State = Log->state();
+  wire::envelope Message;
+  wire::grant *Grant = Message.mutable_grant();
+  Grant->set_sent_at(Renew.sent_at());
+  Grant->set_lease_seconds(LeaseSeconds);
+  if (Renew.config_index() != State.config().index())
+    State.config().fillDelta(Renew.config_index(), *Grant->mutable_delta());
+  if (Renew.role() == "entry") {
+    Grant->set_entries(Nodes.entries(Now));
+    for (wire::account_share &Share : Nodes.sharesOf(Peer, Now))
+      *Grant->add_shares() = std::move(Share);
+    fillEstimates(*Grant->mutable_estimates(), Renew.estimates_index());
+  }
+  Nodes.granted(Peer, Now);
+  Server.send(Peer, Message);
+}
+
+void control_task::fillEstimates(wire::estimate_table &Table,
+                                 uint64_t Known) const {
+  const rating_book &Ratings = Log->state().ratings();
+  uint32_t Entries = std::max(1U, Nodes.entries(steadySeconds()));
+  for (const guard_report &Report : Reports) {
+    const version_spec *Spec = Log->state().config().version(Report.Name);
+    if (!Spec || Spec->State != version_state::Rolling)
+      continue;
+    wire::guard_state *Out = Table.add_guards();
+    Out->set_model(Report.Name.Model);
+    Out->set_version(Report.Name.Version);
+    Out->set_allowance(Report.Allowance / Entries);
+  }
+  Table.set_index(Known);
+  if (Ratings.ratings() < Known + EstimateStep && Known <= Ratings.ratings())
+    return;
+  Table.set_index(Ratings.ratings());
+  for (const auto &[Key, Sums] : Ratings.quality().cells()) {
+    wire::rating_sum *Out = Table.add_cells();
+    Out->set_template_(Key.Template);
+    Out->set_account(Key.Account);
+    Out->set_arm(Key.Arm.text());
+    Out->set_ratings(Sums.Ratings);
+    Out->set_scores(Sums.Scores);
+    Out->set_costs(Sums.Costs);
+  }
+}
+
+void control_task::sendClaimResult(const std::string &Peer, uint64_t Call,
+                                   const apply_result *Result) {
+  wire::envelope Message;
+  wire::claim_result *Out = Message.mutable_claim_result();
+  if (Result)
+    *Out = Result->Claim;
+  else
+    return; // Leadership lost: the node asks the next leader again.
+  Out->set_call(Call);
+  wire::claim_value Holder;
+  if (!Out->won() && Holder.ParseFromString(Out->value()))
+    Out->set_holder_alive(
+        Nodes.holdsLease(Holder.id().entry(), steadySeconds()));
+  Server.send(Peer, Message);
+}
+
+void control_task::onClaim(const std::string &Peer, const wire::claim &Claim) {
+  wire::command Command;
+  *Command.mutable_claim() = Claim;
+  uint64_t Call = Claim.call();
+  bool Leads = Log->propose(std::move(Command),
+                            [this, Peer, Call](const apply_result *Result) {
+                              sendClaimResult(Peer, Call, Result);
+                            });
+  if (!Leads)
+    redirect(Peer);
+}
+
+void control_task::onFinish(const std::string &Peer,
+                            const wire::finish &Finish) {
+  wire::command Command;
+  *Command.mutable_finish() = Finish;
+  uint64_t Call = Finish.call();
+  bool Leads = Log->propose(std::move(Command),
+                            [this, Peer, Call](const apply_result *Result) {
+                              sendClaimResult(Peer, Call, Result);
+                            });
+  if (!Leads)
+    redirect(Peer);
+}
+
+void control_task::onBatch(const std::string &Peer, uint64_t Call,
+                           wire::command Command) {
+  bool Leads = Log->propose(std::move(Command),
+                            [this, Peer, Call](const apply_result *Result) {
+                              if (!Result)
+                                return;
+                              wire::envelope Message;
+                              Message.mutable_ack()->set_call(Call);
+                              Server.send(Peer, Message);
+                            });
+  if (!Leads)
+    redirect(Peer);
+}
+
+void control_task::onApplied(uint64_t Index, const apply_result &Result) {
+  if (Result.ConfigIndex == Index && Log->core().isLeader())
+    pushConfig();
+}
+
+// Tells every node at once, not only at its next renewal. Such a grant
+// carries no lease: it answers no question of the node.
+void control_task::pushConfig() {
+  if (!leads(steadySeconds()))
+    return;
+  for (const auto &[Peer, Node] : Nodes.nodes()) {
+    wire::envelope Message;
+    wire::grant *Grant = Message.mutable_grant();
+    Log->state().config().fillDelta(Node.Acked, *Grant->mutable_delta());
+    Server.send(Peer, Message);
+  }
+}
+
+void control_task::tick() {
+  double Now = steadySeconds();
+  const raft_core &Core = Log->core();
+  bool NewLeadership = Core.isLeader() && Core.term() != LedTerm;
+  if (NewLeadership) {
+    LedTerm = Core.term();
+    Nodes.reset(Now);
+    GuardPending.clear();
+    logLine(log_level::Info, "leads control", {{"term", int64_t(LedTerm)}});
+  }
+  if (!Core.isLeader())
+    Nodes.dropWaits();
+  Nodes.poll(Now);
+  if (leads(Now) && Now >= NextGuard)
+    guardVersions(Now);
+  Metrics.gauge("log_bytes", double(Log->storage().logBytes()));
+  Metrics.gauge("log_syncs", double(Log->storage().syncs()));
+  Metrics.gauge("commit_index", double(Core.commitIndex()));
+}
+
+void control_task::guardVersions(double Now) {
+  NextGuard = Now + GuardSeconds;
+  Reports = Log->state().ratings().judge(Log->state().config());
+  for (const guard_report &Report : Reports) {
+    const version_spec *Spec = Log->state().config().version(Report.Name);
+    if (!Spec)
+      continue;
+    if (Report.Verdict == guard_verdict::Stop)
+      setVersionState(Report, version_state::Stopped);
+    if (Report.Verdict == guard_verdict::Settle &&
+        Spec->State == version_state::Rolling)
+      setVersionState(Report, version_state::Active);
+  }
+}
+
+// The last version that takes new work of its model is never stopped: a poor
+// answer is an operator's decision, no answer at all is not the guard's.
+void control_task::setVersionState(const guard_report &Report,
+                                   version_state State) {
+  const catalog &Config = Log->state().config();
+  const model_spec *Model = Config.model(Report.Name.Model);
+  auto Object = Config.objects().find({"model", Report.Name.Model});
+  auto Others = std::count_if(
+      Model->Versions.begin(), Model->Versions.end(), [&](const auto &V) {
+        return V.first != Report.Name.Version && takesNewWork(V.second.State);
+      });
+  if (State == version_state::Stopped && Others == 0)
+    return;
+  std::string Name = Report.Name.text();
+  auto Document = parseJson(Object->second.Text, "model");
+  if (GuardPending[Name] || !Document.ok())
+    return;
+  (*Document)["versions"][Report.Name.Version]["state"] = nameOf(State);
+  wire::command Command;
+  wire::change_set *Set = Command.mutable_change();
+  Set->set_change_id(absl::StrCat("guard-", Name, "-", Object->second.Index));
+  Set->set_author("roll-out guard");
+  wire::config_change *Change = Set->add_changes();
+  Change->set_kind("model");
+  Change->set_name(Report.Name.Model);
+  Change->set_check_index(true);
+  Change->set_expected_index(Object->second.Index);
+  Change->set_document(Document->dump());
+  logLine(log_level::Warning, "roll-out guard changes a version",
+          {{"version", Name},
+           {"state", nameOf(State)},
+           {"reason", Report.Reason},
+           {"evidence", Report.Evidence},
+           {"ratings", Report.Ratings}});
+  GuardPending[Name] = true;
+  Log->propose(std::move(Command), [this, Name](const apply_result *) {
+    GuardPending.erase(Name);
+  });
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/control/control_task.h
@@ -0,0 +1,79 @@
+//===- control_task.h - The control role ------------------------*- C++ -*-===//
+//
+// Serves entries and sidecars (leases, claims, bills, ratings) and the
+// operators' interface from the replicated log, and runs the roll-out guard
+// while this VM leads.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_CONTROL_CONTROL_TASK_H
+#define OLIVEVALVE_CONTROL_CONTROL_TASK_H
+
+#include "base/metrics.h"
+#include "control/node_table.h"
+#include "control/operator_api.h"
+#include "control/replicated_log.h"
+
+namespace olivevalve {
+
+struct control_options {
+  uint64_t Id = 0;
+  std::string Address;         ///< For nodes and other control VMs.
+  std::string OperatorAddress; ///< HTTP.
+  std::vector<std::string> OperatorKeyDigests;
+  replicated_log_options Log;
+};
+
+class control_task {
+public:
+  static absl::StatusOr<std::unique_ptr<control_task>>
+  start(link_context &Context, struct ev_loop *Loop, metrics &Metrics,
+        control_options Options);
+
+  bool ready() const { return Log->core().leader() != 0; }
+  /// Stops taking operators' requests; true once those running have ended.
+  void drain() { Api->drain(); }
+  bool drained() const { return Api->idle(); }
+  std::string address() const { return Server.address(); }
+  std::string operatorAddress() const { return Api->address(); }
+
+  std::function<void()> OnFailed; ///< The disk failed: the process must end.
+
+private:
+  friend class operator_api;
+  control_task(link_context &Context, struct ev_loop *Loop, metrics &Metrics,
+               control_options Options);
+  void receive(const std::string &Peer, const wire::envelope &Message);
+  void onRenew(const std::string &Peer, const wire::renew &Renew);
+  void grant(const std::string &Peer, const wire::renew &Renew, double Now);
+  void fillEstimates(wire::estimate_table &Table, uint64_t Known) const;
+  void redirect(const std::string &Peer);
+  void onClaim(const std::string &Peer, const wire::claim &Claim);
+  void onFinish(const std::string &Peer, const wire::finish &Finish);
+  void onBatch(const std::string &Peer, uint64_t Call, wire::command Command);
+  void sendClaimResult(const std::string &Peer, uint64_t Call,
+                       const apply_result *Result);
+  void onApplied(uint64_t Index, const apply_result &Result);
+  void pushConfig();
+  void tick();
+  void guardVersions(double Now);
+  void setVersionState(const guard_report &Report, version_state State);
+  bool leads(double Now) const { return Log->core().hasLeaderLease(Now); }
+
+  struct ev_loop *Loop;
+  metrics &Metrics;
+  control_options Options;
+  server_link Server;
+  std::unique_ptr<replicated_log> Log;
+  std::unique_ptr<operator_api> Api;
+  node_table Nodes;
+  uint64_t LedTerm = 0;
+  std::map<std::string, bool> GuardPending;
+  std::vector<guard_report> Reports;
+  double NextGuard = 0;
+  timer Timer;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_CONTROL_CONTROL_TASK_H
--- /dev/null
+++ b/control/node_table.cpp
@@ -0,0 +1,125 @@
+//===- node_table.cpp - Leases of entries and sidecars --------------------===//
+
+#include "control/node_table.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// Control counts a lease longer than the node by the drift between clocks.
+constexpr double HeldSeconds = LeaseSeconds * (1 + DriftShare);
+// A node that was not heard for so long is no longer listed.
+constexpr double ForgetSeconds = 600;
+// Part of a client account's limits that is spread evenly, so that an entry
+// where traffic begins has something at once; the rest follows demand.
+constexpr double EvenPart = 0.3;
+
+} // namespace
+
+void node_table::reset(double Now) {
+  Nodes.clear();
+  Waits.clear();
+  Barrier = Now + HeldSeconds;
+}
+
+void node_table::renewed(const std::string &Peer, const wire::renew &Renew,
+                         double Now) {
+  node_record &Node = Nodes[Peer];
+  Node.Node = Renew.node();
+  Node.Role = Renew.role();
+  Node.DataHall = Renew.data_hall();
+  Node.Incarnation = Renew.incarnation();
+  Node.Acked = std::max(Node.Acked, Renew.config_index());
+  Node.LastSeen = Now;
+  Node.Stopping = Renew.stopping();
+  if (Renew.has_upstream_news())
+    Node.News = Renew.upstream_news();
+  Node.Demand.clear();
+  for (const wire::account_demand &Demand : Renew.demand())
+    Node.Demand[Demand.account()] = Demand.requests_per_second();
+}
+
+void node_table::granted(const std::string &Peer, double Now) {
+  auto It = Nodes.find(Peer);
+  if (It != Nodes.end())
+    It->second.LeaseEnd = Now + HeldSeconds;
+}
+
+void node_table::left(const std::string &Peer) {
+  auto It = Nodes.find(Peer);
+  if (It != Nodes.end())
+    It->second.LeaseEnd = 0;
+}
+
+// Leases granted from now on carry the change, so only those that run now
+// have to be waited for.
+void node_table::awaitInForce(uint64_t Index, double Now,
+                              std::function<void(double)> Done) {
+  wait Wait{Index, Now, {}, Barrier, std::move(Done)};
+  for (const auto &[Peer, Node] : Nodes)
+    if (Node.LeaseEnd > Now && Node.Acked < Index)
+      Wait.Holders[Peer] = Node.LeaseEnd;
+  Waits.push_back(std::move(Wait));
+}
+
+void node_table::poll(double Now) {
+  std::vector<wait> Settled;
+  for (wait &Wait : Waits)
+    std::erase_if(Wait.Holders, [&](const auto &Holder) {
+      auto It = Nodes.find(Holder.first);
+      bool HasIt = It != Nodes.end() && It->second.Acked >= Wait.Index;
+      bool Left = It != Nodes.end() && It->second.LeaseEnd == 0;
+      return HasIt || Left || Now >= Holder.second;
+    });
+  std::erase_if(Waits, [&](wait &Wait) {
+    if (!Wait.Holders.empty() || Now < Wait.Barrier)
+      return false;
+    Settled.push_back(std::move(Wait));
+    return true;
+  });
+  for (wait &Wait : Settled)
+    Wait.Done(Now - Wait.Since);
+  std::erase_if(Nodes, [&](const auto &Node) {
+    return Now > Node.second.LastSeen + ForgetSeconds;
+  });
+}
+
+bool node_table::holdsLease(uint64_t Incarnation, double Now) const {
+  if (Now < Barrier)
+    return true;
+  return std::any_of(Nodes.begin(), Nodes.end(), [&](const auto &N) {
+    return N.second.Incarnation == Incarnation && N.second.LeaseEnd > Now;
+  });
+}
+
+uint32_t node_table::entries(double Now) const {
+  return uint32_t(std::count_if(Nodes.begin(), Nodes.end(), [&](const auto &N) {
+    return N.second.Role == "entry" && N.second.LeaseEnd > Now;
+  }));
+}
+
+std::vector<wire::account_share> node_table::sharesOf(const std::string &Peer,
+                                                      double Now) const {
+  std::vector<wire::account_share> Shares;
+  auto Self = Nodes.find(Peer);
+  if (Self == Nodes.end())
+    return Shares;
+  double Even = EvenPart / std::max(1U, entries(Now));
+  for (const auto &[Account, Own] : Self->second.Demand) {
+    double Total = 0;
+    for (const auto &[Other, Node] : Nodes) {
+      auto It = Node.Demand.find(Account);
+      if (Node.LeaseEnd > Now && It != Node.Demand.end())
+        Total += It->second;
+    }
+    wire::account_share Share;
+    Share.set_account(Account);
+    double ByDemand = Total > 0 ? Own / Total : 0;
+    Share.set_share(std::min(1.0, Even + (1 - EvenPart) * ByDemand));
+    Shares.push_back(std::move(Share));
+  }
+  return Shares;
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/control/replicated_log.cpp
@@ -0,0 +1,239 @@
+//===- replicated_log.cpp - The agreement at work -------------------------===//
+
+#include "control/replicated_log.h"
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/log.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr double TickSeconds = 0.03;
+constexpr double AnnounceSeconds = 0.5;
+// A peer that said within this time that it has no group counts as empty.
+constexpr double EmptyFreshSeconds = 2.0;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<replicated_log>>
+replicated_log::open(link_context &Context, struct ev_loop *Loop,
+                     replicated_log_options Options) {
+  auto Storage = raft_storage::open(Options.Folder);
+  if (!Storage.ok())
+    return Storage.status();
+  std::unique_ptr<replicated_log> Log(
+      new replicated_log(Context, Loop, std::move(Options)));
+  Log->Storage = *std::move(Storage);
+  raft_durable Durable = Log->Storage->takeDurable();
+  bool Restorable =
+      Durable.Snapshot.Index == 0 || Log->State.restore(Durable.Snapshot.Image);
+  if (!Restorable)
+    return makeError(error_kind::StorageFailed,
+                     Log->Options.Folder + "/snapshot: cannot be read");
+  raft_options Core{.Id = Log->Options.Id, .Disk = Log->Storage->disk()};
+  Core.Seed = randomIncarnation();
+  Core.TargetVoters = Log->Options.TargetVoters;
+  Core.SilentSeconds = Log->Options.SilentSeconds;
+  for (const control_peer &Peer : Log->Options.Peers)
+    if (Peer.Id == Core.Id)
+      Core.Address = Peer.Address;
+  Log->Core =
+      std::make_unique<raft_core>(Core, std::move(Durable), steadySeconds());
+  Log->Timer.startRepeating(TickSeconds);
+  return Log;
+}
+
+replicated_log::replicated_log(link_context &Context, struct ev_loop *Loop,
+                               replicated_log_options NewOptions)
+    : Context(Context), Loop(Loop), Options(std::move(NewOptions)),
+      Timer(Loop, [this] { tick(); }), Prepare(Loop, [this] { flush(); }) {}
+
+void replicated_log::tick() {
+  double Now = steadySeconds();
+  Core->tick(Now);
+  if (!Core->isMember() && Now >= NextAnnounce)
+    announce(Now);
+  if (HadLeadership && !Core->isLeader())
+    dropHandlers();
+  HadLeadership = Core->isLeader();
+  snapshotIfDue();
+}
+
+// A VM outside any group tells all others that it is there. Only when every
+// listed VM says that it is empty too does the lowest number start a group:
+// a VM that lost its disk must never start a second one.
+void replicated_log::announce(double Now) {
+  NextAnnounce = Now + AnnounceSeconds;
+  for (const control_peer &Peer : Options.Peers) {
+    if (Peer.Id == Options.Id)
+      continue;
+    wire::envelope Message;
+    wire::raft *Announce = Message.mutable_raft();
+    Announce->set_purpose(wire::raft::ANNOUNCE);
+    Announce->set_from(Options.Id);
+    Announce->set_to(Peer.Id);
+    Announce->set_disk(Storage->disk());
+    for (const control_peer &Self : Options.Peers)
+      if (Self.Id == Options.Id)
+        Announce->set_address(Self.Address);
+    if (client_link *Link = linkTo(Peer.Id))
+      Link->send(Message);
+  }
+  if (!Core->group().empty())
+    return;
+  bool Lowest = true;
+  bool AllEmpty = true;
+  for (const control_peer &Peer : Options.Peers) {
+    if (Peer.Id == Options.Id)
+      continue;
+    Lowest = Lowest && Options.Id < Peer.Id;
+    auto Said = EmptyPeers.find(Peer.Id);
+    AllEmpty = AllEmpty && Said != EmptyPeers.end() &&
+               Now < Said->second + EmptyFreshSeconds;
+  }
+  if (!Lowest || !AllEmpty)
+    return;
+  logLine(log_level::Info, "starting a new control group");
+  Core->bootstrap(hexOf(randomIncarnation()), Now);
+}
+
+void replicated_log::onAnnounceReply(const wire::raft &Message) {
+  if (Message.group().empty())
+    EmptyPeers[Message.from()] = steadySeconds();
+  else
+    EmptyPeers.erase(Message.from());
+}
+
+client_link *replicated_log::linkTo(uint64_t Id) {
+  auto It = Links.find(Id);
+  if (It != Links.end())
+    return It->second.get();
+  std::string Address;
+  for (const wire::member &Member : Core->members().members())
+    if (Member.id() == Id)
+      Address = Member.address();
+  for (const control_peer &Peer : Options.Peers)
+    if (Peer.Id == Id)
+      Address = Peer.Address;
+  if (Address.empty())
+    return nullptr;
+  std::string Name = "control/" + hexOf(Storage->disk());
+  auto Link = std::make_unique<client_link>(Context, Loop, Name,
+                                            [](const wire::envelope &) {});
+  Link->connect(Address);
+  return (Links[Id] = std::move(Link)).get();
+}
+
+void replicated_log::step(const wire::raft &Message) {
+  if (Message.purpose() == wire::raft::ANNOUNCE_REPLY) {
+    if (Message.to() == Options.Id)
+      onAnnounceReply(Message);
+    return;
+  }
+  Core->step(Message, steadySeconds());
+}
+
+bool replicated_log::propose(wire::command Command, result_handler Handler) {
+  Command.set_wall_seconds(wallSeconds());
+  auto Index = Core->propose(Command.SerializeAsString());
+  if (!Index)
+    return false;
+  Waiters[*Index] = {.Term = Core->term(), .Handler = std::move(Handler)};
+  return true;
+}
+
+void replicated_log::send(const std::vector<wire::raft> &Messages) {
+  for (const wire::raft &Message : Messages) {
+    client_link *Link = linkTo(Message.to());
+    if (!Link)
+      continue;
+    wire::envelope Envelope;
+    *Envelope.mutable_raft() = Message;
+    Link->send(Envelope);
+  }
+}
+
+bool replicated_log::write(const raft_output &Output) {
+  if (!Output.needsSync())
+    return true;
+  absl::Status Status = Storage->write(Output);
+  if (Status.ok()) {
+    if (!Output.Entries.empty())
+      Core->synced(Output.Entries.back().index(), Output.Entries.back().term());
+    return true;
+  }
+  Failed = true;
+  logLine(log_level::Error, "storage failed, stopping",
+          {{"error", messageOf(Status)}});
+  if (OnStorageFailed)
+    OnStorageFailed();
+  return false;
+}
+
+void replicated_log::flush() {
+  if (Failed || !Core)
+    return;
+  for (;;) {
+    raft_output Output = Core->take();
+    bool Idle = !Output.needsSync() && Output.Early.empty() &&
+                Output.Late.empty() && Output.Committed.empty();
+    if (Idle)
+      return;
+    if (!Output.Hard)
+      send(Output.Early);
+    if (!write(Output))
+      return;
+    if (Output.Hard)
+      send(Output.Early);
+    send(Output.Late);
+    if (Output.Install && !State.restore(Output.Install->Image))
+      logLine(log_level::Error, "snapshot from the leader cannot be read");
+    for (const wire::log_entry &Entry : Output.Committed)
+      apply(Entry);
+  }
+}
+
+void replicated_log::apply(const wire::log_entry &Entry) {
+  apply_result Result =
+      State.apply(Entry.index(), Entry.is_members() ? "" : Entry.data());
+  auto It = Waiters.find(Entry.index());
+  if (It != Waiters.end()) {
+    waiter Waiter = std::move(It->second);
+    Waiters.erase(It);
+    // Another leader's entry may stand where this VM's proposal was to be.
+    Waiter.Handler(Waiter.Term == Entry.term() ? &Result : nullptr);
+  }
+  if (OnApplied)
+    OnApplied(Entry.index(), Result);
+}
+
+void replicated_log::dropHandlers() {
+  std::map<uint64_t, waiter> Dropped = std::move(Waiters);
+  Waiters.clear();
+  for (auto &[Index, Waiter] : Dropped)
+    Waiter.Handler(nullptr);
+}
+
+void replicated_log::snapshotIfDue() {
+  if (Failed || Storage->logBytes() < Options.SnapshotBytes)
+    return;
+  // Everything handed out must be written before the log file is replaced.
+  flush();
+  uint64_t Index = State.appliedIndex();
+  if (Failed || Index <= Core->snapshot().Index)
+    return;
+  Core->compact(Index, State.image());
+  absl::Status Status = Storage->compact(Core->snapshot(), Core->hardState(),
+                                         Core->entriesAfterSnapshot());
+  if (Status.ok())
+    return;
+  Failed = true;
+  logLine(log_level::Error, "snapshot failed, stopping",
+          {{"error", messageOf(Status)}});
+  if (OnStorageFailed)
+    OnStorageFailed();
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/ctl/operator_client.cpp
@@ -0,0 +1,100 @@
+//===- operator_client.cpp - Calls to control -----------------------------===//
+
+#include "ctl/operator_client.h"
+#include "absl/strings/str_cat.h"
+#include "base/clock.h"
+#include "base/error.h"
+#include "net/http_client.h"
+
+namespace olivevalve {
+
+namespace {
+
+constexpr double PauseSeconds = 0.2;
+// Longer than the longest time to be in force, with an election before it.
+constexpr double CallSeconds = 12;
+
+error_kind kindForCode(const std::string &Code) {
+  for (uint32_t I = 0; I <= uint32_t(error_kind::Last); ++I)
+    if (answerFor(error_kind(I)).Code == Code)
+      return error_kind(I);
+  return error_kind::BadRequest;
+}
+
+} // namespace
+
+operator_client::reply operator_client::callOnce(const std::string &Address,
+                                                 const std::string &Method,
+                                                 const std::string &Path,
+                                                 const std::string &Body,
+                                                 double Seconds) {
+  struct ev_loop *Loop = ev_loop_new(0);
+  reply Reply;
+  {
+    http_client Http(Loop);
+    fetch_options Request;
+    Request.Method = Method;
+    Request.Url = "http://" + Address + Path;
+    Request.Body = Body;
+    Request.TimeoutSeconds = Seconds;
+    Request.Headers = {"Content-Type: application/json"};
+    if (!Options.Key.empty())
+      Request.Headers.push_back("Authorization: Bearer " + Options.Key);
+    Request.OnBytes = [&](std::string_view Bytes) {
+      Reply.Body.append(Bytes);
+      return true;
+    };
+    Request.OnDone = [&](const fetch_result &Result) {
+      if (Result.Error.empty())
+        Reply.Status = Result.Status;
+      ev_break(Loop, EVBREAK_ALL);
+    };
+    Http.start(std::move(Request));
+    ev_run(Loop, 0);
+  }
+  ev_loop_destroy(Loop);
+  return Reply;
+}
+
+absl::StatusOr<json> operator_client::call(const std::string &Method,
+                                           const std::string &Path,
+                                           const std::string &Body) {
+  double Until = steadySeconds() + Options.TimeoutSeconds;
+  std::string Last = "no control VM answers";
+  while (steadySeconds() < Until) {
+    const std::string &Address = Options.Control[Current];
+    double Left = std::min(CallSeconds, Until - steadySeconds());
+    reply Reply = callOnce(Address, Method, Path, Body, Left);
+    json Value = json::parse(Reply.Body, nullptr, false);
+    if (Reply.Status == 200 && !Value.is_discarded())
+      return Value;
+    bool HasError = Value.is_object() && Value.contains("error");
+    std::string Code = HasError ? Value["error"].value("code", "") : "";
+    error_kind Kind = kindForCode(Code);
+    std::string Message =
+        HasError ? Value["error"].value("message", "") : Reply.Body;
+    bool Again = Reply.Status == 0 || Kind == error_kind::NotLeader ||
+                 Kind == error_kind::NoQuorum;
+    if (!Again)
+      return makeError(Kind, Message);
+    if (HasError)
+      Last = Address + ": " + Message;
+    Current = (Current + 1) % Options.Control.size();
+    timespec Pause{0, long(PauseSeconds * 1e9)};
+    nanosleep(&Pause, nullptr);
+  }
+  return makeError(
+      error_kind::NoQuorum,
+      absl::StrCat("no answer within ", Options.TimeoutSeconds, " s: ", Last));
+}
+
+absl::StatusOr<json> operator_client::get(const std::string &Path) {
+  return call("GET", Path, "");
+}
+
+absl::StatusOr<json> operator_client::post(const std::string &Path,
+                                           const json &Body) {
+  return call("POST", Path, Body.dump());
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,95 @@
+//===- main.cpp - olivevalved ---------------------------------------------===//
+
+#include "base/error.h"
+#include "daemon/node.h"
+#include <csignal>
+#include <cstdio>
+#include <curl/curl.h>
+#include <popt.h>
+
+namespace {
+
+using namespace olivevalve;
+
+constexpr int ExitUsage = 2;
+
+struct arguments {
+  std::string Settings;
+  bool Check = false;
+};
+
+// Exits with a message when the command line is wrong.
+arguments readArguments(int Count, const char **Values) {
+  char *Path = nullptr;
+  int Check = 0;
+  const poptOption Table[] = {
+      {"settings", 's', POPT_ARG_STRING, &Path, 0, "Settings file", "FILE"},
+      {"check", 0, POPT_ARG_STRING, &Path, 'c',
+       "Only check FILE and say what is wrong", "FILE"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext Options = poptGetContext("olivevalved", Count, Values, Table, 0);
+  int Code = 0;
+  while ((Code = poptGetNextOpt(Options)) > 0)
+    Check = Code == 'c' ? 1 : Check;
+  if (Code < -1 || !Path || poptPeekArg(Options)) {
+    std::fprintf(stderr, "olivevalved: %s\n",
+                 Code < -1 ? poptStrerror(Code)
+                           : "usage: olivevalved --settings FILE | "
+                             "--check FILE");
+    poptFreeContext(Options);
+    std::exit(ExitUsage);
+  }
+  arguments Arguments{Path, Check != 0};
+  std::free(Path);
+  poptFreeContext(Options);
+  return Arguments;
+}
+
+int fail(const absl::Status &Status) {
+  std::fprintf(stderr, "olivevalved: %s\n",
+               std::string(messageOf(Status)).c_str());
+  return ExitUsage;
+}
+
+void onSignal(struct ev_loop *, ev_signal *Watcher, int) {
+  static_cast<node *>(Watcher->data)->stop();
+}
+
+} // namespace
+
+int main(int Count, const char **Values) {
+  arguments Arguments = readArguments(Count, Values);
+  auto Settings = loadSettings(Arguments.Settings);
+  if (!Settings.ok())
+    return fail(Settings.status());
+  auto Keys = loadKeys(*Settings);
+  if (!Keys.ok())
+    return fail(Keys.status());
+  if (Arguments.Check) {
+    std::printf("%s: good; roles: %s\n", Arguments.Settings.c_str(),
+                Settings->roles().c_str());
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  startLog({Settings->Node, Settings->roles(), Settings->DataHall},
+           Settings->LogLevel);
+  struct ev_loop *Loop = ev_default_loop(0);
+  int Code = 0;
+  {
+    node Node(Loop, *Settings, *std::move(Keys));
+    if (absl::Status Status = Node.start(); !Status.ok())
+      return fail(Status);
+    ev_signal Term{};
+    ev_signal Int{};
+    ev_signal_init(&Term, onSignal, SIGTERM);
+    ev_signal_init(&Int, onSignal, SIGINT);
+    Term.data = Int.data = &Node;
+    ev_signal_start(Loop, &Term);
+    ev_signal_start(Loop, &Int);
+    ev_run(Loop, 0);
+    Code = Node.exitCode();
+  }
+  curl_global_cleanup();
+  return Code;
+}
--- /dev/null
+++ b/daemon/node.cpp
@@ -0,0 +1,127 @@
+//===- node.cpp - One process with its roles ------------------------------===//
+
+#include "daemon/node.h"
+#include "base/clock.h"
+#include "base/error.h"
+
+namespace olivevalve {
+
+namespace {
+
+constexpr double DrainPollSeconds = 0.05;
+// Time for last messages to leave.
+constexpr double EndSeconds = 0.1;
+
+} // namespace
+
+node::node(struct ev_loop *Loop, const settings &Settings, link_keys Keys)
+    : Loop(Loop), Settings(Settings), Context(std::move(Keys)),
+      Health(Loop, {.MaxBodyBytes = 1024, .MaxConnections = 50},
+             [this](const std::shared_ptr<http_exchange> &Exchange) {
+               handleHealth(Exchange);
+             }),
+      DrainTimer(Loop, [this] { checkDrain(); }),
+      EndTimer(Loop, [this] { ev_break(this->Loop, EVBREAK_ALL); }) {}
+
+absl::Status node::start() {
+  auto Bind = [](bool Good, std::string_view What, const std::string &Address) {
+    return Good ? absl::OkStatus()
+                : makeError(error_kind::BadConfiguration,
+                            std::string(What) + ": cannot bind " + Address);
+  };
+  absl::Status Status = Bind(Health.bind(Settings.HealthAddress),
+                             "health_address", Settings.HealthAddress);
+  if (Status.ok() && Settings.Control) {
+    auto Task = control_task::start(Context, Loop, Metrics, *Settings.Control);
+    if (!Task.ok())
+      return Task.status();
+    Control = *std::move(Task);
+    Control->OnFailed = [this] {
+      ExitCode = 3;
+      end();
+    };
+  }
+  if (Status.ok() && Settings.Sidecar) {
+    Sidecar = std::make_unique<sidecar_task>(Context, Loop, Metrics,
+                                             *Settings.Sidecar);
+    Status =
+        Bind(Sidecar->bind(), "sidecar.address", Settings.Sidecar->Address);
+  }
+  if (Status.ok() && Settings.Entry) {
+    Entry =
+        std::make_unique<entry_task>(Context, Loop, Metrics, *Settings.Entry);
+    Status = Bind(Entry->bind(), "entry.address", Settings.Entry->Address);
+  }
+  if (!Status.ok())
+    return Status;
+  logLine(log_level::Info, "started",
+          {{"health", Health.address()},
+           {"entry", Entry ? Entry->address() : ""},
+           {"sidecar", Sidecar ? Sidecar->address() : ""},
+           {"control", Control ? Control->address() : ""},
+           {"operators", Control ? Control->operatorAddress() : ""}});
+  return absl::OkStatus();
+}
+
+bool node::ready() const {
+  return !Stopping && (!Control || Control->ready()) &&
+         (!Sidecar || Sidecar->ready()) && (!Entry || Entry->ready());
+}
+
+void node::handleHealth(const std::shared_ptr<http_exchange> &Exchange) {
+  const std::string &Path = Exchange->path();
+  if (Path == "/healthz")
+    return Exchange->reply(200, "text/plain", "ok\n");
+  if (Path == "/readyz")
+    return Exchange->reply(ready() ? 200 : 503, "text/plain",
+                           ready() ? "ready\n" : "not ready\n");
+  if (Path == "/metrics")
+    return Exchange->reply(200, "text/plain; version=0.0.4",
+                           Metrics.prometheusText());
+  if (Path == "/log-level" && Exchange->method() == "PUT") {
+    setLogLevel(logLevelFromName(Exchange->body()));
+    return Exchange->reply(200, "text/plain", "ok\n");
+  }
+  Exchange->reply(404, "text/plain",
+                  "known: /healthz /readyz /metrics, PUT /log-level\n");
+}
+
+void node::stop() {
+  if (Stopping) {
+    ExitCode = 4;
+    return ev_break(Loop, EVBREAK_ALL);
+  }
+  Stopping = true;
+  logLine(log_level::Info, "draining");
+  DrainUntil = steadySeconds() + Settings.DrainSeconds;
+  if (Entry)
+    Entry->drain();
+  if (Sidecar)
+    Sidecar->drain();
+  DrainTimer.startRepeating(DrainPollSeconds);
+}
+
+// Control goes last: the other roles hand their bills to it.
+void node::checkDrain() {
+  bool Over = steadySeconds() >= DrainUntil;
+  bool Done = (!Entry || Entry->drained()) && (!Sidecar || Sidecar->drained());
+  if (!Done && !Over)
+    return;
+  if (Over)
+    logLine(log_level::Warning, "drain_seconds are over, work is cut");
+  DrainTimer.stop();
+  end();
+}
+
+void node::end() {
+  if (Entry)
+    Entry->leave();
+  if (Sidecar)
+    Sidecar->leave();
+  if (Control)
+    Control->drain();
+  logLine(log_level::Info, "stopped");
+  EndTimer.startOnce(EndSeconds);
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/daemon/settings.cpp
@@ -0,0 +1,225 @@
+//===- settings.cpp - The daemon's settings file --------------------------===//
+
+#include "daemon/settings.h"
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include "base/fields.h"
+#include <arpa/inet.h>
+#include <charconv>
+#include <set>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr size_t KeyCharacters = 40;
+
+bool isAddress(const std::string &Text) {
+  size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  in_addr Ip{};
+  unsigned Port = 0;
+  auto Parsed =
+      std::from_chars(Text.data() + Colon + 1, Text.data() + Text.size(), Port);
+  return inet_pton(AF_INET, Text.substr(0, Colon).c_str(), &Ip) == 1 &&
+         Parsed.ec == std::errc() && Parsed.ptr == Text.data() + Text.size() &&
+         Port <= 65535;
+}
+
+/// Reads addresses and sees that none is used twice in one file.
+class address_reader {
+public:
+  void read(object_reader &Reader, std::string_view Key, std::string &Out,
+            presence Presence) {
+    Reader.text(Key, Out, Presence);
+    if (Out.empty() || !Reader.has(Key))
+      return;
+    if (!isAddress(Out))
+      return Reader.fault(Key, "is '" + Out + "', must be IP:port");
+    if (!Out.ends_with(":0") && !Seen.insert(Out).second)
+      Reader.fault(Key, Out + " is used twice in this file");
+  }
+
+private:
+  std::set<std::string> Seen;
+};
+
+void readUrl(object_reader &Reader, std::string_view Key, std::string &Out,
+             presence Presence) {
+  Reader.text(Key, Out, Presence);
+  if (!Out.empty() && !(Out.starts_with("http://") && isAddress(Out.substr(7))))
+    Reader.fault(Key, "is '" + Out + "', must be http://IP:port");
+}
+
+std::vector<control_peer> readMembers(object_reader &Reader,
+                                      fault_list &Faults) {
+  std::vector<control_peer> Members;
+  std::set<int64_t> Ids;
+  Reader.elements(
+      "control_members", [&](const json &Value, const std::string &Path) {
+        object_reader Each(Value, Path, Faults);
+        int64_t Id = 0;
+        std::string Address;
+        Each.integer("id", Id, {1, 1e6}, presence::Required);
+        Each.text("address", Address, presence::Required);
+        if (!Address.empty() && !isAddress(Address))
+          Each.fault("address", "is '" + Address + "', must be IP:port");
+        Each.finish();
+        if (!Ids.insert(Id).second)
+          Faults.add(Path + ".id", absl::StrCat(Id, " is used twice"));
+        Members.push_back({uint64_t(Id), Address});
+      });
+  if (Members.empty())
+    Reader.fault("control_members", "must list at least one control VM");
+  return Members;
+}
+
+entry_options readEntry(object_reader &Reader, address_reader &Addresses) {
+  entry_options Entry;
+  Addresses.read(Reader, "address", Entry.Address, presence::Required);
+  readUrl(Reader, "rating_url", Entry.RatingUrl, presence::Optional);
+  Reader.number("default_deadline_seconds", Entry.DefaultDeadline, {0.1, 3600});
+  Reader.integer("max_body_bytes", Entry.MaxBodyBytes, {1024, 64 << 20});
+  Reader.integer("max_open_requests", Entry.MaxOpenRequests, {1, 60000});
+  return Entry;
+}
+
+sidecar_options readSidecar(object_reader &Reader, address_reader &Addresses) {
+  sidecar_options Sidecar;
+  Addresses.read(Reader, "address", Sidecar.Address, presence::Required);
+  Reader.text("upstream", Sidecar.Upstream, presence::Required);
+  readUrl(Reader, "engine_url", Sidecar.EngineUrl, presence::Required);
+  return Sidecar;
+}
+
+control_options readControl(object_reader &Reader, address_reader &Addresses,
+                            const std::vector<control_peer> &Members) {
+  control_options Control;
+  int64_t Id = 0;
+  int64_t Voters = int64_t(std::max<size_t>(1, Members.size()));
+  int64_t SnapshotBytes = int64_t(Control.Log.SnapshotBytes);
+  Reader.integer("id", Id, {1, 1e6}, presence::Required);
+  Addresses.read(Reader, "operator_address", Control.OperatorAddress,
+                 presence::Required);
+  Reader.texts("operator_key_digests", Control.OperatorKeyDigests);
+  Reader.text("data_folder", Control.Log.Folder, presence::Required);
+  Reader.integer("voters", Voters, {1, 9});
+  Reader.number("replace_after_seconds", Control.Log.SilentSeconds, {5, 86400});
+  Reader.integer("snapshot_bytes", SnapshotBytes, {1024, 1 << 30});
+  Control.Id = Control.Log.Id = uint64_t(Id);
+  Control.Log.Peers = Members;
+  Control.Log.TargetVoters = size_t(Voters);
+  Control.Log.SnapshotBytes = uint64_t(SnapshotBytes);
+  for (const control_peer &Member : Members)
+    if (Member.Id == Control.Id)
+      Control.Address = Member.Address;
+  if (Control.Address.empty())
+    Reader.fault("id", "is not in control_members");
+  return Control;
+}
+
+absl::StatusOr<std::string> readKey(const std::string &Path) {
+  auto Text = readFile(Path);
+  if (!Text.ok())
+    return Text.status();
+  while (!Text->empty() && std::isspace(uint8_t(Text->back())))
+    Text->pop_back();
+  if (Text->size() != KeyCharacters)
+    return makeError(error_kind::BadConfiguration,
+                     Path + ": must hold one key of 40 characters, as written "
+                            "by 'olivevalvectl link-keys'");
+  return Text;
+}
+
+} // namespace
+
+std::string settings::roles() const {
+  std::string Text;
+  auto Add = [&](bool Has, std::string_view Name) {
+    if (Has)
+      Text += (Text.empty() ? "" : "+") + std::string(Name);
+  };
+  Add(Control.has_value(), "control");
+  Add(Entry.has_value(), "entry");
+  Add(Sidecar.has_value(), "sidecar");
+  return Text;
+}
+
+absl::StatusOr<settings> loadSettings(const std::string &Path) {
+  auto Text = readFile(Path);
+  if (!Text.ok())
+    return Text.status();
+  auto Value = parseJson(*Text, Path);
+  if (!Value.ok())
+    return Value.status();
+  fault_list Faults;
+  settings Settings;
+  address_reader Addresses;
+  object_reader Reader(*Value, "", Faults);
+  Reader.text("node", Settings.Node, presence::Required);
+  Reader.text("data_hall", Settings.DataHall, presence::Required);
+  Addresses.read(Reader, "health_address", Settings.HealthAddress,
+                 presence::Optional);
+  size_t Level = size_t(log_level::Info);
+  Reader.choice("log_level", Level, {"debug", "info", "warning", "error"});
+  Settings.LogLevel = log_level(Level);
+  Reader.number("drain_seconds", Settings.DrainSeconds, {1, 86400});
+  std::vector<control_peer> Members = readMembers(Reader, Faults);
+  Reader.object("keys", [&](object_reader &Keys) {
+    key_files Files;
+    Keys.text("public_file", Files.Public, presence::Required);
+    Keys.text("secret_file", Files.Secret, presence::Required);
+    Keys.text("server_file", Files.Server, presence::Required);
+    Settings.Keys = Files;
+  });
+  Reader.object("entry", [&](object_reader &Entry) {
+    Settings.Entry = readEntry(Entry, Addresses);
+  });
+  Reader.object("sidecar", [&](object_reader &Sidecar) {
+    Settings.Sidecar = readSidecar(Sidecar, Addresses);
+  });
+  Reader.object("control", [&](object_reader &Control) {
+    Settings.Control = readControl(Control, Addresses, Members);
+  });
+  Reader.finish();
+  if (!Settings.Entry && !Settings.Sidecar && !Settings.Control)
+    Faults.add("document", "must have a role: entry, sidecar or control");
+  if (!Faults.empty())
+    return makeError(error_kind::BadConfiguration, Path + ": " + Faults.text());
+  std::vector<control_member_address> Control;
+  for (const control_peer &Member : Members)
+    Control.push_back({Member.Id, Member.Address});
+  if (Settings.Entry) {
+    Settings.Entry->Node = Settings.Node;
+    Settings.Entry->DataHall = Settings.DataHall;
+    Settings.Entry->Control = Control;
+  }
+  if (Settings.Sidecar) {
+    Settings.Sidecar->Node = Settings.Node;
+    Settings.Sidecar->DataHall = Settings.DataHall;
+    Settings.Sidecar->Control = Control;
+  }
+  return Settings;
+}
+
+absl::StatusOr<link_keys> loadKeys(const settings &Settings) {
+  link_keys Keys;
+  if (!Settings.Keys)
+    return Keys;
+  struct wanted {
+    const std::string &Path;
+    std::string &Out;
+  };
+  for (wanted Each : {wanted{Settings.Keys->Public, Keys.PublicKey},
+                      wanted{Settings.Keys->Secret, Keys.SecretKey},
+                      wanted{Settings.Keys->Server, Keys.ServerKey}}) {
+    auto Key = readKey(Each.Path);
+    if (!Key.ok())
+      return Key.status();
+    Each.Out = *Key;
+  }
+  return Keys;
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/entry/request_task.cpp
@@ -0,0 +1,767 @@
+//===- request_task.cpp - One request from caller to answer ---------------===//
+
+#include "entry/request_task.h"
+#include "base/clock.h"
+#include "base/digest.h"
+#include "base/log.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// A sidecar that did not say a word to an attempt in this time is passed by.
+constexpr double AcceptSeconds = 1.5;
+constexpr uint32_t MostTries = 4;
+// Frames of 16 KiB at most that may be under way to a slow caller.
+constexpr uint32_t FirstCredits = 32;
+// An answer that is not streamed is held whole before it is given.
+constexpr size_t MostAnswerBytes = 16 << 20;
+// Of a streamed answer, kept for the rating service.
+constexpr size_t RatedBytes = 16 << 10;
+// Finding out what became of a claimed attempt.
+constexpr double ResolveSeconds = 6;
+constexpr double ResolveAgainSeconds = 0.3;
+// After its deadline a request waits this long for the truth on "not run".
+constexpr double DeadlineGraceSeconds = 0.25;
+// The rating between the halves of a cascade must not eat the caller's time.
+constexpr double CascadeRatingSeconds = 2;
+constexpr double LateRatingSeconds = 60;
+constexpr double DefaultEscalation = 0.6;
+// Tokens of a usual answer, for costs of versions never used; 4 bytes a token.
+constexpr double UsualOutputTokens = 300;
+constexpr double BytesPerToken = 4;
+
+bool needsBudget(error_kind Kind) {
+  return Kind == error_kind::QueueFull || Kind == error_kind::EngineFailed ||
+         Kind == error_kind::NoUpstream;
+}
+
+} // namespace
+
+request_task::request_task(entry_context &Context,
+                           std::shared_ptr<http_exchange> Exchange,
+                           request_facts NewFacts)
+    : Context(Context), Exchange(std::move(Exchange)),
+      Facts(std::move(NewFacts)) {
+  Bill.set_entry(Context.Incarnation);
+  Bill.set_request(Facts.Number);
+  Bill.set_account(Facts.Account);
+  Bill.set_template_(Facts.Template);
+}
+
+void request_task::begin() {
+  Context.Retries.requestSeen();
+  if (!Facts.isChat())
+    return run({});
+  if (Facts.Session.empty())
+    return chooseFreely();
+  choosePinned();
+}
+
+//===----------------------------------------------------------------------===//
+// Choice of version
+//===----------------------------------------------------------------------===//
+
+upstream_need request_task::need(const version_name &Wanted) const {
+  return {.Version = Wanted,
+          .Service = Facts.Service,
+          .PrefixHash = Facts.Chat.PrefixHash,
+          .Excluded = Tried};
+}
+
+bool request_task::versionUsable(const version_name &Name, bool Pinned) const {
+  const version_spec *Spec = Context.Control.config().version(Name);
+  bool Held = Spec && Spec->State == version_state::Paused;
+  return Spec && takesNewWork(Spec->State) && (Pinned || !Held);
+}
+
+double request_task::priorCost(const version_spec &Spec) const {
+  double Input = double(Facts.Chat.PromptBytes) / BytesPerToken;
+  return (Input * Spec.InputPrice + UsualOutputTokens * Spec.OutputPrice) *
+         1e-6;
+}
+
+std::vector<version_candidate> request_task::candidates() const {
+  const catalog &Config = Context.Control.config();
+  std::vector<version_candidate> List;
+  for (const version_name &Name : Facts.Candidates) {
+    if (!versionUsable(Name, false) ||
+        !Context.Pool.canServe(need(Name), Config))
+      continue;
+    const version_spec &Spec = *Config.version(Name);
+    version_candidate Candidate{.Name = Name, .PriorCost = priorCost(Spec)};
+    Candidate.Rolling = Spec.State == version_state::Rolling;
+    auto Allowance = Context.Allowances.find(Name);
+    if (Allowance != Context.Allowances.end())
+      Candidate.Allowance = Allowance->second - Context.Rater.unconfirmed(Name);
+    List.push_back(std::move(Candidate));
+  }
+  return List;
+}
+
+std::optional<choice_answer> request_task::choose(bool MayCascade) {
+  choice_question Question{.Template = Facts.Template,
+                           .Account = Facts.Account,
+                           .QualityTarget = Facts.QualityTarget,
+                           .Policy = Facts.Policy,
+                           .Candidates = candidates(),
+                           .MayCascade = MayCascade};
+  return chooseArm(Question, Context.Estimates, Context.Random);
+}
+
+void request_task::chooseFreely() {
+  bool MayCascade = !Facts.Chat.Stream && !claimed() &&
+                    Context.Rater.enabled() && Facts.Session.empty();
+  auto Choice = choose(MayCascade);
+  if (!Choice)
+    return refuse(error_kind::NoUpstream,
+                  "no allowed version has an upstream that takes work");
+  Arm = Choice->Arm;
+  run(Arm.First);
+}
+
+// A known pin is used as it is; a session whose version was withdrawn gets a
+// new one, which all entries agree on.
+void request_task::choosePinned() {
+  session_key Key{Facts.Account, Facts.Session, Facts.Template};
+  auto Known = Context.Sessions.known(Key);
+  if (Known && versionUsable(*Known, true)) {
+    Arm = {*Known, {}};
+    return run(*Known);
+  }
+  auto Choice = choose(false);
+  if (!Choice)
+    return refuse(error_kind::NoUpstream,
+                  "no allowed version has an upstream that takes work");
+  pin(Choice->Arm.First, Known);
+}
+
+void request_task::pin(const version_name &Wanted,
+                       const std::optional<version_name> &Replaces) {
+  session_key Key{Facts.Account, Facts.Session, Facts.Template};
+  auto Self = shared_from_this();
+  ++PinTries;
+  Context.Sessions.pin(
+      Key, Wanted, Replaces,
+      [this, Self, Wanted](std::optional<version_name> Stands) {
+        if (Stage != stage::Choosing)
+          return;
+        if (!Stands)
+          return refuse(error_kind::NoLease,
+                        "control could not be asked for the session's "
+                        "version");
+        if (!versionUsable(*Stands, true) && PinTries < 4)
+          return pin(Wanted, Stands);
+        Arm = {*Stands, {}};
+        run(*Stands);
+      });
+}
+
+void request_task::run(const version_name &Wanted) {
+  Version = Wanted;
+  Tried.clear();
+  sendAttempt();
+}
+
+//===----------------------------------------------------------------------===//
+// Claims
+//===----------------------------------------------------------------------===//
+
+void request_task::claim() {
+  Stage = stage::Claiming;
+  wire::claim_value Value;
+  *Value.mutable_id() = Id;
+  Value.set_upstream(Upstream);
+  Value.set_sidecar_incarnation(Context.Pool.incarnation(Upstream));
+  wire::envelope Message;
+  wire::claim *Claim = Message.mutable_claim();
+  Claim->set_space("request");
+  Claim->set_account(Facts.Account);
+  Claim->set_key(Facts.Key);
+  Claim->set_value(Value.SerializeAsString());
+  Claim->set_replaces(ClaimValue);
+  Claim->set_request_hash(checksum(Facts.Method + Facts.Path + Facts.Body));
+  ClaimValue = Claim->value();
+  auto Self = shared_from_this();
+  Context.Control.ask(std::move(Message), Facts.Deadline - steadySeconds(),
+                      [this, Self](const wire::envelope *Answer) {
+                        if (Stage != stage::Claiming)
+                          return;
+                        if (!Answer || !Answer->has_claim_result())
+                          return refuse(error_kind::NoLease,
+                                        "control could not be asked whether "
+                                        "this request ran before");
+                        onClaimed(Answer->claim_result());
+                      });
+}
+
+// The attempt leaves only after the claim has been committed by a quorum.
+void request_task::onClaimed(const wire::claim_result &Result) {
+  if (Result.won())
+    return dispatch();
+  endAttempt();
+  onClaimLost(Result);
+}
+
+void request_task::onClaimLost(const wire::claim_result &Result) {
+  uint64_t Hash = checksum(Facts.Method + Facts.Path + Facts.Body);
+  if (Result.request_hash() != Hash)
+    return refuse(error_kind::KeyReused,
+                  "Idempotency-Key: was used for another request");
+  if (Result.finished()) {
+    Stage = stage::Answered;
+    std::vector<http_header> Headers = headers();
+    Headers.push_back({"X-Olivevalve-Replayed", "true"});
+    Exchange->reply(int(Result.status()), Result.content_type(), Result.body(),
+                    Headers);
+    return finishTask();
+  }
+  if (!Holder.ParseFromString(Result.value()))
+    return refuse(error_kind::OutcomeUnknown, "the claim cannot be read");
+  if (Result.holder_alive())
+    return refuse(error_kind::InProgress,
+                  "a request with this Idempotency-Key is under way");
+  HolderValue = Result.value();
+  Stage = stage::Resolving;
+  ResolveUntil = std::min(Facts.Deadline, steadySeconds() + ResolveSeconds);
+  resolve(steadySeconds());
+}
+
+std::optional<attempt_key> request_task::asksAbout() const {
+  if (Stage != stage::Resolving)
+    return std::nullopt;
+  return keyOf(Holder.id());
+}
+
+// Asks the sidecar that the attempt was meant for. If that start of it is
+// gone, nobody can tell any more whether the attempt had begun.
+void request_task::resolve(double Now) {
+  NextResolve = Now + ResolveAgainSeconds;
+  uint64_t Present = Context.Pool.incarnation(Holder.upstream());
+  bool Restarted = Present != 0 && Present != Holder.sidecar_incarnation();
+  if (Restarted && !Polled)
+    return pollOutcome();
+  if (Restarted)
+    return refuse(error_kind::OutcomeUnknown,
+                  "the upstream restarted while the request was there");
+  if (Now >= ResolveUntil)
+    return refuse(error_kind::OutcomeUnknown,
+                  "the upstream that had the request cannot be asked");
+  wire::envelope Message;
+  *Message.mutable_cancel()->mutable_id() = Holder.id();
+  Message.mutable_cancel()->set_only_if_not_started(true);
+  Context.Pool.send(Holder.upstream(), Message);
+}
+
+void request_task::onResolved(wire::cancel_result::cancel_progress Progress) {
+  if (Progress == wire::cancel_result::NOT_STARTED) {
+    // It never will run: this request takes the claim over.
+    ClaimValue = HolderValue;
+    return sendAttempt();
+  }
+  pollOutcome();
+}
+
+// It started: the sidecar stores the outcome at control when it ends.
+void request_task::pollOutcome() {
+  if (PollPending)
+    return;
+  PollPending = true;
+  wire::envelope Message;
+  wire::claim *Claim = Message.mutable_claim();
+  Claim->set_space("request");
+  Claim->set_account(Facts.Account);
+  Claim->set_key(Facts.Key);
+  Claim->set_value(HolderValue);
+  Claim->set_request_hash(checksum(Facts.Method + Facts.Path + Facts.Body));
+  auto Self = shared_from_this();
+  Context.Control.ask(std::move(Message), ResolveSeconds,
+                      [this, Self](const wire::envelope *Answer) {
+                        PollPending = false;
+                        if (Stage != stage::Resolving || !Answer)
+                          return;
+                        Polled = true;
+                        if (Answer->claim_result().finished())
+                          onClaimLost(Answer->claim_result());
+                      });
+}
+
+void request_task::freeClaim() {
+  if (!claimed() || ClaimValue.empty())
+    return;
+  wire::claim_value Own;
+  Own.ParseFromString(ClaimValue);
+  wire::envelope Message;
+  wire::finish *Finish = Message.mutable_finish();
+  Finish->set_account(Facts.Account);
+  Finish->set_key(Facts.Key);
+  *Finish->mutable_id() = Own.id();
+  Finish->set_free(true);
+  Context.Control.ask(std::move(Message), ResolveSeconds,
+                      [](const wire::envelope *) {});
+}
+
+//===----------------------------------------------------------------------===//
+// Attempts
+//===----------------------------------------------------------------------===//
+
+void request_task::sendAttempt() {
+  Upstream = Context.Pool.choose(need(Version), Context.Control.config(),
+                                 Context.Random);
+  if (Upstream.empty()) {
+    freeClaim();
+    return refuse(error_kind::NoUpstream,
+                  "no upstream takes work for " +
+                      (Facts.isChat() ? Version.text() : Facts.Service));
+  }
+  ++Tries;
+  Id.set_entry(Context.Incarnation);
+  Id.set_request(Facts.Number);
+  Id.set_number(Tries);
+  Accepted = false;
+  NextSequence = 0;
+  Answer.clear();
+  Context.Pool.attemptStarted(Upstream);
+  InFlight = true;
+  if (claimed())
+    return claim();
+  dispatch();
+}
+
+wire::envelope request_task::makeAttempt() const {
+  wire::envelope Message;
+  wire::attempt *Attempt = Message.mutable_attempt();
+  *Attempt->mutable_id() = Id;
+  Attempt->set_sidecar_incarnation(Context.Pool.incarnation(Upstream));
+  Attempt->set_config_index(Context.Control.config().index());
+  Attempt->set_account(Facts.Account);
+  Attempt->set_model(Version.Model);
+  Attempt->set_version(Version.Version);
+  Attempt->set_method(Facts.Method);
+  Attempt->set_path(Facts.Path);
+  Attempt->set_content_type(Facts.ContentType);
+  double Left = std::max(0.001, Facts.Deadline - steadySeconds());
+  Attempt->set_budget_ms(uint32_t(Left * 1e3));
+  Attempt->set_priority(Facts.Priority);
+  Attempt->set_credits(FirstCredits);
+  Attempt->set_repeatable(!claimed());
+  Attempt->set_idempotency_key(Facts.Key);
+  if (!Facts.isChat()) {
+    Attempt->set_body(Facts.Body);
+    return Message;
+  }
+  const version_spec *Spec = Context.Control.config().version(Version);
+  bool Named = Spec && !Spec->EngineModel.empty();
+  Attempt->set_body(
+      engineBody(Facts.Chat, Named ? Spec->EngineModel : Version.text()));
+  return Message;
+}
+
+void request_task::dispatch() {
+  Stage = stage::Sent;
+  SentAt = steadySeconds();
+  if (Facts.isChat())
+    Context.Rater.countExposure(Version);
+  if (!Context.Pool.send(Upstream, makeAttempt()))
+    retry(error_kind::NoUpstream, "no connection to " + Upstream, false);
+}
+
+void request_task::endAttempt() {
+  if (InFlight)
+    Context.Pool.attemptEnded(Upstream);
+  InFlight = false;
+}
+
+void request_task::cancelAttempt(bool OnlyIfNotStarted) {
+  if (Stage != stage::Sent)
+    return;
+  wire::envelope Message;
+  *Message.mutable_cancel()->mutable_id() = Id;
+  Message.mutable_cancel()->set_only_if_not_started(OnlyIfNotStarted);
+  Context.Pool.send(Upstream, Message);
+}
+
+void request_task::onMessage(const std::string &From,
+                             const wire::envelope &Message) {
+  if (Message.has_cancel_result())
+    return onCancelResult(Message.cancel_result());
+  if (Stage != stage::Sent || From != Upstream)
+    return;
+  switch (Message.body_case()) {
+  case wire::envelope::kAccepted:
+    Accepted = true;
+    return Context.Pool.noteLoad(Upstream, Message.accepted().running(),
+                                 Message.accepted().queued());
+  case wire::envelope::kRefused:
+    return onRefused(Message.refused());
+  case wire::envelope::kHead:
+    return onHead(Message.head());
+  case wire::envelope::kFrame:
+    return onFrame(Message.frame());
+  case wire::envelope::kEnd:
+    return onEnd(Message.end());
+  default:
+    return;
+  }
+}
+
+void request_task::onRefused(const wire::refused &Refused) {
+  error_kind Kind = kindFromNumber(Refused.kind());
+  if (DeadlineCancelSent) {
+    endAttempt();
+    freeClaim();
+    return refuse(error_kind::DeadlineExceeded, "the deadline has passed");
+  }
+  if (needsBudget(Kind))
+    Context.Pool.failed(Upstream);
+  retry(Kind, Refused.message(), needsBudget(Kind));
+}
+
+// Only called when the attempt is known not to have run, or may run again.
+void request_task::retry(error_kind Kind, const std::string &Message,
+                         bool UsesBudget) {
+  endAttempt();
+  Tried.insert(Upstream);
+  bool InTime = steadySeconds() < Facts.Deadline;
+  bool May = answerFor(Kind).TryElsewhere || Kind == error_kind::NoUpstream;
+  if (May && InTime && Tries < MostTries &&
+      (!UsesBudget || Context.Retries.take())) {
+    Context.Metrics.count("retries", answerFor(Kind).Code);
+    return sendAttempt();
+  }
+  freeClaim();
+  refuse(Kind, Message);
+}
+
+void request_task::onHead(const wire::head &Head) {
+  Status = int(Head.status());
+  ContentType = Head.content_type();
+}
+
+void request_task::onFrame(const wire::frame &Frame) {
+  // A gap, a double or a crossing: the rest cannot be trusted.
+  if (Frame.sequence() != NextSequence)
+    return attemptFailed(error_kind::EngineFailed, "a part of the answer is "
+                                                   "missing");
+  ++NextSequence;
+  double Now = steadySeconds();
+  if (FirstFrameAt == 0) {
+    FirstFrameAt = Now;
+    Context.Metrics.record(measure::TimeToFirstToken, Facts.Account,
+                           Now - Facts.Arrived);
+  } else {
+    Context.Metrics.record(measure::BetweenTokens, Facts.Account,
+                           Now - LastFrameAt);
+  }
+  LastFrameAt = Now;
+  bool Stream = Facts.isChat() && Facts.Chat.Stream && Status == 200;
+  if (!Stream) {
+    if (Answer.size() + Frame.data().size() > MostAnswerBytes) {
+      cancelAttempt(false);
+      endAttempt();
+      return refuse(error_kind::AnswerTooLarge,
+                    "the answer is larger than 16 MiB; ask for a stream");
+    }
+    Answer += Frame.data();
+    if (claimed())
+      return;
+    wire::envelope Message;
+    *Message.mutable_credit()->mutable_id() = Id;
+    Message.mutable_credit()->set_frames(1);
+    Context.Pool.send(Upstream, Message);
+    return;
+  }
+  if (Answer.size() < RatedBytes)
+    Answer += Frame.data();
+  if (!Streaming) {
+    Streaming = true;
+    std::weak_ptr<request_task> Weak = shared_from_this();
+    Exchange->OnDrained = [Weak](size_t Chunks) {
+      auto Task = Weak.lock();
+      if (!Task || Task->Stage != stage::Sent || Task->claimed())
+        return;
+      wire::envelope Message;
+      *Message.mutable_credit()->mutable_id() = Task->Id;
+      Message.mutable_credit()->set_frames(uint32_t(Chunks));
+      Task->Context.Pool.send(Task->Upstream, Message);
+    };
+    Exchange->startStream(Status, ContentType, headers());
+  }
+  Exchange->write(Frame.data());
+}
+
+void request_task::onEnd(const wire::end &End) {
+  Context.Pool.noteLoad(Upstream, End.running(), End.queued());
+  error_kind Kind = kindFromNumber(End.kind());
+  if (Kind != error_kind::None)
+    return attemptFailed(Kind, End.message());
+  if (End.frames() != NextSequence)
+    return attemptFailed(error_kind::EngineFailed,
+                         "the end of the answer is missing");
+  Context.Pool.succeeded(Upstream);
+  endAttempt();
+  answered(End.usage());
+}
+
+// The attempt may have run. A claimed one must not run again; for others the
+// only question is whether the caller has seen a part of the answer.
+void request_task::attemptFailed(error_kind Kind, const std::string &Message) {
+  Context.Pool.failed(Upstream);
+  if (Facts.isChat())
+    Context.Rater.reportFailure(ratedAnswer(Version));
+  if (claimed()) {
+    endAttempt();
+    return refuse(error_kind::OutcomeUnknown, Message);
+  }
+  cancelAttempt(false);
+  if (Streaming) {
+    endAttempt();
+    return refuse(Kind, Message);
+  }
+  FirstFrameAt = 0;
+  retry(Kind, Message, true);
+}
+
+void request_task::onLost(const std::string &Lost) {
+  if (Stage != stage::Sent || Lost != Upstream)
+    return;
+  if (!claimed())
+    return attemptFailed(error_kind::EngineFailed,
+                         "the connection to the upstream broke");
+  // What became of it must be found out before anything is said.
+  endAttempt();
+  HolderValue = ClaimValue;
+  Holder.ParseFromString(ClaimValue);
+  Stage = stage::Resolving;
+  ResolveUntil = std::min(Facts.Deadline, steadySeconds() + ResolveSeconds);
+  NextResolve = steadySeconds() + ResolveAgainSeconds;
+}
+
+void request_task::onCancelResult(const wire::cancel_result &Result) {
+  if (Stage == stage::Resolving && keyOf(Result.id()) == keyOf(Holder.id()))
+    return onResolved(Result.progress());
+  bool Own = Stage == stage::Sent && keyOf(Result.id()) == keyOf(Id);
+  if (!Own || !DeadlineCancelSent)
+    return;
+  endAttempt();
+  if (Result.progress() != wire::cancel_result::NOT_STARTED)
+    return refuse(error_kind::DeadlineUnknown,
+                  "the deadline has passed; the request had started");
+  freeClaim();
+  refuse(error_kind::DeadlineExceeded, "the deadline has passed");
+}
+
+void request_task::onDeadline() {
+  if (Streaming) {
+    cancelAttempt(false);
+    endAttempt();
+    return refuse(error_kind::DeadlineUnknown, "the deadline has passed");
+  }
+  if (Stage == stage::Choosing)
+    return refuse(error_kind::DeadlineExceeded, "the deadline has passed");
+  if (Stage == stage::Resolving)
+    return refuse(error_kind::OutcomeUnknown,
+                  "the deadline has passed before the outcome was known");
+  if (Stage == stage::Claiming) {
+    // No attempt has left; the claim is freed, or nobody can ever win by it.
+    freeClaim();
+    return refuse(error_kind::DeadlineExceeded, "the deadline has passed");
+  }
+  if (!DeadlineCancelSent) {
+    DeadlineCancelSent = true;
+    return cancelAttempt(claimed());
+  }
+  endAttempt();
+  refuse(error_kind::DeadlineUnknown,
+         "the deadline has passed and the upstream does not answer");
+}
+
+void request_task::tick(double Now) {
+  if (Stage == stage::Over || Stage == stage::Answered)
+    return;
+  double Limit =
+      Facts.Deadline + (DeadlineCancelSent ? DeadlineGraceSeconds : 0.0);
+  if (Now >= Limit)
+    return onDeadline();
+  if (Stage == stage::Resolving && Now >= NextResolve)
+    return resolve(Now);
+  bool Unheard = Stage == stage::Sent && !Accepted && FirstFrameAt == 0 &&
+                 Now > SentAt + AcceptSeconds;
+  if (Unheard)
+    onLost(Upstream);
+}
+
+void request_task::onCallerGone() {
+  if (Stage == stage::Over)
+    return;
+  Context.Metrics.count("callers_gone", Facts.Account);
+  // What may run only once goes on: the caller will ask for its outcome.
+  cancelAttempt(claimed());
+  endAttempt();
+  finishTask();
+}
+
+//===----------------------------------------------------------------------===//
+// Answers
+//===----------------------------------------------------------------------===//
+
+uint64_t request_task::costMicros(const version_name &Used,
+                                  const wire::usage &Usage) const {
+  const version_spec *Spec = Context.Control.config().version(Used);
+  if (!Spec)
+    return 0;
+  double Fresh = double(Usage.input_tokens()) -
+                 std::min(Usage.input_tokens(), Usage.cached_tokens());
+  return uint64_t(Fresh * Spec->InputPrice +
+                  Usage.cached_tokens() * Spec->CachedPrice +
+                  Usage.output_tokens() * Spec->OutputPrice);
+}
+
+rated_answer request_task::ratedAnswer(const version_name &Used) const {
+  return {.RequestId = Facts.Id,
+          .Template = Facts.Template,
+          .Account = Facts.Account,
+          .Version = Used};
+}
+
+void request_task::answered(const wire::usage &Usage) {
+  wire::bill_item *Item = Bill.add_items();
+  Item->set_model(Facts.isChat() ? Version.Model : Facts.Service);
+  Item->set_version(Version.Version);
+  *Item->mutable_usage() = Usage;
+  Item->set_cost_micros(costMicros(Version, Usage));
+  CostMicros += Item->cost_micros();
+  bool Rated = Facts.isChat() && Status == 200 && Context.Rater.enabled();
+  if (Rated && Arm.isCascade() && !OnSecond)
+    return rateFirst();
+  if (Rated) {
+    rated_answer Ask = ratedAnswer(Version);
+    Ask.Question =
+        Facts.Chat.Body.dump(-1, ' ', false, json::error_handler_t::replace);
+    Ask.Answer = Answer;
+    Ask.Cost = double(Item->cost_micros()) * 1e-6;
+    auto Self = shared_from_this();
+    bool WasCascade = Arm.isCascade();
+    Context.Rater.rate(Ask, LateRatingSeconds,
+                       [Self, Ask, WasCascade](std::optional<double> Score) {
+                         if (!WasCascade || !Score)
+                           return;
+                         rated_answer Whole = Ask;
+                         Whole.Cost = double(Self->CostMicros) * 1e-6;
+                         Self->Context.Rater.reportArm(Whole, Self->Arm,
+                                                       *Score);
+                       });
+  }
+  deliver();
+}
+
+// Between the halves of a cascade: a good first answer ends it.
+void request_task::rateFirst() {
+  Stage = stage::Rating;
+  rated_answer Ask = ratedAnswer(Version);
+  Ask.Question =
+      Facts.Chat.Body.dump(-1, ' ', false, json::error_handler_t::replace);
+  Ask.Answer = Answer;
+  Ask.Cost = double(CostMicros) * 1e-6;
+  double Threshold = DefaultEscalation;
+  if (const auto *Cascade = std::get_if<cascade_policy>(&Facts.Policy))
+    Threshold = Cascade->Threshold;
+  double Left = Facts.Deadline - steadySeconds();
+  auto Self = shared_from_this();
+  Context.Rater.rate(Ask,
+                     std::min(CascadeRatingSeconds, std::max(0.01, Left / 2)),
+                     [this, Self, Ask, Threshold](std::optional<double> Score) {
+                       if (Stage != stage::Rating)
+                         return;
+                       if (!Score || *Score >= Threshold) {
+                         if (Score)
+                           Context.Rater.reportArm(Ask, Arm, *Score);
+                         return deliver();
+                       }
+                       OnSecond = true;
+                       FirstAnswer = Answer;
+                       FirstFrameAt = 0;
+                       run(Arm.Second);
+                     });
+}
+
+void request_task::deliver() {
+  Stage = stage::Answered;
+  auto Self = shared_from_this();
+  Exchange->OnComplete = [this, Self] { noteCompleted(); };
+  if (Streaming)
+    return Exchange->finish();
+  std::string Body = std::move(Answer);
+  Answer.clear();
+  std::vector<http_header> Headers = headers();
+  Headers.push_back(
+      {"X-Olivevalve-Cost", std::to_string(double(CostMicros) * 1e-6)});
+  Exchange->reply(Status, ContentType, std::move(Body), Headers);
+}
+
+// The caller has all of it: now, and only now, it is billed.
+void request_task::noteCompleted() {
+  if (Stage == stage::Over)
+    return;
+  Context.Outbox.add(Bill);
+  wire::envelope Message;
+  *Message.mutable_settle()->mutable_id() = Id;
+  *Message.mutable_settle()->mutable_bill() = Bill;
+  Context.Pool.send(Upstream, Message);
+  Context.Metrics.record(measure::TotalTime, Facts.Account,
+                         steadySeconds() - Facts.Arrived);
+  Context.Metrics.record(measure::Cost, Facts.Account,
+                         double(CostMicros) * 1e-6);
+  Context.Metrics.count("answered", Facts.Account);
+  finishTask();
+}
+
+std::vector<http_header> request_task::headers() const {
+  std::vector<http_header> Headers = {{"X-Request-Id", Facts.Id}};
+  if (!Version.Model.empty()) {
+    Headers.push_back({"X-Olivevalve-Model", Version.Model});
+    Headers.push_back({"X-Olivevalve-Version", Version.Version});
+  }
+  if (!Upstream.empty())
+    Headers.push_back({"X-Olivevalve-Upstream", Upstream});
+  return Headers;
+}
+
+void request_task::refuse(error_kind Kind, const std::string &Message) {
+  // A cascade that cannot go on still has its first answer.
+  if (OnSecond && !FirstAnswer.empty()) {
+    Answer = std::move(FirstAnswer);
+    FirstAnswer.clear();
+    Version = Arm.First;
+    Status = 200;
+    return deliver();
+  }
+  const error_answer &Reply = answerFor(Kind);
+  Context.Metrics.count("errors", Reply.Code);
+  logLine(log_level::Info, "request refused",
+          {{"request_id", Facts.Id},
+           {"account", Facts.Account},
+           {"kind", Reply.Code},
+           {"detail", Message}});
+  if (Streaming) {
+    Exchange->abort();
+    return finishTask();
+  }
+  std::vector<http_header> Headers = headers();
+  Headers.push_back(
+      {"X-Olivevalve-Outcome", std::string(nameOf(Reply.Outcome))});
+  if (Reply.RetryAfterSeconds > 0)
+    Headers.push_back({"Retry-After", std::to_string(Reply.RetryAfterSeconds)});
+  Exchange->reply(Reply.HttpStatus, "application/json",
+                  errorBody(Kind, Message), Headers);
+  finishTask();
+}
+
+void request_task::finishTask() {
+  endAttempt();
+  Stage = stage::Over;
+  Exchange->OnGone = nullptr;
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/entry/request_task.h
@@ -0,0 +1,181 @@
+//===- request_task.h - One request from caller to answer -------*- C++ -*-===//
+//
+// Pins the session, chooses version and upstream, claims what may run only
+// once, sends attempts, passes the answer on, and bills it when the caller has
+// it whole. A refusal says "not run" only when that is known.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_ENTRY_REQUEST_TASK_H
+#define OLIVEVALVE_ENTRY_REQUEST_TASK_H
+
+#include "base/error.h"
+#include "base/metrics.h"
+#include "entry/chat_request.h"
+#include "entry/rater.h"
+#include "entry/sessions.h"
+#include "entry/upstream_pool.h"
+#include "lease/outbox.h"
+#include "net/http_server.h"
+#include "policy/limits.h"
+#include "policy/version_choice.h"
+#include "wire/attempt_key.h"
+#include <memory>
+#include <set>
+
+namespace olivevalve {
+
+/// What all requests of an entry share.
+struct entry_context {
+  uint64_t Incarnation = 0;
+  control_client &Control;
+  upstream_pool &Pool;
+  rater &Rater;
+  sessions &Sessions;
+  bill_outbox &Outbox;
+  metrics &Metrics;
+  estimates &Estimates;
+  std::map<version_name, double> &Allowances; ///< Of rolling versions.
+  retry_budget &Retries;
+  std::mt19937_64 &Random;
+};
+
+/// What the entry found out before the request began.
+struct request_facts {
+  uint64_t Number = 0; ///< The entry's request counter.
+  std::string Id;      ///< Shown to the caller.
+  std::string Account;
+  std::string Method;
+  std::string Path;
+  std::string ContentType;
+  std::string Body;    ///< Plain services.
+  std::string Service; ///< Empty: a chat request.
+  chat_request Chat;
+  std::string Template; ///< Template, model or version as named.
+  std::vector<version_name> Candidates;
+  version_policy Policy;
+  double QualityTarget = 0.8;
+  uint32_t Priority = 1;
+  std::string Session;
+  std::string Key; ///< Idempotency-Key; under one the request runs once.
+  double Arrived = 0;
+  double Deadline = 0;
+  bool isChat() const { return Service.empty(); }
+};
+
+class request_task : public std::enable_shared_from_this<request_task> {
+public:
+  request_task(entry_context &Context, std::shared_ptr<http_exchange> Exchange,
+               request_facts Facts);
+
+  void begin();
+  /// A message about one of this request's attempts.
+  void onMessage(const std::string &Upstream, const wire::envelope &Message);
+  void onLost(const std::string &Upstream);
+  void onCallerGone();
+  void tick(double Now);
+  bool over() const { return Stage == stage::Over; }
+  /// True if \p Other is the attempt that runs now.
+  bool owns(const wire::attempt_id &Other) const {
+    return keyOf(Other) == keyOf(Id);
+  }
+  const request_facts &facts() const { return Facts; }
+  /// The attempt of another entry that this request asks about.
+  std::optional<attempt_key> asksAbout() const;
+
+private:
+  enum class stage : uint8_t {
+    Choosing,  ///< Version, session pin.
+    Claiming,  ///< Waiting for control.
+    Resolving, ///< Finding out what became of an earlier attempt.
+    Sent,      ///< At a sidecar.
+    Rating,    ///< Between the halves of a cascade.
+    Answered,  ///< All handed to the caller, perhaps not yet taken.
+    Over
+  };
+
+  std::vector<version_candidate> candidates() const;
+  bool versionUsable(const version_name &Name, bool Pinned) const;
+  upstream_need need(const version_name &Version) const;
+  double priorCost(const version_spec &Spec) const;
+  std::optional<choice_answer> choose(bool MayCascade);
+  void chooseFreely();
+  void choosePinned();
+  void pin(const version_name &Wanted,
+           const std::optional<version_name> &Replaces);
+  void run(const version_name &Version);
+
+  void sendAttempt();
+  wire::envelope makeAttempt() const;
+  void claim();
+  void onClaimed(const wire::claim_result &Result);
+  void onClaimLost(const wire::claim_result &Result);
+  void resolve(double Now);
+  void onResolved(wire::cancel_result::cancel_progress Progress);
+  void freeClaim();
+  void pollOutcome();
+  void dispatch();
+
+  void onRefused(const wire::refused &Refused);
+  void onHead(const wire::head &Head);
+  void onFrame(const wire::frame &Frame);
+  void onEnd(const wire::end &End);
+  void onCancelResult(const wire::cancel_result &Result);
+  void attemptFailed(error_kind Kind, const std::string &Message);
+  void retry(error_kind Kind, const std::string &Message, bool UsesBudget);
+  void endAttempt();
+  void cancelAttempt(bool OnlyIfNotStarted);
+  void onDeadline();
+
+  void answered(const wire::usage &Usage);
+  void rateFirst();
+  void deliver();
+  void noteCompleted();
+  std::vector<http_header> headers() const;
+  void refuse(error_kind Kind, const std::string &Message);
+  void finishTask();
+  rated_answer ratedAnswer(const version_name &Version) const;
+  uint64_t costMicros(const version_name &Version,
+                      const wire::usage &Usage) const;
+  bool claimed() const { return !Facts.Key.empty(); }
+
+  entry_context &Context;
+  std::shared_ptr<http_exchange> Exchange;
+  request_facts Facts;
+  stage Stage = stage::Choosing;
+
+  arm Arm;
+  bool OnSecond = false; ///< The cascade has gone to its second version.
+  version_name Version;  ///< That runs now; Model empty for a service.
+  std::string Upstream;
+  std::set<std::string> Tried;
+  wire::attempt_id Id;
+  uint32_t Tries = 0;
+  int PinTries = 0;
+  bool InFlight = false; ///< Counted at the pool.
+  bool Accepted = false;
+  double SentAt = 0;
+  double FirstFrameAt = 0;
+  double LastFrameAt = 0;
+  uint32_t NextSequence = 0;
+  int Status = 0;
+  std::string ContentType;
+  bool Streaming = false;  ///< Bytes have gone to the caller.
+  std::string Answer;      ///< Not streamed, or the start of it for rating.
+  std::string FirstAnswer; ///< Of a cascade's first version.
+  wire::bill Bill;
+  uint64_t CostMicros = 0;
+
+  std::string ClaimValue;   ///< That stands for this request.
+  wire::claim_value Holder; ///< Someone's attempt that is asked about.
+  std::string HolderValue;
+  double ResolveUntil = 0;
+  double NextResolve = 0;
+  bool PollPending = false;
+  bool Polled = false; ///< Control has said that no outcome is stored.
+  bool DeadlineCancelSent = false;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_ENTRY_REQUEST_TASK_H
--- /dev/null
+++ b/entry/upstream_pool.cpp
@@ -0,0 +1,240 @@
+//===- upstream_pool.cpp - The upstreams an entry talks to ----------------===//
+
+#include "entry/upstream_pool.h"
+#include "base/clock.h"
+#include "base/digest.h"
+#include "base/log.h"
+#include <algorithm>
+#include <cmath>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr double TickSeconds = 0.5;
+// A sidecar speaks every second; silent this long it is taken for lost.
+constexpr double SilentSeconds = 3.5;
+// News is asked for again well before a sidecar forgets the entry.
+constexpr double HelloSeconds = 5;
+// Upstreams linked for each version or service: enough for even load at a
+// dozen requests a second, few enough for the bound on control traffic.
+constexpr size_t SubsetSize = 8;
+
+bool serves(const upstream_spec &Spec, const upstream_need &Need) {
+  if (Need.Version.Model.empty())
+    return Spec.Service == Need.Service;
+  return std::find(Spec.Versions.begin(), Spec.Versions.end(), Need.Version) !=
+         Spec.Versions.end();
+}
+
+} // namespace
+
+upstream_pool::upstream_pool(link_context &Context, struct ev_loop *Loop,
+                             pool_options Options, message_handler OnMessage,
+                             lost_handler OnLost)
+    : Context(Context), Loop(Loop), Options(std::move(Options)),
+      OnMessage(std::move(OnMessage)), OnLost(std::move(OnLost)),
+      Timer(Loop, [this] { tick(); }),
+      Prepare(Loop, [this] { Closing.clear(); }) {
+  Timer.startRepeating(TickSeconds);
+}
+
+// For each version and service the first few in the order of a hash of entry
+// and upstream, the own data hall first with two places kept for others.
+std::set<std::string> upstream_pool::wanted(const catalog &Config) const {
+  struct ranked {
+    uint64_t Hash;
+    const upstream_spec *Spec;
+  };
+  std::map<std::string, std::vector<ranked>> Groups;
+  uint64_t Seed = checksum(Options.Node);
+  Config.forEach<upstream_spec>([&](const upstream_spec &Spec) {
+    ranked Ranked{checksum(Spec.Name, Seed), &Spec};
+    if (!Spec.Service.empty())
+      Groups["service " + Spec.Service].push_back(Ranked);
+    for (const version_name &Version : Spec.Versions)
+      Groups[Version.text()].push_back(Ranked);
+  });
+  std::set<std::string> Names;
+  for (auto &[Group, All] : Groups) {
+    std::sort(All.begin(), All.end(),
+              [](const ranked &A, const ranked &B) { return A.Hash < B.Hash; });
+    size_t Own = 0;
+    size_t Other = 0;
+    for (const ranked &Ranked : All) {
+      bool SameHall = Ranked.Spec->DataHall == Options.DataHall;
+      size_t &Taken = SameHall ? Own : Other;
+      size_t Most = SameHall ? SubsetSize - 2 : SubsetSize;
+      if (Taken >= Most || Own + Other >= SubsetSize + 2)
+        continue;
+      ++Taken;
+      Names.insert(Ranked.Spec->Name);
+    }
+  }
+  return Names;
+}
+
+void upstream_pool::configure(const catalog &Config) {
+  std::set<std::string> Names = wanted(Config);
+  for (auto It = Members.begin(); It != Members.end();) {
+    const upstream_spec *Spec = Config.upstream(It->first);
+    bool Keep = Spec && Spec->Address == It->second.Address &&
+                (Names.contains(It->first) || It->second.OwnInFlight > 0);
+    if (Keep) {
+      ++It;
+      continue;
+    }
+    Closing.push_back(std::move(It->second.Link));
+    It = Members.erase(It);
+  }
+  for (const std::string &Name : Names)
+    if (!Members.contains(Name))
+      open(Name, Config.upstream(Name)->Address);
+}
+
+void upstream_pool::open(const std::string &Name, const std::string &Address) {
+  member &Member = Members[Name];
+  Member.Address = Address;
+  Member.Link = std::make_unique<client_link>(
+      Context, Loop, Options.Node + "/" + hexOf(Options.Incarnation),
+      [this, Name](const wire::envelope &Message) { receive(Name, Message); });
+  Member.Link->OnDisconnect = [this, Name] {
+    auto It = Members.find(Name);
+    if (It == Members.end())
+      return;
+    It->second.HeardAt = 0;
+    OnLost(Name);
+  };
+  Member.Link->connect(Address);
+}
+
+void upstream_pool::receive(const std::string &Name,
+                            const wire::envelope &Message) {
+  auto It = Members.find(Name);
+  if (It == Members.end())
+    return;
+  It->second.HeardAt = steadySeconds();
+  if (Message.has_news())
+    return onNews(Name, Message.news());
+  OnMessage(Name, Message);
+}
+
+void upstream_pool::onNews(const std::string &Name, const wire::news &News) {
+  member &Member = Members[Name];
+  uint64_t Before = Member.News.incarnation();
+  Member.News = News;
+  Member.OwnAtReport = Member.OwnInFlight;
+  if (Before != 0 && Before != News.incarnation())
+    OnLost(Name);
+}
+
+void upstream_pool::noteLoad(const std::string &Upstream, uint32_t Running,
+                             uint32_t Queued) {
+  auto It = Members.find(Upstream);
+  if (It == Members.end())
+    return;
+  It->second.News.set_running(Running);
+  It->second.News.set_queued(Queued);
+  It->second.OwnAtReport = It->second.OwnInFlight;
+}
+
+bool upstream_pool::usable(const std::string &, const member &Member,
+                           const upstream_spec &Spec, const upstream_need &Need,
+                           double Now) const {
+  bool Alive =
+      Member.News.incarnation() != 0 && Now - Member.HeardAt < SilentSeconds;
+  return Alive && serves(Spec, Need) && !Spec.Leaving &&
+         !Member.News.stopping() && Member.News.has_lease() &&
+         Member.Breaker.allows(Now);
+}
+
+std::string upstream_pool::choose(const upstream_need &Need,
+                                  const catalog &Config,
+                                  std::mt19937_64 &Random) {
+  double Now = steadySeconds();
+  std::vector<const std::string *> Names;
+  std::vector<replica_news> News;
+  for (const auto &[Name, Member] : Members) {
+    const upstream_spec *Spec = Config.upstream(Name);
+    bool Good = Spec && !Need.Excluded.contains(Name) &&
+                usable(Name, Member, *Spec, Need, Now);
+    if (!Good)
+      continue;
+    Names.push_back(&Name);
+    News.push_back({.OwnInFlight = Member.OwnInFlight,
+                    .ReportedRunning = double(Member.News.running()),
+                    .ReportedQueued = double(Member.News.queued()),
+                    .OwnAtReport = Member.OwnAtReport,
+                    .Age = Now - Member.HeardAt,
+                    .Slots = double(Member.News.slots()),
+                    .CacheInUse = Member.News.engine_load(),
+                    .SameHall = Spec->DataHall == Options.DataHall,
+                    .PrefixScore = checksum(Name, Need.PrefixHash)});
+  }
+  auto Place = chooseReplica(News, Random);
+  return Place ? *Names[*Place] : std::string();
+}
+
+bool upstream_pool::canServe(const upstream_need &Need,
+                             const catalog &Config) const {
+  double Now = steadySeconds();
+  return std::any_of(Members.begin(), Members.end(), [&](const auto &M) {
+    const upstream_spec *Spec = Config.upstream(M.first);
+    return Spec && usable(M.first, M.second, *Spec, Need, Now);
+  });
+}
+
+bool upstream_pool::send(const std::string &Upstream,
+                         const wire::envelope &Message) {
+  auto It = Members.find(Upstream);
+  return It != Members.end() && It->second.Link->send(Message);
+}
+
+uint64_t upstream_pool::incarnation(const std::string &Upstream) const {
+  auto It = Members.find(Upstream);
+  return It == Members.end() ? 0 : It->second.News.incarnation();
+}
+
+void upstream_pool::attemptStarted(const std::string &Upstream) {
+  auto It = Members.find(Upstream);
+  if (It != Members.end())
+    It->second.OwnInFlight += 1;
+}
+
+void upstream_pool::attemptEnded(const std::string &Upstream) {
+  auto It = Members.find(Upstream);
+  if (It != Members.end())
+    It->second.OwnInFlight = std::max(0.0, It->second.OwnInFlight - 1);
+}
+
+void upstream_pool::succeeded(const std::string &Upstream) {
+  auto It = Members.find(Upstream);
+  if (It != Members.end())
+    It->second.Breaker.succeeded();
+}
+
+void upstream_pool::failed(const std::string &Upstream) {
+  auto It = Members.find(Upstream);
+  if (It != Members.end())
+    It->second.Breaker.failed(steadySeconds());
+}
+
+void upstream_pool::tick() {
+  double Now = steadySeconds();
+  wire::envelope Hello;
+  Hello.mutable_hello();
+  std::vector<std::string> Silent;
+  for (auto &[Name, Member] : Members) {
+    bool Heard = Now - Member.HeardAt < SilentSeconds;
+    bool HadWork = Member.OwnInFlight > 0;
+    if (!Heard && HadWork)
+      Silent.push_back(Name);
+    bool Due = !Heard || std::fmod(Now, HelloSeconds) < TickSeconds;
+    if (Due)
+      Member.Link->send(Hello);
+  }
+  for (const std::string &Name : Silent)
+    OnLost(Name);
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/entry/upstream_pool.h
@@ -0,0 +1,99 @@
+//===- upstream_pool.h - The upstreams an entry talks to --------*- C++ -*-===//
+//
+// Links to a subset of sidecars, what is known of each, and the choice among
+// them. A subset, since news of every replica would cost an entry more than
+// its share of control traffic.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_ENTRY_UPSTREAM_POOL_H
+#define OLIVEVALVE_ENTRY_UPSTREAM_POOL_H
+
+#include "catalog/catalog.h"
+#include "net/link.h"
+#include "policy/replica_choice.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace olivevalve {
+
+struct pool_options {
+  std::string Node;
+  uint64_t Incarnation = 0;
+  std::string DataHall;
+};
+
+/// What kind of work an upstream is wanted for.
+struct upstream_need {
+  version_name Version; ///< Model empty: a plain service.
+  std::string Service;
+  uint64_t PrefixHash = 0;
+  std::set<std::string> Excluded; ///< Tried before.
+};
+
+class upstream_pool {
+public:
+  using message_handler = std::function<void(const std::string &Upstream,
+                                             const wire::envelope &Message)>;
+  /// The upstream restarted or its connection broke.
+  using lost_handler = std::function<void(const std::string &Upstream)>;
+
+  upstream_pool(link_context &Context, struct ev_loop *Loop,
+                pool_options Options, message_handler OnMessage,
+                lost_handler OnLost);
+
+  /// Follows the configuration: opens and closes links.
+  void configure(const catalog &Config);
+  /// Name of the upstream to use, or empty if there is none.
+  std::string choose(const upstream_need &Need, const catalog &Config,
+                     std::mt19937_64 &Random);
+  bool canServe(const upstream_need &Need, const catalog &Config) const;
+  bool send(const std::string &Upstream, const wire::envelope &Message);
+  /// 0 if nothing was heard from it.
+  uint64_t incarnation(const std::string &Upstream) const;
+  void attemptStarted(const std::string &Upstream);
+  void attemptEnded(const std::string &Upstream);
+  /// For the breaker.
+  void succeeded(const std::string &Upstream);
+  void failed(const std::string &Upstream);
+  /// Load that came along with an answer.
+  void noteLoad(const std::string &Upstream, uint32_t Running, uint32_t Queued);
+  size_t size() const { return Members.size(); }
+
+private:
+  struct member {
+    std::string Address;
+    std::unique_ptr<client_link> Link;
+    wire::news News;
+    double HeardAt = 0;
+    double OwnAtReport = 0;
+    double OwnInFlight = 0;
+    circuit_breaker Breaker;
+  };
+
+  std::set<std::string> wanted(const catalog &Config) const;
+  void open(const std::string &Name, const std::string &Address);
+  void receive(const std::string &Name, const wire::envelope &Message);
+  void onNews(const std::string &Name, const wire::news &News);
+  bool usable(const std::string &Name, const member &Member,
+              const upstream_spec &Spec, const upstream_need &Need,
+              double Now) const;
+  void tick();
+
+  link_context &Context;
+  struct ev_loop *Loop;
+  pool_options Options;
+  message_handler OnMessage;
+  lost_handler OnLost;
+  std::map<std::string, member> Members;
+  std::vector<std::unique_ptr<client_link>> Closing;
+  timer Timer;
+  before_wait Prepare;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_ENTRY_UPSTREAM_POOL_H
--- /dev/null
+++ b/ledger/claims.cpp
@@ -0,0 +1,141 @@
+//===- claims.cpp - First writer wins -------------------------------------===//
+
+#include "ledger/claims.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// A client may come back with its key for a day.
+constexpr double RequestSeconds = 24 * 3600;
+// A session that was quiet this long starts anew.
+constexpr double SessionSeconds = 3600;
+// A touch sooner than this after the last is not worth a new place in line.
+constexpr double TouchSeconds = 60;
+
+} // namespace
+
+wire::claim_result claim_table::answer(const record &Record, bool Won) {
+  wire::claim_result Result;
+  Result.set_won(Won);
+  Result.set_value(Record.Value);
+  Result.set_finished(Record.Finished);
+  Result.set_freed(Record.Freed);
+  Result.set_status(Record.Status);
+  Result.set_content_type(Record.ContentType);
+  Result.set_body(Record.Body);
+  Result.set_request_hash(Record.RequestHash);
+  return Result;
+}
+
+void claim_table::mark(const claim_key &Key, record &Record, double Now) {
+  if (Record.Touched != 0 && Now < Record.Touched + TouchSeconds)
+    return;
+  Record.Touched = Now;
+  touchesOf(Key).push_back({Now, Key});
+}
+
+std::deque<claim_table::touch> &claim_table::touchesOf(const claim_key &Key) {
+  return Key.Space == "session" ? SessionTouches : RequestTouches;
+}
+
+wire::claim_result claim_table::claim(const wire::claim &Claim, double Now) {
+  expire(Now);
+  claim_key Key{Claim.space(), Claim.account(), Claim.key()};
+  record &Record = Records[Key];
+  bool Fresh = Record.Touched == 0;
+  bool Replaces = !Claim.replaces().empty() && !Record.Finished &&
+                  Record.Value == Claim.replaces();
+  bool Again =
+      !Record.Finished && !Record.Freed && Record.Value == Claim.value();
+  mark(Key, Record, Now);
+  if (!Fresh && !Record.Freed && !Replaces && !Again)
+    return answer(Record, false);
+  Record.Value = Claim.value();
+  Record.RequestHash = Claim.request_hash();
+  Record.Freed = false;
+  return answer(Record, true);
+}
+
+wire::claim_result claim_table::finish(const wire::finish &Finish, double Now) {
+  claim_key Key{"request", Finish.account(), Finish.key()};
+  auto It = Records.find(Key);
+  wire::claim_value Holder;
+  bool Held =
+      It != Records.end() && Holder.ParseFromString(It->second.Value) &&
+      Holder.id().SerializeAsString() == Finish.id().SerializeAsString();
+  if (!Held)
+    return {};
+  record &Record = It->second;
+  if (Record.Finished || Record.Freed)
+    return answer(Record, true);
+  if (Finish.free()) {
+    Record.Freed = true;
+    return answer(Record, true);
+  }
+  Record.Finished = true;
+  Record.Status = Finish.status();
+  Record.ContentType = Finish.content_type();
+  Record.Body = Finish.body();
+  mark(Key, Record, Now);
+  return answer(Record, true);
+}
+
+void claim_table::expire(double Now) {
+  expireLine(RequestTouches, RequestSeconds, Now);
+  expireLine(SessionTouches, SessionSeconds, Now);
+}
+
+void claim_table::expireLine(std::deque<touch> &Line, double Life, double Now) {
+  while (!Line.empty()) {
+    const touch &Front = Line.front();
+    auto It = Records.find(Front.Key);
+    bool Current = It != Records.end() && It->second.Touched == Front.Time;
+    if (Current && Front.Time + Life > Now)
+      return;
+    if (Current)
+      Records.erase(It);
+    Line.pop_front();
+  }
+}
+
+void claim_table::save(wire::state_image &Image) const {
+  for (const auto &[Key, Record] : Records) {
+    wire::stored_claim *Out = Image.add_claims();
+    Out->set_space(Key.Space);
+    Out->set_account(Key.Account);
+    Out->set_key(Key.Key);
+    Out->set_value(Record.Value);
+    Out->set_request_hash(Record.RequestHash);
+    Out->set_finished(Record.Finished);
+    Out->set_freed(Record.Freed);
+    Out->set_status(Record.Status);
+    Out->set_content_type(Record.ContentType);
+    Out->set_body(Record.Body);
+    Out->set_touched(Record.Touched);
+  }
+}
+
+void claim_table::load(const wire::state_image &Image) {
+  Records.clear();
+  RequestTouches.clear();
+  SessionTouches.clear();
+  for (const wire::stored_claim &In : Image.claims()) {
+    claim_key Key{In.space(), In.account(), In.key()};
+    Records[Key] = {.Value = In.value(),
+                    .RequestHash = In.request_hash(),
+                    .Touched = In.touched(),
+                    .Finished = In.finished(),
+                    .Freed = In.freed(),
+                    .Status = In.status(),
+                    .ContentType = In.content_type(),
+                    .Body = In.body()};
+    touchesOf(Key).push_back({In.touched(), Key});
+  }
+  auto Earlier = [](const touch &A, const touch &B) { return A.Time < B.Time; };
+  std::stable_sort(RequestTouches.begin(), RequestTouches.end(), Earlier);
+  std::stable_sort(SessionTouches.begin(), SessionTouches.end(), Earlier);
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/ledger/ratings.cpp
@@ -0,0 +1,216 @@
+//===- ratings.cpp - Ratings and exposure in the replicated state ---------===//
+
+#include "ledger/ratings.h"
+#include <algorithm>
+#include <optional>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr guard_options Guard;
+// Before any settled version of the model is rated.
+constexpr double UnknownReference = 0.6;
+// Whole answers in time that any version must give.
+constexpr double RequiredWhole = 0.9;
+// Scopes of stored tests.
+constexpr std::string_view OverallScope = "all";
+constexpr std::string_view FailureScope = "failures";
+constexpr std::string_view TemplatePrefix = "template:";
+constexpr std::string_view AccountPrefix = "account:";
+
+void saveTest(wire::version_image &Image, const std::string &Scope,
+              const score_test &Test) {
+  wire::test_image *Out = Image.add_tests();
+  Out->set_scope(Scope);
+  for (double Value : Test.allWealth())
+    Out->add_wealth(Value);
+  for (double Value : Test.recentWealth())
+    Out->add_recent(Value);
+  Out->set_ratings(Test.ratings());
+}
+
+score_test loadTest(const wire::test_image &Image) {
+  score_test::wealth All{};
+  score_test::wealth Recent{};
+  for (size_t I = 0; I < All.size(); ++I) {
+    All[I] = int(I) < Image.wealth_size() ? Image.wealth(int(I)) : 1;
+    Recent[I] = int(I) < Image.recent_size() ? Image.recent(int(I)) : 1;
+  }
+  score_test Test;
+  Test.restore(All, Recent, Image.ratings());
+  return Test;
+}
+
+} // namespace
+
+// A rolling version is held to the best settled version of its model, a
+// settled one to its own past.
+double rating_book::referenceFor(const std::string &Template,
+                                 const version_name &Name,
+                                 const catalog &Catalog) const {
+  const model_spec *Model = Catalog.model(Name.Model);
+  const version_spec *Self = Catalog.version(Name);
+  if (!Model || !Self)
+    return UnknownReference - Guard.Tolerance;
+  bool Rolling = Self->State == version_state::Rolling;
+  std::optional<double> Best;
+  for (const auto &[Version, Spec] : Model->Versions) {
+    bool Counts =
+        Rolling ? Spec.State == version_state::Active : Version == Name.Version;
+    if (!Counts)
+      continue;
+    arm Arm{{Name.Model, Version}, {}};
+    double Quality = Estimates.of({Template, "", Arm}, 1).Quality;
+    Best = std::max(Best.value_or(0), Quality);
+  }
+  return Best.value_or(UnknownReference) - Guard.Tolerance;
+}
+
+void rating_book::add(const wire::rating &Rating, const catalog &Catalog) {
+  ++Count;
+  version_name Name{Rating.model(), Rating.version()};
+  if (!Rating.arm().empty()) {
+    Estimates.add(
+        {Rating.template_(), Rating.account(), parseArm(Rating.arm())},
+        Rating.score(), Rating.cost());
+    return;
+  }
+  version_record &Record = Versions[Name];
+  Record.Failures.add(Rating.failed() ? 0 : 1, RequiredWhole);
+  if (Rating.failed()) {
+    ++Record.Ratings;
+    return;
+  }
+  double Reference = referenceFor(Rating.template_(), Name, Catalog);
+  ++Record.Ratings;
+  Record.Overall.add(Rating.score(), Reference);
+  Record.ByTemplate[Rating.template_()].add(Rating.score(), Reference);
+  Record.ByAccount[Rating.account()].add(Rating.score(), Reference);
+  Estimates.add({Rating.template_(), Rating.account(), {Name, {}}},
+                Rating.score(), Rating.cost());
+}
+
+void rating_book::addExposure(const wire::exposure &Exposure) {
+  Versions[{Exposure.model(), Exposure.version()}].Answers +=
+      double(Exposure.answers());
+}
+
+void rating_book::reset(const version_name &Name) { Versions.erase(Name); }
+
+// Each further test is one more chance of a false stop, so the thresholds of
+// the finer ones grow with their number.
+guard_report rating_book::judgeOne(const version_name &Name,
+                                   const version_spec &Spec,
+                                   const version_record &Record) const {
+  bool Rolling = Spec.State == version_state::Rolling;
+  guard_report Report{.Name = Name};
+  Report.Ratings = Record.Ratings;
+  Report.Answers = Record.Answers;
+  auto Judge = [&](const score_test &Test, const std::string &Scope,
+                   double Tests) {
+    guard_options Options = Guard;
+    Options.RollingEvidence *= Tests;
+    Options.SettledEvidence *= Tests;
+    double Evidence =
+        (Rolling ? Test.evidence() : Test.recentEvidence()) / Tests;
+    Report.Evidence = std::max(Report.Evidence, Evidence);
+    guard_verdict Verdict = judgeVersion(Test, Rolling, Options);
+    if (Verdict != guard_verdict::Stop)
+      return Verdict;
+    Report.Verdict = guard_verdict::Stop;
+    Report.Reason = Scope;
+    return Verdict;
+  };
+  Judge(Record.Failures, "failures", 1);
+  for (const auto &[Template, Test] : Record.ByTemplate)
+    Judge(Test, "template " + Template, double(Record.ByTemplate.size()));
+  for (const auto &[Account, Test] : Record.ByAccount)
+    Judge(Test, "account " + Account, double(Record.ByAccount.size()));
+  guard_verdict Overall = Judge(Record.Overall, "all answers", 1);
+  if (Report.Verdict == guard_verdict::Go && Overall == guard_verdict::Settle)
+    Report.Verdict = guard_verdict::Settle;
+  return Report;
+}
+
+std::vector<guard_report> rating_book::judge(const catalog &Catalog) const {
+  static const version_record None;
+  double Answers = 0;
+  double Ratings = 0;
+  for (const auto &[Name, Record] : Versions) {
+    Answers += Record.Answers;
+    Ratings += Record.Ratings;
+  }
+  double Share = Answers > 100 ? std::min(1.0, Ratings / Answers) : 1.0;
+  std::vector<guard_report> Reports;
+  Catalog.forEach<model_spec>([&](const model_spec &Model) {
+    for (const auto &[Version, Spec] : Model.Versions) {
+      if (!takesNewWork(Spec.State))
+        continue;
+      version_name Name{Model.Name, Version};
+      auto It = Versions.find(Name);
+      const version_record &Record = It == Versions.end() ? None : It->second;
+      guard_report Report = judgeOne(Name, Spec, Record);
+      Report.Allowance = exposureAllowance({.Budget = Spec.ExposureBudget,
+                                            .Answers = Record.Answers,
+                                            .Ratings = Record.Ratings,
+                                            .RatedShare = Share,
+                                            .Evidence = Report.Evidence});
+      Reports.push_back(std::move(Report));
+    }
+  });
+  return Reports;
+}
+
+void rating_book::save(wire::state_image &Image) const {
+  for (const auto &[Key, Sums] : Estimates.cells()) {
+    wire::rating_sum *Out = Image.add_ratings();
+    Out->set_template_(Key.Template);
+    Out->set_account(Key.Account);
+    Out->set_arm(Key.Arm.text());
+    Out->set_ratings(Sums.Ratings);
+    Out->set_scores(Sums.Scores);
+    Out->set_costs(Sums.Costs);
+  }
+  for (const auto &[Name, Record] : Versions) {
+    wire::version_image *Out = Image.add_versions();
+    Out->set_model(Name.Model);
+    Out->set_version(Name.Version);
+    Out->set_answers(Record.Answers);
+    Out->set_ratings(Record.Ratings);
+    saveTest(*Out, std::string(OverallScope), Record.Overall);
+    saveTest(*Out, std::string(FailureScope), Record.Failures);
+    for (const auto &[Template, Test] : Record.ByTemplate)
+      saveTest(*Out, std::string(TemplatePrefix) + Template, Test);
+    for (const auto &[Account, Test] : Record.ByAccount)
+      saveTest(*Out, std::string(AccountPrefix) + Account, Test);
+  }
+  Image.set_rating_count(Count);
+}
+
+void rating_book::load(const wire::state_image &Image) {
+  Estimates.clear();
+  Versions.clear();
+  Count = Image.rating_count();
+  for (const wire::rating_sum &In : Image.ratings())
+    Estimates.set({In.template_(), In.account(), parseArm(In.arm())},
+                  {In.ratings(), In.scores(), In.costs()});
+  for (const wire::version_image &In : Image.versions()) {
+    version_record &Record = Versions[{In.model(), In.version()}];
+    Record.Answers = In.answers();
+    Record.Ratings = In.ratings();
+    for (const wire::test_image &Test : In.tests()) {
+      const std::string &Scope = Test.scope();
+      if (Scope == OverallScope)
+        Record.Overall = loadTest(Test);
+      else if (Scope == FailureScope)
+        Record.Failures = loadTest(Test);
+      else if (Scope.starts_with(TemplatePrefix))
+        Record.ByTemplate[Scope.substr(TemplatePrefix.size())] = loadTest(Test);
+      else if (Scope.starts_with(AccountPrefix))
+        Record.ByAccount[Scope.substr(AccountPrefix.size())] = loadTest(Test);
+    }
+  }
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/ledger/ratings.h
@@ -0,0 +1,66 @@
+//===- ratings.h - Ratings and exposure in the replicated state -*- C++ -*-===//
+//
+// Feeds every committed rating to the estimates and to the roll-out guard's
+// tests, so that whichever control VM leads next judges from the same sums.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_LEDGER_RATINGS_H
+#define OLIVEVALVE_LEDGER_RATINGS_H
+
+#include "catalog/catalog.h"
+#include "policy/estimate.h"
+#include "policy/guard.h"
+#include "wire/wire.pb.h"
+#include <map>
+#include <string>
+#include <vector>
+
+namespace olivevalve {
+
+/// What the guard says of one version.
+struct guard_report {
+  version_name Name;
+  guard_verdict Verdict = guard_verdict::Go;
+  std::string Reason;
+  double Allowance = 0; ///< All entries together; rolling versions only.
+  double Evidence = 0;  ///< The strongest of its tests.
+  double Ratings = 0;
+  double Answers = 0;
+};
+
+class rating_book {
+public:
+  void add(const wire::rating &Rating, const catalog &Catalog);
+  void addExposure(const wire::exposure &Exposure);
+  /// Judges every version that takes new work.
+  std::vector<guard_report> judge(const catalog &Catalog) const;
+  const estimates &quality() const { return Estimates; }
+  uint64_t ratings() const { return Count; }
+  /// Forgets a version's tests, when an operator rolls it out again.
+  void reset(const version_name &Name);
+  void save(wire::state_image &Image) const;
+  void load(const wire::state_image &Image);
+
+private:
+  struct version_record {
+    double Answers = 0;
+    double Ratings = 0;
+    score_test Overall;
+    score_test Failures; ///< Score 1: a whole answer in time.
+    std::map<std::string, score_test> ByTemplate;
+    std::map<std::string, score_test> ByAccount;
+  };
+  double referenceFor(const std::string &Template, const version_name &Name,
+                      const catalog &Catalog) const;
+  guard_report judgeOne(const version_name &Name, const version_spec &Spec,
+                        const version_record &Record) const;
+
+  estimates Estimates;
+  std::map<version_name, version_record> Versions;
+  uint64_t Count = 0;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_LEDGER_RATINGS_H
--- /dev/null
+++ b/policy/limits.h
@@ -0,0 +1,50 @@
+//===- limits.h - Rates, concurrency and retries ----------------*- C++ -*-===//
+//
+// What one entry lets through: its share of a client account's rate and
+// concurrency, and a budget of retries that follows the traffic. Pure.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_POLICY_LIMITS_H
+#define OLIVEVALVE_POLICY_LIMITS_H
+
+#include <cstdint>
+
+namespace olivevalve {
+
+/// A token bucket; rates are per second.
+class rate_limit {
+public:
+  /// Takes one token if there is one. \p Rate may differ at every call.
+  bool take(double Rate, double Now);
+
+private:
+  double Tokens = -1; ///< -1: full at first use.
+  double Last = 0;
+};
+
+/// Allows retries as a share of requests, so that retries cannot multiply an
+/// overload.
+class retry_budget {
+public:
+  void requestSeen();
+  bool take();
+
+private:
+  double Tokens = 5;
+};
+
+/// Running mean of a rate, for the shares that control hands out.
+class rate_meter {
+public:
+  void count(double Now);
+  double perSecond(double Now) const;
+
+private:
+  double Value = 0;
+  double Last = 0;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_POLICY_LIMITS_H
--- /dev/null
+++ b/policy/replica_choice.h
@@ -0,0 +1,55 @@
+//===- replica_choice.h - Which upstream runs it ----------------*- C++ -*-===//
+//
+// Picks the upstream from stale news: own requests in flight are known, those
+// of other entries only from the sidecar's last word, which counts less the
+// older it is. A circuit breaker keeps failing upstreams out. Pure.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_POLICY_REPLICA_CHOICE_H
+#define OLIVEVALVE_POLICY_REPLICA_CHOICE_H
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace olivevalve {
+
+/// Opens after failures in a row; lets one request through when its pause is
+/// over, and closes when that succeeds.
+class circuit_breaker {
+public:
+  bool allows(double Now) const { return Now >= OpenUntil; }
+  void succeeded();
+  void failed(double Now);
+
+private:
+  uint32_t Failures = 0;
+  double OpenUntil = 0;
+};
+
+/// What an entry knows of one upstream at the moment of choice.
+struct replica_news {
+  double OwnInFlight = 0;     ///< From this entry, now.
+  double ReportedRunning = 0; ///< By the sidecar, all entries together.
+  double ReportedQueued = 0;
+  double OwnAtReport = 0; ///< Own share of what was reported.
+  double Age = 0;         ///< Seconds since the report.
+  double Slots = 1;
+  double CacheInUse = 0; ///< KV cache, 0 to 1.
+  bool SameHall = true;
+  uint64_t PrefixScore = 0; ///< Rendezvous hash of prompt prefix and upstream.
+};
+
+/// Expected waiting work per slot; lower is better.
+double expectedLoad(const replica_news &News);
+
+/// The place in \p Replicas to use; none if it is empty.
+std::optional<size_t> chooseReplica(const std::vector<replica_news> &Replicas,
+                                    std::mt19937_64 &Random);
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_POLICY_REPLICA_CHOICE_H
--- /dev/null
+++ b/tests/stand_in.h
@@ -0,0 +1,81 @@
+//===- stand_in.h - Small engines, services and ratings ---------*- C++ -*-===//
+//
+// Stands in for a model engine, a plain service and the rating service at the
+// published contracts of docs/INTERFACES.md. Counts every run, so that tests
+// can hold what callers were told against what happened.
+//
+// A prompt may steer the engine: "tokens=40", "gap=5" (ms between tokens),
+// "first=20" (ms), "fail=500", "cut=3" (breaks off after so many tokens).
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_TESTS_STAND_IN_H
+#define OLIVEVALVE_TESTS_STAND_IN_H
+
+#include "base/fields.h"
+#include "net/http_server.h"
+#include <list>
+#include <memory>
+
+namespace olivevalve {
+
+struct stand_in_options {
+  std::string Address = "127.0.0.1:0";
+  double FirstTokenSeconds = 0.005;
+  double GapSeconds = 0.001;
+  int Tokens = 8;
+};
+
+class stand_in {
+public:
+  stand_in(struct ev_loop *Loop, stand_in_options Options);
+  bool bind() { return Server.bind(Options.Address); }
+  std::string address() const { return Server.address(); }
+
+private:
+  using exchange = std::shared_ptr<http_exchange>;
+  struct generation {
+    generation(struct ev_loop *Loop, std::function<void(generation &)> Step)
+        : Timer(Loop, [this, Step = std::move(Step)] { Step(*this); }) {}
+    exchange Exchange;
+    timer Timer;
+    std::string Model;
+    bool Stream = false;
+    int Tokens = 0;
+    int Sent = 0;
+    int CutAfter = -1;
+    double Gap = 0;
+    size_t PromptTokens = 0;
+    std::string Text;
+  };
+
+  void handle(const exchange &Exchange);
+  void generate(const exchange &Exchange);
+  void step(generation &Generation);
+  void finish(generation &Generation);
+  void rate(const exchange &Exchange);
+  void serve(const exchange &Exchange);
+  void control(const exchange &Exchange);
+  void drop(generation &Generation);
+  double quality(const std::string &Model, const std::string &Prompt) const;
+  json usageOf(const generation &Generation) const;
+
+  struct ev_loop *Loop;
+  stand_in_options Options;
+  http_server Server;
+  std::list<generation> Generations;
+  std::vector<std::list<generation>::iterator> Dead;
+  before_wait Prepare;
+  std::map<std::string, double> Qualities; ///< By model name.
+  std::map<std::string, int> Failing;      ///< Models that answer so.
+  std::map<std::string, uint64_t> Runs;    ///< By model or service key.
+  uint64_t Started = 0;
+  uint64_t Finished = 0;
+  uint64_t Cancelled = 0;
+  uint64_t Rated = 0;
+  bool RatingsOff = false;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_TESTS_STAND_IN_H
