--- a/catalog/document.cpp
+++ b/catalog/document.cpp
@@ -202,6 +202,13 @@
                      });
 }
 
+uint64_t costMicros(const version_spec &Version, const wire::usage &Usage) {
+  uint32_t Cached = std::min(Usage.input_tokens(), Usage.cached_tokens());
+  double Fresh = double(Usage.input_tokens() - Cached);
+  return uint64_t(Fresh * Version.InputPrice + Cached * Version.CachedPrice +
+                  Usage.output_tokens() * Version.OutputPrice);
+}
+
 std::string_view nameOf(version_state State) {
   return StateNames[size_t(State)];
 }
--- a/catalog/document.h
+++ b/catalog/document.h
@@ -9,6 +9,7 @@
 #define OLIVEVALVE_CATALOG_DOCUMENT_H
 
 #include "absl/status/statusor.h"
+#include "wire/wire.pb.h"
 #include <array>
 #include <cstdint>
 #include <map>
@@ -58,6 +59,9 @@
   std::map<std::string, version_spec> Versions;
 };
 
+/// Millionths of a price unit for an answer.
+uint64_t costMicros(const version_spec &Version, const wire::usage &Usage);
+
 /// Always the first candidate that can be had.
 struct fixed_policy {};
 /// A share of requests for each candidate, by weight.
--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -167,6 +167,7 @@
   wire::claim_value Holder;
   if (!Out->won() && Holder.ParseFromString(Out->value()))
     Out->set_holder_alive(
+        !Out->abandoned() &&
         Nodes.holdsLease(Holder.id().entry(), steadySeconds()));
   Server.send(Peer, Message);
 }
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -173,7 +173,7 @@
   wire::claim_value Value;
   *Value.mutable_id() = Id;
   Value.set_upstream(Upstream);
-  Value.set_sidecar_incarnation(Context.Pool.incarnation(Upstream));
+  Value.set_sidecar_incarnation(SentTo);
   wire::envelope Message;
   wire::claim *Claim = Message.mutable_claim();
   Claim->set_space("request");
@@ -201,6 +201,7 @@
   if (Result.won())
     return dispatch();
   endAttempt();
+  ClaimValue.clear();
   onClaimLost(Result);
 }
 
@@ -209,6 +210,8 @@
   if (Result.request_hash() != Hash)
     return refuse(error_kind::KeyReused,
                   "Idempotency-Key: was used for another request");
+  if (Result.finished() && Result.kind())
+    return refuse(kindFromNumber(Result.kind()), Result.body());
   if (Result.finished()) {
     Stage = stage::Answered;
     std::vector<http_header> Headers = headers();
@@ -243,14 +246,15 @@
   if (Restarted && !Polled)
     return pollOutcome();
   if (Restarted)
-    return refuse(error_kind::OutcomeUnknown,
-                  "the upstream restarted while the request was there");
+    return upstreamGone();
   if (Now >= ResolveUntil)
     return refuse(error_kind::OutcomeUnknown,
                   "the upstream that had the request cannot be asked");
   wire::envelope Message;
   *Message.mutable_cancel()->mutable_id() = Holder.id();
   Message.mutable_cancel()->set_only_if_not_started(true);
+  Message.mutable_cancel()->set_sidecar_incarnation(
+      Holder.sidecar_incarnation());
   Context.Pool.send(Holder.upstream(), Message);
 }
 
@@ -260,6 +264,8 @@
     ClaimValue = HolderValue;
     return sendAttempt();
   }
+  if (Progress == wire::cancel_result::GONE && Polled)
+    return upstreamGone();
   pollOutcome();
 }
 
@@ -287,19 +293,45 @@
                       });
 }
 
-void request_task::freeClaim() {
+void request_task::tellClaim(wire::finish Finish) {
   if (!claimed() || ClaimValue.empty())
     return;
   wire::claim_value Own;
   Own.ParseFromString(ClaimValue);
   wire::envelope Message;
-  wire::finish *Finish = Message.mutable_finish();
-  Finish->set_account(Facts.Account);
-  Finish->set_key(Facts.Key);
-  *Finish->mutable_id() = Own.id();
-  Finish->set_free(true);
+  *Message.mutable_finish() = std::move(Finish);
+  Message.mutable_finish()->set_account(Facts.Account);
+  Message.mutable_finish()->set_key(Facts.Key);
+  *Message.mutable_finish()->mutable_id() = Own.id();
   Context.Control.ask(std::move(Message), ResolveSeconds,
                       [](const wire::envelope *) {});
+  ClaimValue.clear();
+}
+
+// The claimed attempt never started: the key may be used again.
+void request_task::freeClaim() {
+  wire::finish Finish;
+  Finish.set_free(true);
+  tellClaim(std::move(Finish));
+}
+
+// This request ends without knowing: the next one with the key finds out.
+void request_task::leaveClaim() {
+  wire::finish Finish;
+  Finish.set_abandoned(true);
+  tellClaim(std::move(Finish));
+}
+
+// Nobody will ever know: so the next request hears the same at once.
+void request_task::upstreamGone() {
+  constexpr std::string_view What =
+      "the upstream restarted while the request was there";
+  ClaimValue = HolderValue;
+  wire::finish Finish;
+  Finish.set_kind(uint32_t(error_kind::OutcomeUnknown));
+  Finish.set_body(std::string(What));
+  tellClaim(std::move(Finish));
+  refuse(error_kind::OutcomeUnknown, std::string(What));
 }
 
 //===----------------------------------------------------------------------===//
@@ -322,6 +354,7 @@
   Accepted = false;
   NextSequence = 0;
   Answer.clear();
+  SentTo = Context.Pool.incarnation(Upstream);
   Context.Pool.attemptStarted(Upstream);
   InFlight = true;
   if (claimed())
@@ -333,7 +366,7 @@
   wire::envelope Message;
   wire::attempt *Attempt = Message.mutable_attempt();
   *Attempt->mutable_id() = Id;
-  Attempt->set_sidecar_incarnation(Context.Pool.incarnation(Upstream));
+  Attempt->set_sidecar_incarnation(SentTo);
   Attempt->set_config_index(Context.Control.config().index());
   Attempt->set_account(Facts.Account);
   Attempt->set_model(Version.Model);
@@ -379,6 +412,7 @@
   wire::envelope Message;
   *Message.mutable_cancel()->mutable_id() = Id;
   Message.mutable_cancel()->set_only_if_not_started(OnlyIfNotStarted);
+  Message.mutable_cancel()->set_sidecar_incarnation(SentTo);
   Context.Pool.send(Upstream, Message);
 }
 
@@ -499,11 +533,20 @@
   if (End.frames() != NextSequence)
     return attemptFailed(error_kind::EngineFailed,
                          "the end of the answer is missing");
+  ClaimValue.clear(); // The sidecar stores the outcome.
   Context.Pool.succeeded(Upstream);
   endAttempt();
   answered(End.usage());
 }
 
+// The sidecar keeps a bill of its own until it hears what became of it.
+void request_task::voidBill() {
+  wire::envelope Message;
+  *Message.mutable_settle()->mutable_id() = Id;
+  Message.mutable_settle()->set_nothing_due(true);
+  Context.Pool.send(Upstream, Message);
+}
+
 // The attempt may have run. A claimed one must not run again; for others the
 // only question is whether the caller has seen a part of the answer.
 void request_task::attemptFailed(error_kind Kind, const std::string &Message) {
@@ -598,6 +641,9 @@
   Context.Metrics.count("callers_gone", Facts.Account);
   // What may run only once goes on: the caller will ask for its outcome.
   cancelAttempt(claimed());
+  leaveClaim();
+  if (Stage == stage::Answered)
+    voidBill();
   endAttempt();
   finishTask();
 }
@@ -606,18 +652,6 @@
 // Answers
 //===----------------------------------------------------------------------===//
 
-uint64_t request_task::costMicros(const version_name &Used,
-                                  const wire::usage &Usage) const {
-  const version_spec *Spec = Context.Control.config().version(Used);
-  if (!Spec)
-    return 0;
-  double Fresh = double(Usage.input_tokens()) -
-                 std::min(Usage.input_tokens(), Usage.cached_tokens());
-  return uint64_t(Fresh * Spec->InputPrice +
-                  Usage.cached_tokens() * Spec->CachedPrice +
-                  Usage.output_tokens() * Spec->OutputPrice);
-}
-
 rated_answer request_task::ratedAnswer(const version_name &Used) const {
   return {.RequestId = Facts.Id,
           .Template = Facts.Template,
@@ -630,7 +664,8 @@
   Item->set_model(Facts.isChat() ? Version.Model : Facts.Service);
   Item->set_version(Version.Version);
   *Item->mutable_usage() = Usage;
-  Item->set_cost_micros(costMicros(Version, Usage));
+  const version_spec *Spec = Context.Control.config().version(Version);
+  Item->set_cost_micros(Spec ? costMicros(*Spec, Usage) : 0);
   CostMicros += Item->cost_micros();
   bool Rated = Facts.isChat() && Status == 200 && Context.Rater.enabled();
   if (Rated && Arm.isCascade() && !OnSecond)
@@ -738,6 +773,8 @@
     return deliver();
   }
   const error_answer &Reply = answerFor(Kind);
+  if (Reply.Outcome == outcome::Unknown)
+    leaveClaim();
   Context.Metrics.count("errors", Reply.Code);
   logLine(log_level::Info, "request refused",
           {{"request_id", Facts.Id},
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -112,7 +112,11 @@
   void onClaimLost(const wire::claim_result &Result);
   void resolve(double Now);
   void onResolved(wire::cancel_result::cancel_progress Progress);
+  void tellClaim(wire::finish Finish);
   void freeClaim();
+  void leaveClaim();
+  void upstreamGone();
+  void voidBill();
   void pollOutcome();
   void dispatch();
 
@@ -135,8 +139,6 @@
   void refuse(error_kind Kind, const std::string &Message);
   void finishTask();
   rated_answer ratedAnswer(const version_name &Version) const;
-  uint64_t costMicros(const version_name &Version,
-                      const wire::usage &Usage) const;
   bool claimed() const { return !Facts.Key.empty(); }
 
   entry_context &Context;
@@ -148,6 +150,7 @@
   bool OnSecond = false; ///< The cascade has gone to its second version.
   version_name Version;  ///< That runs now; Model empty for a service.
   std::string Upstream;
+  uint64_t SentTo = 0; ///< Incarnation of the sidecar chosen.
   std::set<std::string> Tried;
   wire::attempt_id Id;
   uint32_t Tries = 0;
--- a/ledger/claims.cpp
+++ b/ledger/claims.cpp
@@ -22,6 +22,8 @@
   Result.set_value(Record.Value);
   Result.set_finished(Record.Finished);
   Result.set_freed(Record.Freed);
+  Result.set_abandoned(Record.Abandoned);
+  Result.set_kind(Record.Kind);
   Result.set_status(Record.Status);
   Result.set_content_type(Record.ContentType);
   Result.set_body(Record.Body);
@@ -55,6 +57,7 @@
   Record.Value = Claim.value();
   Record.RequestHash = Claim.request_hash();
   Record.Freed = false;
+  Record.Abandoned = Record.Abandoned && Again;
   return answer(Record, true);
 }
 
@@ -74,7 +77,12 @@
     Record.Freed = true;
     return answer(Record, true);
   }
+  if (Finish.abandoned()) {
+    Record.Abandoned = true;
+    return answer(Record, true);
+  }
   Record.Finished = true;
+  Record.Kind = Finish.kind();
   Record.Status = Finish.status();
   Record.ContentType = Finish.content_type();
   Record.Body = Finish.body();
@@ -110,6 +118,8 @@
     Out->set_request_hash(Record.RequestHash);
     Out->set_finished(Record.Finished);
     Out->set_freed(Record.Freed);
+    Out->set_abandoned(Record.Abandoned);
+    Out->set_kind(Record.Kind);
     Out->set_status(Record.Status);
     Out->set_content_type(Record.ContentType);
     Out->set_body(Record.Body);
@@ -128,6 +138,8 @@
                     .Touched = In.touched(),
                     .Finished = In.finished(),
                     .Freed = In.freed(),
+                    .Abandoned = In.abandoned(),
+                    .Kind = In.kind(),
                     .Status = In.status(),
                     .ContentType = In.content_type(),
                     .Body = In.body()};
--- a/ledger/claims.h
+++ b/ledger/claims.h
@@ -31,7 +31,8 @@
   /// is the one that the claim says it replaces. The same value again wins
   /// again: it is the same claim, resent.
   wire::claim_result claim(const wire::claim &Claim, double Now);
-  /// Stores the outcome of, or frees, a claim that is held by Finish's attempt.
+  /// Stores the outcome of, frees or abandons a claim that is held by Finish's
+  /// attempt.
   wire::claim_result finish(const wire::finish &Finish, double Now);
   /// Drops what is past its time.
   void expire(double Now);
@@ -47,6 +48,8 @@
     double Touched = 0;
     bool Finished = false;
     bool Freed = false;
+    bool Abandoned = false;
+    uint32_t Kind = 0;
     uint32_t Status = 0;
     std::string ContentType;
     std::string Body;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -73,6 +73,10 @@
   curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Fetch->Headers);
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &http_client::onBytes);
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, Fetch.get());
+  if (O.OnHeader) {
+    curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &http_client::onHeader);
+    curl_easy_setopt(Easy, CURLOPT_HEADERDATA, Fetch.get());
+  }
   curl_easy_setopt(Easy, CURLOPT_PRIVATE, Fetch.get());
   fetch_id Id = Fetch->Id;
   Fetches.emplace(Id, std::move(Fetch));
@@ -137,6 +141,14 @@
   return 0;
 }
 
+size_t http_client::onHeader(char *Data, size_t Size, size_t Count,
+                             void *Context) {
+  auto *Fetch = static_cast<fetch *>(Context);
+  if (Fetch->Options.OnHeader)
+    Fetch->Options.OnHeader({Data, Size * Count});
+  return Size * Count;
+}
+
 size_t http_client::onBytes(char *Data, size_t Size, size_t Count,
                             void *Context) {
   auto *Fetch = static_cast<fetch *>(Context);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -33,6 +33,8 @@
   std::vector<std::string> Headers; ///< "Name: value".
   double TimeoutSeconds = 0;        ///< 0: none.
   double ConnectSeconds = 2;
+  /// Each line of the answer's head.
+  std::function<void(std::string_view Line)> OnHeader;
   /// Status and content type, before the first byte.
   std::function<void(int Status, std::string_view ContentType)> OnHead;
   /// A part of the body; false pauses until resume() and the part comes again.
@@ -59,6 +61,7 @@
   static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *Self,
                       void *Watch);
   static int onTimer(CURLM *Multi, long Milliseconds, void *Self);
+  static size_t onHeader(char *Data, size_t Size, size_t Count, void *Fetch);
   static size_t onBytes(char *Data, size_t Size, size_t Count, void *Fetch);
   void action(curl_socket_t Socket, int Mask);
   void collect();
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -138,7 +138,7 @@
   while (!Self->Chunks.empty() && Taken < Max) {
     const std::string &Front = Self->Chunks.front();
     size_t Count = std::min(Max - Taken, Front.size() - Self->ChunkOffset);
-    std::memcpy(Buffer + Taken, Front.data() + Self->ChunkOffset, Count);
+    std::copy_n(Front.data() + Self->ChunkOffset, Count, Buffer + Taken);
     Taken += Count;
     Self->ChunkOffset += Count;
     if (Self->ChunkOffset < Front.size())
@@ -162,7 +162,7 @@
 
 http_server::http_server(struct ev_loop *Loop, http_limits Limits,
                          handler Handler)
-    : Loop(Loop), Limits(Limits), Handler(std::move(Handler)),
+    : Limits(Limits), Handler(std::move(Handler)),
       Watch(Loop, [this](int) { RunSoon = true; }),
       Timeout(Loop, [this] { RunSoon = true; }),
       Prepare(Loop, [this] { run(); }) {}
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -115,7 +115,6 @@
   void run();
   void wake() { RunSoon = true; }
 
-  struct ev_loop *Loop;
   http_limits Limits;
   handler Handler;
   MHD_Daemon *Daemon = nullptr;
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -14,7 +14,10 @@
 constexpr double TickSeconds = 0.1;
 constexpr double NewsSeconds = 1.0;
 // An entry that did not ask for news this long gets none.
-constexpr double EntryForgetSeconds = 30;
+constexpr double EntryForgetSeconds = 12;
+// An entry that lives settles at once; what it has not settled after this was
+// lost on the way, and the entry hands its own copy in.
+constexpr double UnsettledSeconds = 60;
 // Requests that may wait at one upstream; past that entries must go
 // elsewhere or callers must hear it.
 constexpr size_t QueueLength = 256;
@@ -82,7 +85,7 @@
   case wire::envelope::kCancel:
     return onCancel(Peer, Message.cancel());
   case wire::envelope::kSettle:
-    return Outbox.add(Message.settle().bill());
+    return onSettle(Message.settle());
   case wire::envelope::kHello:
     return onHello(Peer);
   default:
@@ -90,6 +93,41 @@
   }
 }
 
+void sidecar_task::onSettle(const wire::settle &Settle) {
+  Unsettled.erase(keyOf(Settle.id()));
+  if (!Settle.nothing_due())
+    Outbox.add(Settle.bill());
+}
+
+void sidecar_task::keepBill(const running_attempt &Work) {
+  const wire::attempt &Attempt = Work.Attempt;
+  wire::usage Usage = Work.Usage.usage().value_or(wire::usage());
+  unsettled_bill &Kept = Unsettled[keyOf(Attempt.id())];
+  Kept.Peer = Work.Peer;
+  Kept.At = steadySeconds();
+  Kept.Bill.set_entry(Attempt.id().entry());
+  Kept.Bill.set_request(Attempt.id().request());
+  Kept.Bill.set_account(Attempt.account());
+  wire::bill_item *Item = Kept.Bill.add_items();
+  const version_spec *Spec =
+      Control.config().version({Attempt.model(), Attempt.version()});
+  const upstream_spec *Upstream = Control.config().upstream(Options.Upstream);
+  Item->set_model(Spec || !Upstream ? Attempt.model() : Upstream->Service);
+  Item->set_version(Attempt.version());
+  *Item->mutable_usage() = Usage;
+  Item->set_cost_micros(Spec ? costMicros(*Spec, Usage) : 0);
+}
+
+void sidecar_task::settleForLostEntries(double Now) {
+  std::erase_if(Unsettled, [&](const auto &Item) {
+    const unsettled_bill &Kept = Item.second;
+    bool EntryLives = Entries.contains(Kept.Peer);
+    if (!EntryLives)
+      Outbox.add(Kept.Bill);
+    return !EntryLives || Now > Kept.At + UnsettledSeconds;
+  });
+}
+
 void sidecar_task::onHello(const std::string &Peer) {
   Entries[Peer] = steadySeconds();
   wire::envelope Message;
@@ -307,16 +345,15 @@
     forget(Ticket, attempt_progress::NotStarted);
     return startNext();
   }
-  error_kind Kind = error_kind::None;
-  if (!Result.Error.empty())
-    Kind = error_kind::EngineFailed;
-  else if (isEngine() && Result.Status >= 500)
-    Kind = error_kind::EngineFailed;
+  bool Failed = !Result.Error.empty() || (isEngine() && Result.Status >= 500);
+  error_kind Kind = Failed ? error_kind::EngineFailed : error_kind::None;
   std::string Message = Result.Error;
   if (Message.empty() && Kind != error_kind::None)
     Message = "the engine answered " + std::to_string(Result.Status);
   if (Work->claimed() && Kind == error_kind::None)
     storeOutcome(*Work);
+  if (Kind == error_kind::None)
+    keepBill(*Work);
   sendEnd(*Work, Kind, Message);
   forget(Ticket, attempt_progress::Finished);
   startNext();
@@ -361,7 +398,11 @@
 // left alone. Without it a running attempt is ended at the engine too.
 void sidecar_task::onCancel(const std::string &Peer,
                             const wire::cancel &Cancel) {
+  if (Cancel.sidecar_incarnation() != Incarnation)
+    return sendCancelResult(Peer, Cancel.id(), wire::cancel_result::GONE);
   attempt_key Key = keyOf(Cancel.id());
+  if (!Cancel.only_if_not_started())
+    Unsettled.erase(Key);
   double Now = steadySeconds();
   running_attempt *Work = find(Key);
   attempt_progress Progress = Table.cancelIfNotStarted(Key, Now);
@@ -377,14 +418,20 @@
     Progress = attempt_progress::Finished;
     startNext();
   }
+  sendCancelResult(Peer, Cancel.id(),
+                   Progress == attempt_progress::NotStarted
+                       ? wire::cancel_result::NOT_STARTED
+                   : Progress == attempt_progress::Running
+                       ? wire::cancel_result::STARTED
+                       : wire::cancel_result::FINISHED);
+}
+
+void sidecar_task::sendCancelResult(
+    const std::string &Peer, const wire::attempt_id &Id,
+    wire::cancel_result::cancel_progress Progress) {
   wire::envelope Message;
-  wire::cancel_result *Result = Message.mutable_cancel_result();
-  *Result->mutable_id() = Cancel.id();
-  Result->set_progress(Progress == attempt_progress::NotStarted
-                           ? wire::cancel_result::NOT_STARTED
-                       : Progress == attempt_progress::Running
-                           ? wire::cancel_result::STARTED
-                           : wire::cancel_result::FINISHED);
+  *Message.mutable_cancel_result()->mutable_id() = Id;
+  Message.mutable_cancel_result()->set_progress(Progress);
   Server.send(Peer, Message);
 }
 
@@ -442,6 +489,7 @@
   std::erase_if(Entries, [&](const auto &Entry) {
     return Now > Entry.second + EntryForgetSeconds;
   });
+  settleForLostEntries(Now);
   if (Now < NextNews)
     return;
   sendNews();
@@ -459,7 +507,8 @@
 bool sidecar_task::drained() {
   if (Stopping && Attempts.empty())
     Outbox.flush();
-  return Attempts.empty() && Outbox.pending() == 0 && OutcomesPending == 0;
+  return Attempts.empty() && Unsettled.empty() && Outbox.pending() == 0 &&
+         OutcomesPending == 0;
 }
 
 } // namespace olivevalve
--- a/sidecar/sidecar_task.h
+++ b/sidecar/sidecar_task.h
@@ -61,10 +61,23 @@
     bool claimed() const { return !Attempt.idempotency_key().empty(); }
   };
 
+  /// What an entry has not settled yet. If the entry dies first, the sidecar
+  /// hands the bill in itself.
+  struct unsettled_bill {
+    std::string Peer;
+    double At = 0;
+    wire::bill Bill;
+  };
+
   void receive(const std::string &Peer, const wire::envelope &Message);
+  void onSettle(const wire::settle &Settle);
+  void keepBill(const running_attempt &Work);
+  void settleForLostEntries(double Now);
   void onAttempt(const std::string &Peer, const wire::attempt &Attempt);
   void onCredit(const wire::credit &Credit);
   void onCancel(const std::string &Peer, const wire::cancel &Cancel);
+  void sendCancelResult(const std::string &Peer, const wire::attempt_id &Id,
+                        wire::cancel_result::cancel_progress Progress);
   void onHello(const std::string &Peer);
   void refuse(const std::string &Peer, const wire::attempt_id &Id,
               const absl::Status &Status);
@@ -101,6 +114,7 @@
   attempt_table Table;
   std::map<uint64_t, running_attempt> Attempts; ///< By ticket.
   std::map<attempt_key, uint64_t> Tickets;
+  std::map<attempt_key, unsettled_bill> Unsettled;
   std::map<std::string, double> Entries; ///< Peers that want news, since when.
   uint64_t NextTicket = 1;
   int64_t Running = 0;
--- /dev/null
+++ b/tests/consensus_test.cpp
@@ -0,0 +1,326 @@
+//===- consensus_test.cpp - Agreement of the control VMs ------------------===//
+
+#define BOOST_TEST_MODULE consensus
+#include "base/error.h"
+#include "boost/test/unit_test.hpp"
+#include "consensus/storage.h"
+#include "tests/explorer.h"
+#include "tests/temporary_folder.h"
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sys/resource.h>
+
+using namespace olivevalve;
+
+namespace {
+
+// One core that is the only voter, driven by hand.
+raft_core singleVoter() {
+  raft_core Core({.Id = 1, .Disk = 7}, {}, 100);
+  Core.bootstrap("g", 100);
+  raft_output Output = Core.take();
+  Core.synced(Core.lastIndex(), Core.term());
+  return Core;
+}
+
+wire::raft vote(uint64_t From, uint64_t Disk, uint64_t Term, uint64_t Index,
+                uint64_t LogTerm) {
+  wire::raft Message;
+  Message.set_purpose(wire::raft::VOTE);
+  Message.set_group("g");
+  Message.set_from(From);
+  Message.set_to(1);
+  Message.set_disk(Disk);
+  Message.set_term(Term);
+  Message.set_log_index(Index);
+  Message.set_log_term(LogTerm);
+  return Message;
+}
+
+// A follower of a group of three with three entries of term 2.
+raft_durable followerDisk() {
+  wire::member_list Members;
+  for (uint64_t Id : {1, 2, 3}) {
+    wire::member *Member = Members.add_members();
+    Member->set_id(Id);
+    Member->set_disk(Id * 10);
+    Member->set_voter(true);
+  }
+  raft_durable Durable;
+  Durable.Hard = {.Term = 2, .Vote = 0, .Group = "g"};
+  for (uint64_t Index : {1, 2, 3}) {
+    wire::log_entry Entry;
+    Entry.set_index(Index);
+    Entry.set_term(2);
+    Entry.set_is_members(Index == 1);
+    Entry.set_data(Index == 1 ? Members.SerializeAsString() : "x");
+    Durable.Entries.push_back(Entry);
+  }
+  return Durable;
+}
+
+uint64_t exploredSeeds() {
+  const char *Text = std::getenv("OLIVEVALVE_SEEDS");
+  return Text ? std::strtoull(Text, nullptr, 10) : 400;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_core)
+
+BOOST_AUTO_TEST_CASE(alone_leads_and_commits_once_synced) {
+  raft_core Core = singleVoter();
+  BOOST_TEST(Core.isLeader());
+  auto Index = Core.propose("hello");
+  BOOST_REQUIRE(Index.has_value());
+  raft_output Output = Core.take();
+  BOOST_TEST(Core.commitIndex() < *Index);
+  Core.synced(*Index, Core.term());
+  BOOST_TEST(Core.commitIndex() == *Index);
+}
+
+struct vote_case {
+  const char *What;
+  uint64_t From;
+  uint64_t Disk;
+  uint64_t Term;
+  uint64_t LastIndex;
+  uint64_t LastTerm;
+  double After; ///< Seconds since the last word of a leader.
+  bool Granted;
+};
+
+BOOST_AUTO_TEST_CASE(grants_votes_only_as_the_table_says) {
+  const vote_case Cases[] = {
+      {"an equal log", 2, 20, 3, 3, 2, 5, true},
+      {"a longer log", 2, 20, 3, 9, 2, 5, true},
+      {"a shorter log", 2, 20, 3, 2, 2, 5, false},
+      {"an older last term", 2, 20, 3, 9, 1, 5, false},
+      {"an older term", 2, 20, 1, 9, 2, 5, false},
+      {"a leader was heard just now", 2, 20, 3, 3, 2, 0.5, false},
+      {"a voter's number with another disk", 2, 99, 3, 3, 2, 5, false},
+      {"a stranger", 4, 40, 3, 3, 2, 5, false},
+  };
+  for (const vote_case &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.What) {
+      raft_core Core({.Id = 1, .Disk = 10}, followerDisk(), 100);
+      Core.step(
+          vote(Case.From, Case.Disk, Case.Term, Case.LastIndex, Case.LastTerm),
+          100 + Case.After);
+      raft_output Output = Core.take();
+      bool Granted = false;
+      for (const wire::raft &Reply : Output.Late)
+        Granted = Granted || Reply.granted();
+      BOOST_TEST(Granted == Case.Granted);
+      if (Granted) {
+        BOOST_REQUIRE(Output.Hard.has_value());
+        BOOST_TEST(Output.Hard->Vote == Case.From);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(votes_once_a_term) {
+  raft_core Core({.Id = 1, .Disk = 10}, followerDisk(), 100);
+  Core.step(vote(2, 20, 3, 3, 2), 105);
+  Core.take();
+  Core.step(vote(3, 30, 3, 3, 2), 105);
+  for (const wire::raft &Reply : Core.take().Late)
+    BOOST_TEST(!Reply.granted());
+}
+
+BOOST_AUTO_TEST_CASE(with_another_disk_never_stands_for_election) {
+  raft_core Core({.Id = 1, .Disk = 11}, followerDisk(), 100);
+  for (double Now = 100; Now < 130; Now += 0.1)
+    Core.tick(Now);
+  BOOST_TEST(Core.take().Early.empty());
+  BOOST_TEST(!Core.isMember());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_storage)
+
+void writeSome(const std::string &Folder, int Entries) {
+  auto Storage = raft_storage::open(Folder);
+  BOOST_REQUIRE(Storage.ok());
+  for (int I = 1; I <= Entries; ++I) {
+    raft_output Output;
+    if (I == 1)
+      Output.Hard = raft_hard_state{.Term = 5, .Vote = 2, .Group = "g"};
+    wire::log_entry Entry;
+    Entry.set_index(uint64_t(I));
+    Entry.set_term(5);
+    Entry.set_data("entry " + std::to_string(I));
+    Output.Entries.push_back(Entry);
+    BOOST_REQUIRE((*Storage)->write(Output).ok());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(gives_back_what_was_synced) {
+  temporary_folder Folder;
+  writeSome(Folder.path() + "/d", 20);
+  auto Storage = raft_storage::open(Folder.path() + "/d");
+  BOOST_REQUIRE(Storage.ok());
+  raft_durable Durable = (*Storage)->takeDurable();
+  BOOST_TEST(Durable.Hard.Term == 5U);
+  BOOST_TEST(Durable.Hard.Vote == 2U);
+  BOOST_TEST(Durable.Entries.size() == 20U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_its_identity_and_gives_a_new_disk_another) {
+  temporary_folder Folder;
+  uint64_t First = (*raft_storage::open(Folder.path() + "/a"))->disk();
+  BOOST_TEST((*raft_storage::open(Folder.path() + "/a"))->disk() == First);
+  BOOST_TEST((*raft_storage::open(Folder.path() + "/b"))->disk() != First);
+}
+
+BOOST_AUTO_TEST_CASE(is_held_by_one_process) {
+  temporary_folder Folder;
+  auto First = raft_storage::open(Folder.path() + "/d");
+  auto Second = raft_storage::open(Folder.path() + "/d");
+  BOOST_TEST(First.ok());
+  BOOST_TEST(!Second.ok());
+}
+
+struct damage_case {
+  const char *What;
+  double At;  ///< Place of the damage as a share of the file.
+  bool Cut;   ///< Truncate there instead of changing a byte.
+  bool Zeros; ///< Zeros from there on.
+  bool Opens;
+};
+
+BOOST_AUTO_TEST_CASE(cuts_a_torn_tail_and_stops_at_a_damaged_middle) {
+  const damage_case Cases[] = {
+      {"last record cut short", 0.995, true, false, true},
+      {"half of the file gone", 0.5, true, false, true},
+      {"last record changed", 0.995, false, false, true},
+      {"zeros at the end", 0.99, false, true, true},
+      {"a byte in the middle changed", 0.5, false, false, false},
+      {"a byte near the start changed", 0.1, false, false, false},
+  };
+  for (const damage_case &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.What) {
+      temporary_folder Folder;
+      std::string Path = Folder.path() + "/d";
+      writeSome(Path, 50);
+      std::string Bytes;
+      {
+        std::ifstream File(Path + "/log", std::ios::binary);
+        Bytes.assign(std::istreambuf_iterator<char>(File), {});
+      }
+      size_t Place = size_t(double(Bytes.size()) * Case.At);
+      if (Case.Cut)
+        Bytes.resize(Place);
+      else if (Case.Zeros)
+        std::fill(Bytes.begin() + long(Place), Bytes.end(), '\0');
+      else
+        Bytes[Place] = char(Bytes[Place] ^ 0x55);
+      std::ofstream(Path + "/log", std::ios::binary) << Bytes;
+      auto Storage = raft_storage::open(Path);
+      BOOST_TEST(Storage.ok() == Case.Opens);
+      if (!Storage.ok())
+        BOOST_TEST(messageOf(Storage.status()).find("damaged") !=
+                   std::string_view::npos);
+      else
+        BOOST_TEST((*Storage)->takeDurable().Entries.size() < 50U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_full_disk_is_an_error_and_not_a_crash) {
+  temporary_folder Folder;
+  auto Storage = raft_storage::open(Folder.path() + "/d");
+  BOOST_REQUIRE(Storage.ok());
+  // A limit on the size of files refuses writes as a full disk does.
+  std::signal(SIGXFSZ, SIG_IGN);
+  rlimit Before{};
+  getrlimit(RLIMIT_FSIZE, &Before);
+  rlimit Small{4096, Before.rlim_max};
+  setrlimit(RLIMIT_FSIZE, &Small);
+  raft_output Output;
+  Output.Entries.emplace_back().set_index(1);
+  Output.Entries.back().set_data(std::string(100000, 'x'));
+  absl::Status Status = (*Storage)->write(Output);
+  setrlimit(RLIMIT_FSIZE, &Before);
+  BOOST_TEST((kindOf(Status) == error_kind::StorageFailed));
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_takes_the_place_of_the_log) {
+  temporary_folder Folder;
+  std::string Path = Folder.path() + "/d";
+  writeSome(Path, 10);
+  {
+    auto Storage = raft_storage::open(Path);
+    BOOST_REQUIRE(Storage.ok());
+    raft_durable Before = (*Storage)->takeDurable();
+    raft_snapshot Snapshot{
+        .Index = 8, .Term = 5, .Members = "", .Image = "image"};
+    std::vector<wire::log_entry> Tail(Before.Entries.begin() + 8,
+                                      Before.Entries.end());
+    BOOST_REQUIRE((*Storage)->compact(Snapshot, Before.Hard, Tail).ok());
+  }
+  auto Storage = raft_storage::open(Path);
+  BOOST_REQUIRE(Storage.ok());
+  raft_durable Durable = (*Storage)->takeDurable();
+  BOOST_TEST(Durable.Snapshot.Index == 8U);
+  BOOST_TEST(Durable.Snapshot.Image == "image");
+  BOOST_TEST(Durable.Entries.size() == 2U);
+  BOOST_TEST(Durable.Hard.Vote == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(random_schedules)
+
+BOOST_AUTO_TEST_CASE(keep_what_must_always_hold) {
+  explorer_result Sum;
+  uint64_t Seeds = exploredSeeds();
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    explorer_result Result =
+        explorer({.Seed = Seed, .Vms = Seed % 3 == 0 ? 5U : 3U}).run();
+    BOOST_REQUIRE_MESSAGE(Result.Violation.empty(), Result.Violation);
+    Sum.Leaders += Result.Leaders;
+    Sum.Committed += Result.Committed;
+    Sum.Crashes += Result.Crashes;
+    Sum.LostDisks += Result.LostDisks;
+    Sum.Snapshots += Result.Snapshots;
+  }
+  BOOST_TEST_MESSAGE("schedules "
+                     << Seeds << ", leaders " << Sum.Leaders << ", committed "
+                     << Sum.Committed << ", crashes " << Sum.Crashes
+                     << ", lost disks " << Sum.LostDisks << ", snapshots "
+                     << Sum.Snapshots);
+  // A schedule in which nothing happens proves nothing.
+  BOOST_TEST(Sum.Leaders > 2 * Seeds);
+  BOOST_TEST(Sum.Committed > 100 * Seeds);
+  BOOST_TEST(Sum.LostDisks > Seeds / 2);
+}
+
+// With a mechanism off the same checks must fail, or they check nothing.
+BOOST_AUTO_TEST_CASE(find_the_fault_when_a_mechanism_is_off) {
+  struct off_case {
+    const char *What;
+    explorer_options Options;
+  };
+  const off_case Cases[] = {
+      {"votes not remembered", {.ForgetVotes = true}},
+      {"synced entries forgotten", {.ForgetEntries = true}},
+      {"a lost disk under its old name", {.KeepIdentity = true}},
+  };
+  for (const off_case &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.What) {
+      bool Found = false;
+      for (uint64_t Seed = 1; Seed <= 2000 && !Found; ++Seed) {
+        explorer_options Options = Case.Options;
+        Options.Seed = Seed;
+        Found = !explorer(Options).run().Violation.empty();
+      }
+      BOOST_TEST(Found);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/explorer.cpp
@@ -0,0 +1,310 @@
+//===- explorer.cpp - Random schedules for the agreement ------------------===//
+
+#include "tests/explorer.h"
+#include "base/digest.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr double StepSeconds = 0.03;
+constexpr double MostDelay = 0.4;
+// Steps without faults at the start, for the group to form.
+constexpr int SettleSteps = 200;
+constexpr double MostDrift = 0.008;
+std::string imageOf(uint64_t Index, uint64_t Hash) {
+  return std::to_string(Index) + ":" + std::to_string(Hash);
+}
+
+} // namespace
+
+explorer::explorer(explorer_options NewOptions)
+    : Options(NewOptions), Random(NewOptions.Seed), Vms(NewOptions.Vms),
+      Cut(NewOptions.Vms + 1, std::vector<bool>(NewOptions.Vms + 1, false)) {
+  for (size_t I = 0; I < Vms.size(); ++I) {
+    Vms[I].Id = I + 1;
+    Vms[I].Disk.Identity = NextIdentity++;
+    Vms[I].Rate = 1 + MostDrift * (2 * chance() - 1);
+    Vms[I].Offset = 1000 * chance();
+    startVm(Vms[I]);
+  }
+  Vms[0].Core->bootstrap("group", clockOf(Vms[0]));
+}
+
+double explorer::clockOf(const vm &Vm) const {
+  return Now * Vm.Rate + Vm.Offset;
+}
+
+explorer::vm &explorer::anyVm() { return Vms[Random() % Vms.size()]; }
+
+void explorer::fail(const std::string &What) {
+  if (Result.Violation.empty())
+    Result.Violation = "seed " + std::to_string(Options.Seed) + ": " + What;
+}
+
+void explorer::startVm(vm &Vm) {
+  raft_options Core{.Id = Vm.Id, .Disk = Vm.Disk.Identity};
+  Core.Address = "vm" + std::to_string(Vm.Id);
+  Core.Seed = Random();
+  Core.TargetVoters = Options.Vms;
+  Core.MaxBatchEntries = 4;
+  Vm.Disk.Written = Vm.Disk.Synced;
+  Vm.AppliedIndex = Vm.Disk.Synced.Snapshot.Index;
+  Vm.AppliedHash = Vm.AppliedIndex ? HashAt[Vm.AppliedIndex] : 0;
+  Vm.Core = std::make_unique<raft_core>(Core, Vm.Disk.Synced, clockOf(Vm));
+}
+
+void explorer::crash(vm &Vm, bool LoseDisk) {
+  ++Result.Crashes;
+  if (Options.ForgetVotes)
+    Vm.Disk.Synced.Hard = {.Group = Vm.Disk.Synced.Hard.Group};
+  if (Options.ForgetEntries && !Vm.Disk.Synced.Entries.empty())
+    Vm.Disk.Synced.Entries.pop_back();
+  if (LoseDisk) {
+    ++Result.LostDisks;
+    std::string Group = Vm.Disk.Synced.Hard.Group;
+    uint64_t Identity = Vm.Disk.Identity;
+    Vm.Disk = {};
+    Vm.Disk.Identity = Options.KeepIdentity ? Identity : NextIdentity++;
+    if (Options.KeepIdentity)
+      Vm.Disk.Synced.Hard.Group = Group;
+  }
+  Vm.Core.reset();
+  Vm.DownUntil = Now + 4 * chance();
+}
+
+void explorer::persist(vm &Vm, const raft_output &Output) {
+  raft_durable &Durable = Vm.Disk.Written;
+  if (Output.Hard)
+    Durable.Hard = *Output.Hard;
+  if (Output.Install) {
+    Durable.Snapshot = *Output.Install;
+    Durable.Entries.clear();
+  }
+  for (const wire::log_entry &Entry : Output.Entries) {
+    while (!Durable.Entries.empty() &&
+           Durable.Entries.back().index() >= Entry.index())
+      Durable.Entries.pop_back();
+    Durable.Entries.push_back(Entry);
+  }
+}
+
+// Takes what the core wants done. A crash may come after the write and before
+// the sync: then the disk keeps what was synced before.
+void explorer::pump(vm &Vm) {
+  for (;;) {
+    raft_output Output = Vm.Core->take();
+    bool Idle = !Output.needsSync() && Output.Early.empty() &&
+                Output.Late.empty() && Output.Committed.empty();
+    if (Idle)
+      return;
+    if (!Output.Hard)
+      for (const wire::raft &Message : Output.Early)
+        post(Message);
+    persist(Vm, Output);
+    if (Output.needsSync() && chance() < 0.002)
+      return crash(Vm, false);
+    Vm.Disk.Synced = Vm.Disk.Written;
+    if (!Output.Entries.empty())
+      Vm.Core->synced(Output.Entries.back().index(),
+                      Output.Entries.back().term());
+    if (Output.Hard)
+      for (const wire::raft &Message : Output.Early)
+        post(Message);
+    for (const wire::raft &Message : Output.Late)
+      post(Message);
+    applyCommitted(Vm, Output);
+  }
+}
+
+void explorer::applyCommitted(vm &Vm, const raft_output &Output) {
+  if (Output.Install) {
+    uint64_t Index = Output.Install->Index;
+    if (Index < Vm.AppliedIndex)
+      fail("a snapshot took an index back");
+    Vm.AppliedIndex = Index;
+    Vm.AppliedHash = HashAt[Index];
+    if (Output.Install->Image != imageOf(Index, Vm.AppliedHash))
+      fail("a snapshot holds another state");
+  }
+  for (const wire::log_entry &Entry : Output.Committed) {
+    if (Entry.index() != Vm.AppliedIndex + 1)
+      fail("entries were applied out of order");
+    std::string Text = Entry.SerializeAsString();
+    auto [It, New] = EntryAt.emplace(Entry.index(), Text);
+    if (!New && It->second != Text)
+      fail("a committed entry was lost or changed at index " +
+           std::to_string(Entry.index()));
+    Vm.AppliedIndex = Entry.index();
+    Vm.AppliedHash = checksum(Text, Vm.AppliedHash);
+    HashAt[Entry.index()] = Vm.AppliedHash;
+    Result.Committed = std::max(Result.Committed, Entry.index());
+  }
+}
+
+void explorer::post(const wire::raft &Message) {
+  bool Lost = chance() < Loss || Cut[Message.from()][Message.to()];
+  if (Lost)
+    return;
+  Network.push_back({Now + MostDelay * chance() * chance(), Message});
+  if (chance() < 0.03)
+    Network.push_back({Now + 3 * MostDelay * chance(), Message});
+}
+
+void explorer::deliver() {
+  std::vector<packet> Due;
+  std::erase_if(Network, [&](const packet &Packet) {
+    if (Packet.At > Now)
+      return false;
+    Due.push_back(Packet);
+    return true;
+  });
+  std::shuffle(Due.begin(), Due.end(), Random);
+  for (const packet &Packet : Due) {
+    vm &Vm = Vms[Packet.Message.to() - 1];
+    if (!Vm.Core || Now < Vm.FrozenUntil)
+      continue;
+    Vm.Core->step(Packet.Message, clockOf(Vm));
+    pump(Vm);
+  }
+}
+
+void explorer::announceAll() {
+  for (vm &Vm : Vms) {
+    if (!Vm.Core || Vm.Core->isMember() || chance() > 0.1)
+      continue;
+    for (vm &Other : Vms) {
+      wire::raft Message;
+      Message.set_purpose(wire::raft::ANNOUNCE);
+      Message.set_from(Vm.Id);
+      Message.set_to(Other.Id);
+      Message.set_disk(Vm.Disk.Identity);
+      Message.set_address("vm" + std::to_string(Vm.Id));
+      if (Other.Id != Vm.Id)
+        post(Message);
+    }
+  }
+}
+
+// A further disk may be lost as soon as every VM is a voter with the disk it
+// has: right after a repair, but not during it. With a majority of disks lost
+// at once nothing can be promised.
+bool explorer::allDisksVote() const {
+  for (const vm &Leader : Vms) {
+    if (!Leader.Core || !Leader.Core->hasLeaderLease(clockOf(Leader)) ||
+        Leader.Core->commitIndex() != Leader.Core->lastIndex())
+      continue;
+    size_t Voting = 0;
+    for (const wire::member &Member : Leader.Core->members().members())
+      if (Member.voter() && Vms[Member.id() - 1].Disk.Identity == Member.disk())
+        ++Voting;
+    return Voting == Vms.size();
+  }
+  return false;
+}
+
+void explorer::randomFault() {
+  // Chances of each fault in a step, in this order.
+  constexpr double Crash = 0.004;
+  constexpr double LoseDisk = 0.012;
+  constexpr double Freeze = 0.0025;
+  constexpr double CutLink = 0.003;
+  constexpr double HealLinks = 0.012;
+  constexpr double ChangeLoss = 0.005;
+  constexpr double StepClock = 0.002;
+  double Dice = chance();
+  auto Is = [&](double Share) {
+    Dice -= Share;
+    return Dice < 0;
+  };
+  auto HealAll = [&] {
+    for (auto &Row : Cut)
+      Row.assign(Row.size(), false);
+  };
+  if (Is(Crash))
+    return crash(anyVm(), false);
+  if (Is(LoseDisk))
+    return allDisksVote() ? crash(anyVm(), true) : void();
+  if (Is(Freeze)) {
+    anyVm().FrozenUntil = Now + 5 * chance();
+  } else if (Is(CutLink)) {
+    size_t From = 1 + Random() % Vms.size();
+    size_t To = 1 + Random() % Vms.size();
+    Cut[From][To] = true;
+    if (chance() < 0.5)
+      Cut[To][From] = true;
+  } else if (Is(HealLinks)) {
+    HealAll();
+  } else if (Is(ChangeLoss)) {
+    Loss = chance() < 0.6 ? 0 : 0.3 * chance();
+  } else if (Is(StepClock)) {
+    // The boot clock steps forward when a frozen VM wakes.
+    anyVm().Offset += 3 * chance();
+  }
+}
+
+void explorer::maybePropose() {
+  for (vm &Vm : Vms)
+    if (Vm.Core && Vm.Core->isLeader() && Now >= Vm.FrozenUntil &&
+        chance() < 0.3) {
+      Vm.Core->propose("c" + std::to_string(Random() % 100000));
+      pump(Vm);
+    }
+}
+
+void explorer::maybeCompact(vm &Vm) {
+  if (!Vm.Core || chance() > 0.01 || Vm.AppliedIndex < 3)
+    return;
+  Vm.Core->compact(Vm.AppliedIndex, imageOf(Vm.AppliedIndex, Vm.AppliedHash));
+  if (Vm.Core->snapshot().Index != Vm.AppliedIndex)
+    return;
+  ++Result.Snapshots;
+  raft_durable Durable{.Hard = Vm.Disk.Synced.Hard,
+                       .Snapshot = Vm.Core->snapshot(),
+                       .Entries = Vm.Core->entriesAfterSnapshot()};
+  Vm.Disk.Synced = Vm.Disk.Written = Durable;
+}
+
+void explorer::checkLeaders() {
+  int Leases = 0;
+  for (const vm &Vm : Vms) {
+    if (!Vm.Core || !Vm.Core->isLeader())
+      continue;
+    // A term has one leader: a pair of number and disk.
+    uint64_t Name = Vm.Id * 1000 + Vm.Disk.Identity;
+    auto [It, New] = LeaderOfTerm.emplace(Vm.Core->term(), Name);
+    Result.Leaders += New ? 1 : 0;
+    if (It->second != Name)
+      fail("two leaders in term " + std::to_string(Vm.Core->term()));
+    if (Vm.Core->hasLeaderLease(clockOf(Vm)))
+      ++Leases;
+  }
+  if (Leases > 1)
+    fail("two leaders hold a lease at once");
+}
+
+explorer_result explorer::run() {
+  for (int Step = 0; Step < Options.Steps && Result.Violation.empty(); ++Step) {
+    Now += StepSeconds;
+    for (vm &Vm : Vms) {
+      if (!Vm.Core && Now >= Vm.DownUntil)
+        startVm(Vm);
+      if (!Vm.Core || Now < Vm.FrozenUntil)
+        continue;
+      Vm.Core->tick(clockOf(Vm));
+      pump(Vm);
+    }
+    deliver();
+    announceAll();
+    maybePropose();
+    for (vm &Vm : Vms)
+      maybeCompact(Vm);
+    if (Step > SettleSteps)
+      randomFault();
+    checkLeaders();
+  }
+  return Result;
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/tests/proxy.cpp
@@ -0,0 +1,201 @@
+//===- proxy.cpp - Faults on a TCP path -----------------------------------===//
+
+#include "tests/proxy.h"
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr size_t BlockBytes = 64 << 10;
+constexpr size_t MostPending = 4 << 20;
+constexpr size_t DripBytes = 16;
+constexpr double DripSeconds = 0.02;
+constexpr double SlowSeconds = 0.15;
+
+sockaddr_in parse(const std::string &Address) {
+  sockaddr_in Where{};
+  Where.sin_family = AF_INET;
+  size_t Colon = Address.rfind(':');
+  Where.sin_port = htons(uint16_t(std::atoi(Address.c_str() + Colon + 1)));
+  inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Where.sin_addr);
+  return Where;
+}
+
+void resetAndClose(int Socket) {
+  linger Now{1, 0};
+  setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+  close(Socket);
+}
+
+} // namespace
+
+proxy::connection::connection(struct ev_loop *Loop, proxy &Owner)
+    : ClientWatch(Loop,
+                  [this, &Owner](int Events) {
+                    if (Events & EV_READ)
+                      Owner.onReadable(*this, true);
+                    Owner.forward(*this);
+                  }),
+      ServerWatch(Loop,
+                  [this, &Owner](int Events) {
+                    if (Events & EV_READ)
+                      Owner.onReadable(*this, false);
+                    Owner.forward(*this);
+                  }),
+      Later(Loop, [this, &Owner] {
+        Owner.moveAll(*this);
+        Owner.forward(*this);
+      }) {}
+
+proxy::proxy(struct ev_loop *Loop, std::string Target)
+    : Loop(Loop), Target(std::move(Target)),
+      ListenWatch(Loop, [this](int) { accept(); }), Prepare(Loop, [this] {
+        Connections.remove_if([](const auto &C) { return C->Dead; });
+      }) {
+  Listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in Where = parse("127.0.0.1:0");
+  auto *Raw = reinterpret_cast<sockaddr *>(&Where);
+  bind(Listener, Raw, sizeof(Where));
+  listen(Listener, 256);
+  socklen_t Size = sizeof(Where);
+  getsockname(Listener, Raw, &Size);
+  Address = "127.0.0.1:" + std::to_string(ntohs(Where.sin_port));
+  ListenWatch.start(Listener, EV_READ);
+}
+
+proxy::~proxy() {
+  for (auto &Connection : Connections)
+    reset(*Connection);
+  ListenWatch.stop();
+  close(Listener);
+}
+
+void proxy::set(proxy_fault NewFault) {
+  Fault = NewFault;
+  for (auto &Connection : Connections) {
+    if (Fault == proxy_fault::Cut)
+      reset(*Connection);
+    if (Fault == proxy_fault::HalfClose && !Connection->Dead)
+      shutdown(Connection->Server, SHUT_WR);
+    if (!Connection->Dead)
+      forward(*Connection);
+  }
+}
+
+void proxy::accept() {
+  int Client =
+      accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (Client < 0)
+    return;
+  if (Fault == proxy_fault::Cut)
+    return resetAndClose(Client);
+  int Server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Where = parse(Target);
+  // Loopback answers at once, so a blocking connect is short.
+  if (connect(Server, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) !=
+      0) {
+    close(Server);
+    return resetAndClose(Client);
+  }
+  int On = 1;
+  setsockopt(Server, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  setsockopt(Client, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  auto Connection = std::make_unique<connection>(Loop, *this);
+  Connection->Client = Client;
+  Connection->Server = Server;
+  rewatch(*Connection);
+  Connections.push_back(std::move(Connection));
+}
+
+bool proxy::swallows(bool FromClient) const {
+  return Fault == proxy_fault::Hole ||
+         (Fault == proxy_fault::HoleToServer && FromClient) ||
+         (Fault == proxy_fault::HoleToClient && !FromClient);
+}
+
+void proxy::onReadable(connection &Connection, bool FromClient) {
+  if (Connection.Dead)
+    return;
+  std::array<char, BlockBytes> Block;
+  int In = FromClient ? Connection.Client : Connection.Server;
+  direction &Direction = FromClient ? Connection.ToServer : Connection.ToClient;
+  ssize_t Count = recv(In, Block.data(), Block.size(), MSG_DONTWAIT);
+  if (Count < 0)
+    return;
+  if (Count == 0)
+    return reset(Connection);
+  // What went into a hole is gone: a connection that lost bytes must not be
+  // used again, or frames would be cut in half.
+  if (swallows(FromClient))
+    Direction.Closed = true;
+  if (!Direction.Closed)
+    Direction.Pending.append(Block.data(), size_t(Count));
+}
+
+void proxy::push(direction &Direction, int Out) {
+  if (Direction.Pending.empty())
+    return;
+  size_t Most =
+      Fault == proxy_fault::Drip ? DripBytes : Direction.Pending.size();
+  ssize_t Count = send(Out, Direction.Pending.data(),
+                       std::min(Most, Direction.Pending.size()),
+                       MSG_DONTWAIT | MSG_NOSIGNAL);
+  if (Count > 0)
+    Direction.Pending.erase(0, size_t(Count));
+}
+
+// A throttled path moves only when its timer fires.
+void proxy::forward(connection &Connection) {
+  if (Connection.Dead)
+    return;
+  bool Throttled = Fault == proxy_fault::Slow || Fault == proxy_fault::Drip;
+  bool Holds = !Connection.ToServer.Pending.empty() ||
+               !Connection.ToClient.Pending.empty();
+  if (!Throttled)
+    moveAll(Connection);
+  else if (Holds && !Connection.Later.active())
+    Connection.Later.startOnce(Fault == proxy_fault::Slow ? SlowSeconds
+                                                          : DripSeconds);
+  rewatch(Connection);
+}
+
+void proxy::moveAll(connection &Connection) {
+  if (Connection.Dead)
+    return;
+  push(Connection.ToServer, Connection.Server);
+  push(Connection.ToClient, Connection.Client);
+}
+
+void proxy::rewatch(connection &Connection) {
+  if (Connection.Dead)
+    return;
+  bool Throttled = Fault == proxy_fault::Slow || Fault == proxy_fault::Drip;
+  auto EventsFor = [&](const direction &In, const direction &Out) {
+    int Events = In.Pending.size() < MostPending ? EV_READ : 0;
+    return Events | (!Out.Pending.empty() && !Throttled ? EV_WRITE : 0);
+  };
+  Connection.ClientWatch.start(
+      Connection.Client, EventsFor(Connection.ToServer, Connection.ToClient));
+  Connection.ServerWatch.start(
+      Connection.Server, EventsFor(Connection.ToClient, Connection.ToServer));
+}
+
+void proxy::reset(connection &Connection) {
+  if (Connection.Dead)
+    return;
+  Connection.Dead = true;
+  Connection.ClientWatch.stop();
+  Connection.ServerWatch.stop();
+  Connection.Later.stop();
+  resetAndClose(Connection.Client);
+  resetAndClose(Connection.Server);
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/tests/temporary_folder.h
@@ -0,0 +1,34 @@
+//===- temporary_folder.h - A folder that goes away -------------*- C++ -*-===//
+
+#ifndef OLIVEVALVE_TESTS_TEMPORARY_FOLDER_H
+#define OLIVEVALVE_TESTS_TEMPORARY_FOLDER_H
+
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+namespace olivevalve {
+
+class temporary_folder {
+public:
+  temporary_folder() {
+    std::string Name =
+        std::filesystem::temp_directory_path() / "olivevalve-test.XXXXXX";
+    if (mkdtemp(Name.data()))
+      Path = Name;
+  }
+  ~temporary_folder() {
+    std::error_code Ignored;
+    std::filesystem::remove_all(Path, Ignored);
+  }
+  temporary_folder(const temporary_folder &) = delete;
+  temporary_folder &operator=(const temporary_folder &) = delete;
+  const std::string &path() const { return Path; }
+
+private:
+  std::string Path;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_TESTS_TEMPORARY_FOLDER_H
