--- a/base/fields.cpp
+++ b/base/fields.cpp
@@ -230,6 +230,11 @@
   }
 }
 
+bool isPrintable(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C >= ' ' && C <= '~'; });
+}
+
 absl::StatusOr<std::string> readFile(const std::string &Path) {
   std::ifstream File(Path, std::ios::binary);
   if (!File)
--- a/base/fields.h
+++ b/base/fields.h
@@ -88,6 +88,9 @@
 /// Documents nested deeper than 64 levels are refused.
 absl::StatusOr<json> parseJson(std::string_view Text, std::string_view Source);
 
+/// Printable ASCII and spaces only: what may go into messages and headers.
+bool isPrintable(std::string_view Text);
+
 /// Reads a whole file; an error names the file and the cause.
 absl::StatusOr<std::string> readFile(const std::string &Path);
 
--- a/base/metrics.cpp
+++ b/base/metrics.cpp
@@ -65,6 +65,12 @@
   Row->second += Add;
 }
 
+void metrics::setCount(std::string_view Counter, std::string_view Label,
+                       uint64_t Value) {
+  count(Counter, Label, 0);
+  Tables->Counters.find(Counter)->second.find(Label)->second = Value;
+}
+
 void metrics::gauge(std::string_view Name, double Value) {
   auto It = Tables->Gauges.find(Name);
   if (It == Tables->Gauges.end())
--- a/base/metrics.h
+++ b/base/metrics.h
@@ -37,6 +37,9 @@
   void record(measure Measure, std::string_view Class, double Value);
   void count(std::string_view Counter, std::string_view Label,
              uint64_t Add = 1);
+  /// Sets a counter that is kept elsewhere.
+  void setCount(std::string_view Counter, std::string_view Label,
+                uint64_t Value);
   void gauge(std::string_view Name, double Value);
   std::string prometheusText() const;
 
--- a/control/replicated_log.cpp
+++ b/control/replicated_log.cpp
@@ -48,7 +48,8 @@
 replicated_log::replicated_log(link_context &Context, struct ev_loop *Loop,
                                replicated_log_options NewOptions)
     : Context(Context), Loop(Loop), Options(std::move(NewOptions)),
-      Timer(Loop, [this] { tick(); }), Prepare(Loop, [this] { flush(); }) {}
+      Timer(Loop, [this] { tick(); }), Soon(Loop, [] {}),
+      Prepare(Loop, [this] { flush(); }) {}
 
 void replicated_log::tick() {
   double Now = steadySeconds();
@@ -140,6 +141,7 @@
   auto Index = Core->propose(Command.SerializeAsString());
   if (!Index)
     return false;
+  Soon.startOnce(0);
   Waiters[*Index] = {.Term = Core->term(), .Handler = std::move(Handler)};
   return true;
 }
--- a/control/replicated_log.h
+++ b/control/replicated_log.h
@@ -84,6 +84,7 @@
   bool Failed = false;
   bool HadLeadership = false;
   timer Timer;
+  timer Soon; ///< Makes the loop turn once more, so that flush() runs.
   before_wait Prepare;
 };
 
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -16,6 +16,7 @@
 
 node::node(struct ev_loop *Loop, const settings &Settings, link_keys Keys)
     : Loop(Loop), Settings(Settings), Context(std::move(Keys)),
+      Gatekeeper(Context, Loop),
       Health(Loop, {.MaxBodyBytes = 1024, .MaxConnections = 50},
              [this](const std::shared_ptr<http_exchange> &Exchange) {
                handleHealth(Exchange);
@@ -75,6 +76,8 @@
   if (Path == "/readyz")
     return Exchange->reply(ready() ? 200 : 503, "text/plain",
                            ready() ? "ready\n" : "not ready\n");
+  if (Path == "/metrics")
+    countTraffic();
   if (Path == "/metrics")
     return Exchange->reply(200, "text/plain; version=0.0.4",
                            Metrics.prometheusText());
@@ -86,6 +89,20 @@
                   "known: /healthz /readyz /metrics, PUT /log-level\n");
 }
 
+void node::countTraffic() {
+  for (size_t Kind = 0; Kind < link_traffic::Kinds; ++Kind) {
+    const kind_traffic &Traffic = Context.traffic().ByKind[Kind];
+    if (Traffic.SentMessages + Traffic.ReceivedMessages == 0)
+      continue;
+    std::string_view Name = trafficKindName(Kind);
+    Metrics.setCount("link_sent_messages", Name, Traffic.SentMessages);
+    Metrics.setCount("link_sent_bytes", Name, Traffic.SentBytes);
+    Metrics.setCount("link_received_messages", Name, Traffic.ReceivedMessages);
+    Metrics.setCount("link_received_bytes", Name, Traffic.ReceivedBytes);
+  }
+  Metrics.setCount("link_malformed", "", Context.traffic().Malformed);
+}
+
 void node::stop() {
   if (Stopping) {
     ExitCode = 4;
@@ -98,13 +115,17 @@
     Entry->drain();
   if (Sidecar)
     Sidecar->drain();
+  if (Control)
+    Control->drain();
   DrainTimer.startRepeating(DrainPollSeconds);
 }
 
 // Control goes last: the other roles hand their bills to it.
 void node::checkDrain() {
   bool Over = steadySeconds() >= DrainUntil;
-  bool Done = (!Entry || Entry->drained()) && (!Sidecar || Sidecar->drained());
+  bool Done = (!Entry || Entry->drained()) &&
+              (!Sidecar || Sidecar->drained()) &&
+              (!Control || Control->drained());
   if (!Done && !Over)
     return;
   if (Over)
@@ -118,8 +139,6 @@
     Entry->leave();
   if (Sidecar)
     Sidecar->leave();
-  if (Control)
-    Control->drain();
   logLine(log_level::Info, "stopped");
   EndTimer.startOnce(EndSeconds);
 }
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -10,6 +10,7 @@
 #define OLIVEVALVE_DAEMON_NODE_H
 
 #include "daemon/settings.h"
+#include "net/gatekeeper.h"
 
 namespace olivevalve {
 
@@ -25,6 +26,7 @@
 
 private:
   void handleHealth(const std::shared_ptr<http_exchange> &Exchange);
+  void countTraffic();
   bool ready() const;
   void checkDrain();
   void end();
@@ -33,6 +35,7 @@
   settings Settings;
   metrics Metrics;
   link_context Context;
+  gatekeeper Gatekeeper;
   std::unique_ptr<control_task> Control;
   std::unique_ptr<sidecar_task> Sidecar;
   std::unique_ptr<entry_task> Entry;
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -170,7 +170,6 @@
     key_files Files;
     Keys.text("public_file", Files.Public, presence::Required);
     Keys.text("secret_file", Files.Secret, presence::Required);
-    Keys.text("server_file", Files.Server, presence::Required);
     Settings.Keys = Files;
   });
   Reader.object("entry", [&](object_reader &Entry) {
@@ -212,8 +211,7 @@
     std::string &Out;
   };
   for (wanted Each : {wanted{Settings.Keys->Public, Keys.PublicKey},
-                      wanted{Settings.Keys->Secret, Keys.SecretKey},
-                      wanted{Settings.Keys->Server, Keys.ServerKey}}) {
+                      wanted{Settings.Keys->Secret, Keys.SecretKey}}) {
     auto Key = readKey(Each.Path);
     if (!Key.ok())
       return Key.status();
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -12,11 +12,10 @@
 
 namespace olivevalve {
 
-/// Files that hold the keys of this process; see 'olivevalvectl link-keys'.
+/// Files that hold the system's key pair; see 'olivevalvectl link-keys'.
 struct key_files {
   std::string Public;
   std::string Secret;
-  std::string Server;
 };
 
 struct settings {
--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -314,6 +314,13 @@
     return refuse(*Exchange,
                   makeError(error_kind::BadRequest,
                             "Idempotency-Key, X-Session: at most 256 bytes"));
+  bool Clean = isPrintable(Facts.Key) && isPrintable(Facts.Session) &&
+               isPrintable(Facts.Path) && isPrintable(Facts.ContentType);
+  if (!Clean)
+    return refuse(*Exchange,
+                  makeError(error_kind::BadRequest,
+                            "path, Content-Type, Idempotency-Key, X-Session: "
+                            "printable ASCII only"));
   if (Facts.Deadline < 0)
     return refuse(*Exchange,
                   makeError(error_kind::BadRequest,
--- a/entry/rater.cpp
+++ b/entry/rater.cpp
@@ -13,6 +13,9 @@
 constexpr double AnswerSeconds = 5;
 // Ratings held while control cannot be reached; the oldest go first.
 constexpr size_t MostHeld = 10000;
+// Answers at the service at once; more are not rated. A service that stops
+// must not fill the entry's memory.
+constexpr size_t MostAsking = 64;
 // What the service gets of question and answer at most.
 constexpr size_t MostText = 32 << 10;
 
@@ -35,8 +38,9 @@
 
 void rater::rate(const rated_answer &Answer, double Seconds,
                  std::function<void(std::optional<double>)> Done) {
-  if (!enabled())
+  if (!enabled() || Asking >= MostAsking)
     return Done(std::nullopt);
+  ++Asking;
   json Question = {{"request_id", Answer.RequestId},
                    {"template", Answer.Template},
                    {"account", Answer.Account},
@@ -60,6 +64,7 @@
   Kept.Answer.clear();
   Request.OnDone = [this, Body, Kept,
                     Done = std::move(Done)](const fetch_result &Result) {
+    --Asking;
     std::optional<double> Score;
     if (Result.Error.empty() && Result.Status == 200)
       Score = parseScore(*Body);
--- a/entry/rater.h
+++ b/entry/rater.h
@@ -60,6 +60,7 @@
   std::vector<wire::rating> Ratings;
   std::map<version_name, uint64_t> Exposures;
   std::map<version_name, uint64_t> ExposuresInFlight;
+  size_t Asking = 0; ///< Ratings asked for and not yet given.
   bool InFlight = false;
   wire::envelope Batch; ///< Resent as it is until control has it.
   timer Timer;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -15,7 +15,9 @@
 namespace {
 
 // What one read of a stream hands to the connection at most.
-constexpr size_t StreamBlockBytes = 16 << 10;
+// Each open stream holds one: with 16 KiB a thousand streams took 88 MB, most
+// of it here and in the connections' own memory.
+constexpr size_t StreamBlockBytes = 4 << 10;
 
 MHD_Response *makeResponse(std::string_view ContentType,
                            const std::vector<http_header> &Headers,
@@ -171,6 +173,14 @@
   if (!Daemon)
     return;
   Watch.stop();
+  // The library ends the process if it is stopped with suspended connections.
+  for (http_exchange *Exchange : Live) {
+    Exchange->OnGone = nullptr;
+    Exchange->OnComplete = nullptr;
+    Exchange->OnDrained = nullptr;
+    Exchange->Aborted = true;
+    Exchange->resume();
+  }
   MHD_stop_daemon(Daemon);
 }
 
@@ -242,7 +252,7 @@
     Exchange->Path = Url;
     Exchange->Self = Exchange;
     *Context = Exchange.get();
-    ++Open;
+    Live.insert(Exchange.get());
     return MHD_YES;
   }
   auto *Exchange = static_cast<http_exchange *>(*Context);
@@ -273,7 +283,7 @@
     return;
   std::shared_ptr<http_exchange> Exchange = std::move(Raw->Self);
   *Context = nullptr;
-  --Server->Open;
+  Server->Live.erase(Raw);
   Exchange->Gone = true;
   bool Whole = Code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
                Exchange->Finished && !Exchange->Aborted;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,8 +32,8 @@
 struct http_limits {
   size_t MaxBodyBytes = 8 << 20;
   unsigned MaxConnections = 4000;
-  unsigned IdleSeconds = 75; ///< Without progress of a connection.
-  size_t MaxHeaderBytes = 32 << 10;
+  unsigned IdleSeconds = 75;        ///< Without progress of a connection.
+  size_t MaxHeaderBytes = 16 << 10; ///< Memory each connection holds.
 };
 
 /// One request and its answer. Kept by whoever answers; the connection is
@@ -101,7 +102,7 @@
   std::string address() const { return BoundAddress; }
   /// No new connections; those that live go on.
   void stopListening();
-  size_t openExchanges() const { return Open; }
+  size_t openExchanges() const { return Live.size(); }
 
 private:
   friend class http_exchange;
@@ -122,7 +123,7 @@
   timer Timeout;
   before_wait Prepare;
   std::string BoundAddress;
-  size_t Open = 0;
+  std::set<http_exchange *> Live;
   bool RunSoon = false;
 };
 
--- a/net/link.cpp
+++ b/net/link.cpp
@@ -1,6 +1,8 @@
 //===- link.cpp - Messages between our own processes ----------------------===//
 
 #include "net/link.h"
+#include "base/log.h"
+#include "google/protobuf/stubs/logging.h"
 #include <array>
 #include <cerrno>
 #include <zmq.h>
@@ -24,8 +26,25 @@
 
 } // namespace
 
+std::string_view trafficKindName(size_t Kind) {
+  // By the field numbers of wire::envelope.
+  constexpr std::array<std::string_view, 23> Names = {
+      "",        "attempt",      "credit",        "cancel",
+      "settle",  "accepted",     "refused",       "head",
+      "frame",   "end",          "cancel_result", "news",
+      "hello",   "renew",        "grant",         "redirect",
+      "claim",   "claim_result", "finish",        "bills",
+      "ratings", "ack",          "raft"};
+  return Kind < Names.size() ? Names[Kind] : "";
+}
+
 link_context::link_context(link_keys Keys)
-    : Context(zmq_ctx_new()), Keys(std::move(Keys)) {}
+    : Context(zmq_ctx_new()), Keys(std::move(Keys)) {
+  // The codec's complaints about bad input go to our log.
+  google::protobuf::SetLogHandler(
+      [](google::protobuf::LogLevel, const char *, int,
+         const std::string &Text) { logLine(log_level::Warning, Text); });
+}
 
 link_context::~link_context() { zmq_ctx_term(Context); }
 
@@ -134,7 +153,7 @@
   const link_keys &Keys = Socket.context().keys();
   if (!Keys.enabled())
     return;
-  Socket.setOption(ZMQ_CURVE_SERVERKEY, Keys.ServerKey);
+  Socket.setOption(ZMQ_CURVE_SERVERKEY, Keys.PublicKey);
   Socket.setOption(ZMQ_CURVE_PUBLICKEY, Keys.PublicKey);
   Socket.setOption(ZMQ_CURVE_SECRETKEY, Keys.SecretKey);
 }
@@ -146,21 +165,25 @@
 
 bool parse(link_traffic &Traffic, const std::string &Buffer,
            wire::envelope &Message) {
-  ++Traffic.ReceivedMessages;
-  Traffic.ReceivedBytes += Buffer.size();
-  if (Message.ParseFromString(Buffer) &&
-      Message.body_case() != wire::envelope::BODY_NOT_SET)
-    return true;
-  ++Traffic.Malformed;
-  return false;
+  bool Good = Message.ParseFromString(Buffer) &&
+              Message.body_case() != wire::envelope::BODY_NOT_SET;
+  if (!Good) {
+    ++Traffic.Malformed;
+    return false;
+  }
+  kind_traffic &Kind = Traffic.ByKind[size_t(Message.body_case())];
+  ++Kind.ReceivedMessages;
+  Kind.ReceivedBytes += Buffer.size();
+  return true;
 }
 
 bool pack(link_traffic &Traffic, const wire::envelope &Message,
           std::string &Buffer) {
   if (!Message.SerializeToString(&Buffer))
     return false;
-  ++Traffic.SentMessages;
-  Traffic.SentBytes += Buffer.size();
+  kind_traffic &Kind = Traffic.ByKind[size_t(Message.body_case())];
+  ++Kind.SentMessages;
+  Kind.SentBytes += Buffer.size();
   return true;
 }
 
--- a/net/link.h
+++ b/net/link.h
@@ -12,6 +12,7 @@
 
 #include "base/loop.h"
 #include "wire/wire.pb.h"
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -20,23 +21,32 @@
 
 namespace olivevalve {
 
-/// Keys of one process for ZeroMQ's CURVE; all empty: plain connections.
+/// The key pair that all processes of one system hold, for ZeroMQ's CURVE;
+/// empty: plain connections.
 struct link_keys {
   std::string PublicKey; ///< Z85, 40 characters.
   std::string SecretKey; ///< Z85, 40 characters.
-  std::string ServerKey; ///< Public key that servers of the system use.
   bool enabled() const { return !SecretKey.empty(); }
 };
 
-/// Bytes and messages that passed; counted by payload.
-struct link_traffic {
+/// Messages and payload bytes of one kind.
+struct kind_traffic {
   uint64_t SentMessages = 0;
   uint64_t SentBytes = 0;
   uint64_t ReceivedMessages = 0;
   uint64_t ReceivedBytes = 0;
+};
+
+/// What passed over all links of a process, by the envelope's field number.
+struct link_traffic {
+  static constexpr size_t Kinds = 32;
+  std::array<kind_traffic, Kinds> ByKind;
   uint64_t Malformed = 0;
 };
 
+/// The name of a kind for metrics, or "" if there is none.
+std::string_view trafficKindName(size_t Kind);
+
 /// Owns the ZeroMQ context; outlives its links. One per process.
 class link_context {
 public:
@@ -48,6 +58,7 @@
   void *get() const { return Context; }
   const link_keys &keys() const { return Keys; }
   link_traffic &traffic() { return Traffic; }
+  const link_traffic &traffic() const { return Traffic; }
 
 private:
   void *Context;
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -3,6 +3,7 @@
 #include "sidecar/sidecar_task.h"
 #include "base/clock.h"
 #include "base/error.h"
+#include "base/fields.h"
 #include "base/log.h"
 #include "sidecar/admission.h"
 #include <algorithm>
@@ -281,7 +282,8 @@
   if (!Work)
     return;
   Work->Status = Status;
-  Work->ContentType = std::string(ContentType);
+  if (isPrintable(ContentType))
+    Work->ContentType = std::string(ContentType);
   // An engine's own failure is not an answer: the entry may try elsewhere.
   if (isEngine() && Status >= 500)
     return;
@@ -289,7 +291,7 @@
   wire::head *Head = Message.mutable_head();
   *Head->mutable_id() = Work->Attempt.id();
   Head->set_status(uint32_t(Status));
-  Head->set_content_type(std::string(ContentType));
+  Head->set_content_type(Work->ContentType);
   Server.send(Work->Peer, Message);
 }
 
--- /dev/null
+++ b/tests/measure.cpp
@@ -0,0 +1,421 @@
+//===- measure.cpp - Slopes for docs/CAPACITY.md --------------------------===//
+//
+// Runs real processes at several sizes and reads processor time and memory
+// from the system and bytes from the processes' own counters. Writes rows of
+// experiment, role, size, quantity, value as CSV to the file named by
+// OLIVEVALVE_CSV. Run by scripts/measure; not a test.
+//
+//===----------------------------------------------------------------------===//
+
+#define BOOST_TEST_MODULE measure
+#include "base/clock.h"
+#include "boost/test/unit_test.hpp"
+#include "tests/world.h"
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+using namespace olivevalve;
+
+namespace {
+
+constexpr double WindowSeconds = 8;
+
+class csv_file {
+public:
+  csv_file() {
+    const char *Path = std::getenv("OLIVEVALVE_CSV");
+    File.open(Path ? Path : "/dev/null", std::ios::app);
+  }
+  void row(const std::string &Experiment, const std::string &Role, double Size,
+           const std::string &Quantity, double Value) {
+    File << Experiment << "," << Role << "," << Size << "," << Quantity << ","
+         << Value << std::endl;
+  }
+
+private:
+  std::ofstream File;
+};
+
+/// What the system says of one process.
+struct process_use {
+  double CpuSeconds = 0;
+  double ResidentMb = 0;
+};
+
+process_use useOf(const daemon_process &Process) {
+  std::string Folder = "/proc/" + std::to_string(Process.pid());
+  std::ifstream Stat(Folder + "/stat");
+  std::string Text((std::istreambuf_iterator<char>(Stat)), {});
+  std::istringstream Fields(Text.substr(Text.rfind(')') + 2));
+  std::string Field;
+  double Ticks = 0;
+  for (int I = 3; I <= 15 && Fields >> Field; ++I)
+    if (I == 14 || I == 15)
+      Ticks += std::atof(Field.c_str());
+  std::ifstream Statm(Folder + "/statm");
+  double Total = 0;
+  double Resident = 0;
+  Statm >> Total >> Resident;
+  return {Ticks / double(sysconf(_SC_CLK_TCK)),
+          Resident * double(sysconf(_SC_PAGESIZE)) / 1e6};
+}
+
+/// Sum of one counter of a node's metrics over its kinds, or of one kind.
+double counter(world &World, const reserved_address &Health,
+               const std::string &Name, const std::string &Kind = "") {
+  std::istringstream Lines(
+      World
+          .call(Health.text(), {.Method = "GET", .Path = "/metrics", .Key = ""})
+          .Body);
+  std::string Line;
+  std::string Start = "olivevalve_" + Name + "_total{kind=\"" + Kind;
+  double Sum = 0;
+  while (std::getline(Lines, Line))
+    if (Line.starts_with(Start))
+      Sum += std::atof(Line.c_str() + Line.rfind(' '));
+  return Sum;
+}
+
+/// Config of one model and many upstreams.
+json wideConfig(world &World) {
+  json Config = World.usualConfig();
+  Config["upstreams"] = json::object();
+  for (auto &[Name, Node] : World.Sidecars)
+    Config["upstreams"][Name] = {{"address", Node->Path->address()},
+                                 {"data_hall", "charguia"},
+                                 {"versions", {"olive-llm@1"}},
+                                 {"slots", 64}};
+  Config.erase("services");
+  Config["accounts"]["dispatch"].erase("services");
+  return Config;
+}
+
+double mean(const std::vector<double> &Values) {
+  double Sum = 0;
+  for (double Value : Values)
+    Sum += Value;
+  return Values.empty() ? 0 : Sum / double(Values.size());
+}
+
+} // namespace
+
+// Idle cost of leases and news, and the time of a change, by number of nodes.
+BOOST_AUTO_TEST_CASE(nodes) {
+  csv_file Csv;
+  struct node_size {
+    int Entries;
+    int Sidecars;
+  };
+  for (node_size Size : {node_size{2, 4}, node_size{10, 20}, node_size{20, 60},
+                         node_size{40, 120}}) {
+    world World;
+    World.startControl(3);
+    for (int I = 0; I < Size.Sidecars; ++I)
+      World.startSidecar("s" + std::to_string(I));
+    World.startSidecar("a");
+    World.startSidecar("b");
+    World.startSidecar("led");
+    for (int I = 0; I < Size.Entries; ++I)
+      World.startEntry("e" + std::to_string(I));
+    BOOST_REQUIRE(World.apply(wideConfig(World), 40).value("in_force", false));
+    World.run(6);
+    double Nodes = Size.Entries + Size.Sidecars + 3;
+    control_node &Leader = World.leader();
+    std::map<const daemon_process *, process_use> Before;
+    std::map<std::string, double> Sent;
+    auto All = [&](auto Each) {
+      for (auto &[Name, Node] : World.Entries)
+        Each("entry", *Node->Process, &Node->Health);
+      for (auto &[Name, Node] : World.Sidecars)
+        Each("sidecar", *Node->Process, &Node->Health);
+      Each("control leader", *Leader.Process, nullptr);
+    };
+    All([&](const char *, daemon_process &Process, const reserved_address *) {
+      Before[&Process] = useOf(Process);
+    });
+    entry_node &Entry = *World.Entries["e0"];
+    sidecar_node &Sidecar = *World.Sidecars["s0"];
+    auto Bytes = [&](const reserved_address &Health, const std::string &Kind) {
+      return counter(World, Health, "link_sent_bytes", Kind) +
+             counter(World, Health, "link_received_bytes", Kind);
+    };
+    std::map<std::string, double> First;
+    for (const char *Kind : {"renew", "grant", "news", "hello", ""}) {
+      First[std::string("entry ") + Kind] = Bytes(Entry.Health, Kind);
+      First[std::string("sidecar ") + Kind] = Bytes(Sidecar.Health, Kind);
+    }
+    double Start = steadySeconds();
+    World.run(WindowSeconds);
+    double Took = steadySeconds() - Start;
+    std::map<std::string, std::vector<double>> Cpu;
+    std::map<std::string, std::vector<double>> Memory;
+    All([&](const char *Role, daemon_process &Process,
+            const reserved_address *) {
+      process_use Now = useOf(Process);
+      Cpu[Role].push_back(100 * (Now.CpuSeconds - Before[&Process].CpuSeconds) /
+                          Took);
+      Memory[Role].push_back(Now.ResidentMb);
+    });
+    for (const auto &[Role, Values] : Cpu) {
+      Csv.row("nodes", Role, Nodes, "cpu percent of a core", mean(Values));
+      Csv.row("nodes", Role, Nodes, "resident MB", mean(Memory[Role]));
+    }
+    for (const char *Kind : {"renew", "grant", "news", "hello", ""}) {
+      std::string Name = *Kind ? Kind : "all";
+      Csv.row(
+          "nodes", "entry", Nodes, "bytes/s " + Name,
+          (Bytes(Entry.Health, Kind) - First[std::string("entry ") + Kind]) /
+              Took);
+      Csv.row("nodes", "sidecar", Nodes, "bytes/s " + Name,
+              (Bytes(Sidecar.Health, Kind) -
+               First[std::string("sidecar ") + Kind]) /
+                  Took);
+    }
+    std::vector<double> InForce;
+    for (int I = 0; I < 10; ++I)
+      InForce.push_back(World
+                            .putObject("template", "plan",
+                                       {{"candidates", {"olive-llm"}},
+                                        {"priority", I % 3}})["seconds"]
+                            .get<double>());
+    std::sort(InForce.begin(), InForce.end());
+    Csv.row("nodes", "control leader", Nodes, "median s to in force",
+            InForce[5]);
+    Csv.row("nodes", "control leader", Nodes, "worst s to in force",
+            InForce.back());
+  }
+}
+
+// Configuration changes: time, log, memory, restart.
+BOOST_AUTO_TEST_CASE(changes) {
+  csv_file Csv;
+  for (int Changes : {100, 500, 2000}) {
+    world World;
+    World.startControl(1);
+    World.startSidecar("a");
+    World.startSidecar("b");
+    World.startSidecar("led");
+    World.startEntry("entry-1");
+    World.apply(World.usualConfig(), 30);
+    World.untilReady(World.Entries["entry-1"]->Health);
+    control_node &Control = *World.Control[0];
+    process_use Before = useOf(*Control.Process);
+    double Start = steadySeconds();
+    for (int I = 0; I < Changes; ++I)
+      World.putObject("template", "t" + std::to_string(I % 200),
+                      {{"candidates", {"olive-llm"}}});
+    double Took = steadySeconds() - Start;
+    process_use After = useOf(*Control.Process);
+    Csv.row("changes", "control", Changes, "ms wall each",
+            1000 * Took / Changes);
+    Csv.row("changes", "control", Changes, "cpu ms each",
+            1000 * (After.CpuSeconds - Before.CpuSeconds) / Changes);
+    Csv.row("changes", "control", Changes, "resident MB", After.ResidentMb);
+    Control.Process->kill();
+    Start = steadySeconds();
+    Control.Process->start();
+    World.until("control leads again", [&] {
+      return World
+                 .call(Control.Operators.text(),
+                       {.Method = "GET", .Path = "/v1/bills", .Key = ""})
+                 .Status == 200;
+    });
+    Csv.row("changes", "control", Changes, "s from start to leading",
+            steadySeconds() - Start);
+  }
+}
+
+// Pins of sessions: what each costs control and an entry.
+BOOST_AUTO_TEST_CASE(sessions) {
+  csv_file Csv;
+  world World;
+  World.startUsual(3);
+  control_node &Leader = World.leader();
+  int Done = 0;
+  process_use Control = useOf(*Leader.Process);
+  process_use Entry = useOf(*World.Entries["entry-1"]->Process);
+  for (int Sessions : {10, 100, 1000, 5000, 10000}) {
+    int Count = Sessions - Done;
+    process_use Before = useOf(*Leader.Process);
+    double Start = steadySeconds();
+    int Open = 0;
+    int Finished = 0;
+    std::vector<std::shared_ptr<caller_answer>> Answers;
+    while (Finished < Count) {
+      while (Open < 50 && Done < Sessions) {
+        Answers.push_back(World.begin(
+            World.Entries["entry-1"]->Address.text(),
+            {.Body = chatBody("plan", "tokens=1 first=0 gap=0"),
+             .Headers = {"X-Session: m" + std::to_string(Done++)}}));
+        ++Open;
+      }
+      ev_run(World.Loop, EVRUN_ONCE);
+      std::erase_if(Answers, [&](const auto &Answer) {
+        if (!Answer->Done)
+          return false;
+        --Open;
+        ++Finished;
+        return true;
+      });
+    }
+    double Took = steadySeconds() - Start;
+    process_use After = useOf(*Leader.Process);
+    Csv.row("sessions", "control leader", Sessions, "cpu ms each",
+            1000 * (After.CpuSeconds - Before.CpuSeconds) / Count);
+    Csv.row("sessions", "control leader", Sessions, "resident MB added",
+            After.ResidentMb - Control.ResidentMb);
+    Csv.row("sessions", "entry", Sessions, "resident MB added",
+            useOf(*World.Entries["entry-1"]->Process).ResidentMb -
+                Entry.ResidentMb);
+    Csv.row("sessions", "all", Sessions, "new sessions/s", Count / Took);
+  }
+}
+
+// Requests: processor time of entry and sidecar, added latency, streams.
+BOOST_AUTO_TEST_CASE(requests) {
+  csv_file Csv;
+  world World;
+  World.startUsual(3);
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  std::string Engine = World.Sidecars["a"]->Engine->address();
+  auto Latency = [&](const std::string &Address) {
+    std::vector<double> Times;
+    for (int I = 0; I < 600; ++I) {
+      double Start = steadySeconds();
+      caller_answer Answer = World.call(
+          Address, {.Body = chatBody("plan", "tokens=1 first=0 gap=0")});
+      BOOST_REQUIRE(Answer.Status == 200);
+      Times.push_back(1000 * (steadySeconds() - Start));
+    }
+    std::sort(Times.begin(), Times.end());
+    return Times;
+  };
+  std::vector<double> Direct = Latency(Engine);
+  std::vector<double> Through = Latency(Entry);
+  Csv.row("requests", "engine direct", 600, "median ms", Direct[300]);
+  Csv.row("requests", "engine direct", 600, "p99 ms", Direct[594]);
+  Csv.row("requests", "entry and sidecar", 600, "median ms", Through[300]);
+  Csv.row("requests", "entry and sidecar", 600, "p99 ms", Through[594]);
+
+  auto Burst = [&](int Count) {
+    std::vector<std::shared_ptr<caller_answer>> Answers;
+    int Sent = 0;
+    int Finished = 0;
+    while (Finished < Count) {
+      while (Answers.size() < 32 && Sent < Count) {
+        Answers.push_back(World.begin(
+            Entry, {.Body = chatBody("plan", "tokens=1 first=0 gap=0")}));
+        ++Sent;
+      }
+      ev_run(World.Loop, EVRUN_ONCE);
+      std::erase_if(Answers, [&](const auto &Answer) {
+        Finished += Answer->Done ? 1 : 0;
+        return Answer->Done;
+      });
+    }
+  };
+  daemon_process &EntryProcess = *World.Entries["entry-1"]->Process;
+  daemon_process &SidecarProcess = *World.Sidecars["a"]->Process;
+  Burst(2000);
+  for (int Count : {5000, 20000}) {
+    process_use EntryBefore = useOf(EntryProcess);
+    process_use SidecarBefore = useOf(SidecarProcess);
+    process_use OtherBefore = useOf(*World.Sidecars["b"]->Process);
+    double Start = steadySeconds();
+    Burst(Count);
+    double Took = steadySeconds() - Start;
+    process_use EntryAfter = useOf(EntryProcess);
+    double Sidecars = useOf(SidecarProcess).CpuSeconds -
+                      SidecarBefore.CpuSeconds +
+                      useOf(*World.Sidecars["b"]->Process).CpuSeconds -
+                      OtherBefore.CpuSeconds;
+    double Cpu = EntryAfter.CpuSeconds - EntryBefore.CpuSeconds;
+    Csv.row("requests", "entry", Count, "cpu us each", 1e6 * Cpu / Count);
+    Csv.row("requests", "entry", Count, "requests/s per core", Count / Cpu);
+    Csv.row("requests", "entry", Count, "requests/s reached", Count / Took);
+    Csv.row("requests", "sidecar", Count, "cpu us each",
+            1e6 * Sidecars / Count);
+    Csv.row("requests", "entry", Count, "resident MB", EntryAfter.ResidentMb);
+    Csv.row("requests", "sidecar", Count, "resident MB",
+            useOf(SidecarProcess).ResidentMb);
+  }
+  // Open streams: memory of entry and sidecar, processor time a token.
+  json Config = World.usualConfig();
+  for (const char *Name : {"a", "b"})
+    Config["upstreams"][Name]["slots"] = 1000;
+  World.apply(Config);
+  for (int Streams : {0, 250, 1000}) {
+    std::vector<std::shared_ptr<caller_answer>> Answers;
+    for (int I = 0; I < Streams; ++I)
+      Answers.push_back(World.begin(
+          Entry, {.Body = chatBody("plan", "tokens=100000 gap=50", true),
+                  .Seconds = 10}));
+    World.run(3);
+    process_use EntryBefore = useOf(EntryProcess);
+    process_use SidecarBefore = useOf(SidecarProcess);
+    double Frames = counter(World, World.Entries["entry-1"]->Health,
+                            "link_received_messages", "frame");
+    World.run(4);
+    Frames = counter(World, World.Entries["entry-1"]->Health,
+                     "link_received_messages", "frame") -
+             Frames;
+    process_use EntryNow = useOf(EntryProcess);
+    process_use SidecarNow = useOf(SidecarProcess);
+    Csv.row("streams", "entry", Streams, "resident MB", EntryNow.ResidentMb);
+    Csv.row("streams", "sidecar", Streams, "resident MB",
+            SidecarNow.ResidentMb);
+    if (Frames > 0) {
+      Csv.row("streams", "entry", Streams, "cpu us a token",
+              1e6 * (EntryNow.CpuSeconds - EntryBefore.CpuSeconds) / Frames);
+      Csv.row("streams", "sidecar", Streams, "cpu us a token",
+              1e6 * (SidecarNow.CpuSeconds - SidecarBefore.CpuSeconds) /
+                  (Frames / 2));
+      Csv.row("streams", "all", Streams, "tokens/s", Frames / 4);
+    }
+    World.until(
+        "streams end",
+        [&] {
+          return std::all_of(Answers.begin(), Answers.end(),
+                             [](const auto &A) { return A->Done; });
+        },
+        20);
+  }
+}
+
+// Claims: what a booking costs, and how many a second the log takes.
+BOOST_AUTO_TEST_CASE(claims) {
+  csv_file Csv;
+  world World;
+  World.startUsual(3);
+  control_node &Leader = World.leader();
+  for (int Count : {500, 3000}) {
+    process_use Before = useOf(*Leader.Process);
+    double Start = steadySeconds();
+    std::vector<std::shared_ptr<caller_answer>> Answers;
+    int Sent = 0;
+    int Finished = 0;
+    while (Finished < Count) {
+      while (Answers.size() < 64 && Sent < Count) {
+        std::string Key = std::to_string(Count) + "-" + std::to_string(Sent++);
+        Answers.push_back(
+            World.begin(World.Entries["entry-1"]->Address.text(),
+                        {.Path = "/ledger/x",
+                         .Body = "{}",
+                         .Headers = {"Idempotency-Key: " + Key}}));
+      }
+      ev_run(World.Loop, EVRUN_ONCE);
+      std::erase_if(Answers, [&](const auto &Answer) {
+        Finished += Answer->Done ? 1 : 0;
+        return Answer->Done;
+      });
+    }
+    double Took = steadySeconds() - Start;
+    process_use After = useOf(*Leader.Process);
+    Csv.row("claims", "control leader", Count, "cpu us each",
+            1e6 * (After.CpuSeconds - Before.CpuSeconds) / Count);
+    Csv.row("claims", "all", Count, "bookings/s", Count / Took);
+  }
+}
--- a/tests/system_test.cpp
+++ b/tests/system_test.cpp
@@ -8,8 +8,17 @@
 #define BOOST_TEST_MODULE system
 #include "base/clock.h"
 #include "boost/test/unit_test.hpp"
+#include "net/link.h"
 #include "tests/world.h"
+#include <arpa/inet.h>
+#include <array>
+#include <fstream>
+#include <netinet/in.h>
+#include <random>
 #include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <zmq.h>
 
 using namespace olivevalve;
 
@@ -28,6 +37,18 @@
   return Counts["runs"].value("service " + Key, uint64_t(0));
 }
 
+void sendRaw(const std::string &Address, const std::string &Bytes) {
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Where{};
+  Where.sin_family = AF_INET;
+  Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Where.sin_port =
+      htons(uint16_t(std::stoi(Address.substr(Address.rfind(':') + 1))));
+  if (connect(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) == 0)
+    send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  close(Socket);
+}
+
 caller_request booking(const std::string &Key, int Milliseconds = 0) {
   return {.Path = "/ledger/assignments",
           .Body = "{\"note\":\"first=" + std::to_string(Milliseconds) + "\"}",
@@ -101,6 +122,12 @@
        {.Body = Good, .Headers = {"X-Deadline-Ms: soon"}},
        400,
        "bad_request"},
+      {"a key that is no text",
+       {.Path = "/ledger/book",
+        .Body = "{}",
+        .Headers = {"Idempotency-Key: \xff\xfe"}},
+       400,
+       "bad_request"},
       {"a booking without a key",
        {.Path = "/ledger/book", .Body = "{}"},
        400,
@@ -597,3 +624,244 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(versions_and_overload)
+
+// A version that rolls out and is bad is stopped without an operator, and
+// sessions and traffic go back to the last good one.
+BOOST_AUTO_TEST_CASE(a_bad_roll_out_is_stopped_by_the_guard) {
+  world World;
+  World.startUsual();
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  for (const char *Name : {"a", "b"})
+    World.steerEngine(*World.Sidecars[Name]->Engine,
+                      {{"qualities", {{"olive-llm@2", 0.3}}}});
+  json Template = {{"candidates", {"olive-llm"}},
+                   {"policy", {{"kind", "cheapest"}}}};
+  World.putObject("template", "plan", Template);
+  json Model = modelWith("active", "rolling");
+  Model["versions"]["2"]["exposure_budget"] = 25;
+  World.putObject("model", "olive-llm", Model);
+  auto State = [&] {
+    json Versions = World.operators("GET", "/v1/versions");
+    for (const json &Version : Versions["versions"])
+      if (Version["version"] == "2")
+        return Version;
+    return json();
+  };
+  int OnBad = 0;
+  int Sent = 0;
+  World.until(
+      "the guard stops the version",
+      [&] {
+        for (int I = 0; I < 10; ++I) {
+          caller_answer Answer = World.call(
+              Entry, {.Body = chatBody("plan", "n" + std::to_string(Sent++))});
+          BOOST_TEST(Answer.Status == 200);
+          OnBad += Answer.version() == "2" ? 1 : 0;
+        }
+        return State()["state"] == "stopped";
+      },
+      40);
+  BOOST_TEST_MESSAGE("answers by the bad version: " << OnBad << " of " << Sent);
+  // Its budget, and what ratings earned before they told against it.
+  BOOST_TEST(OnBad <= 60);
+  caller_answer After = World.call(Entry, {.Body = chatBody("plan", "x")});
+  BOOST_TEST(After.version() == "1");
+}
+
+// A burst far above capacity: goodput during it, and after it all is as before.
+BOOST_AUTO_TEST_CASE(an_overload_does_not_stick) {
+  world World;
+  World.startUsual(1);
+  json Config = World.usualConfig();
+  for (const char *Name : {"a", "b"})
+    Config["upstreams"][Name]["slots"] = 4;
+  World.apply(Config);
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  struct goodput {
+    int Good = 0;
+    int NotRun = 0;
+    int Other = 0;
+  };
+  auto Drive = [&](int Count, size_t AtOnce) {
+    goodput Result;
+    std::vector<std::shared_ptr<caller_answer>> Open;
+    int Sent = 0;
+    while (Result.Good + Result.NotRun + Result.Other < Count) {
+      while (Sent < Count && Open.size() < AtOnce) {
+        Open.push_back(
+            World.begin(Entry, {.Body = chatBody("plan", "first=20 tokens=2"),
+                                .Headers = {"X-Deadline-Ms: 800"}}));
+        ++Sent;
+      }
+      World.run(0.01);
+      std::erase_if(Open, [&](const auto &Answer) {
+        if (!Answer->Done)
+          return false;
+        if (Answer->Status == 200)
+          ++Result.Good;
+        else if (Answer->outcome() == "not-run")
+          ++Result.NotRun;
+        else
+          ++Result.Other;
+        return true;
+      });
+    }
+    return Result;
+  };
+  auto Started = [&] {
+    uint64_t Sum = 0;
+    for (const char *Name : {"a", "b"})
+      Sum +=
+          World.engineCounts(*World.Sidecars[Name])["started"].get<uint64_t>();
+    return Sum;
+  };
+  goodput Before = Drive(60, 4);
+  uint64_t StartedBefore = Started();
+  goodput During = Drive(1500, 900);
+  uint64_t Ran = Started() - StartedBefore;
+  goodput After = Drive(60, 4);
+  BOOST_TEST_MESSAGE("good before "
+                     << Before.Good << "/60, during " << During.Good
+                     << "/1500 (not run " << During.NotRun << ", other "
+                     << During.Other << ", started at engines " << Ran
+                     << "), after " << After.Good << "/60");
+  BOOST_TEST(Before.Good == 60);
+  BOOST_TEST(During.Good > 100);
+  BOOST_TEST(After.Good == 60);
+  // Every "not run" is held against what the engines started.
+  BOOST_TEST(Ran <= uint64_t(During.Good + During.Other));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(strangers)
+
+BOOST_AUTO_TEST_CASE(are_kept_out_and_do_no_harm) {
+  world World;
+  std::array<char, 41> Public{};
+  std::array<char, 41> Secret{};
+  BOOST_REQUIRE(zmq_curve_keypair(Public.data(), Secret.data()) == 0);
+  std::string Prefix = World.Folder.path() + "/system";
+  std::ofstream(Prefix + ".public") << Public.data() << "\n";
+  std::ofstream(Prefix + ".secret") << Secret.data() << "\n";
+  World.ExtraSettings = {{"keys",
+                          {{"public_file", Prefix + ".public"},
+                           {"secret_file", Prefix + ".secret"}}}};
+  World.startUsual(3);
+  sidecar_node &Sidecar = *World.Sidecars["a"];
+  uint64_t Before = World.engineCounts(Sidecar)["started"];
+
+  std::array<char, 41> OtherPublic{};
+  std::array<char, 41> OtherSecret{};
+  zmq_curve_keypair(OtherPublic.data(), OtherSecret.data());
+  struct stranger {
+    const char *What;
+    link_keys Keys;
+  };
+  const stranger Strangers[] = {
+      {"without a key", {}},
+      {"with a key of its own", {OtherPublic.data(), OtherSecret.data()}},
+  };
+  for (const stranger &Stranger : Strangers) {
+    BOOST_TEST_CONTEXT(Stranger.What) {
+      link_context Context(Stranger.Keys);
+      int Heard = 0;
+      client_link Link(Context, World.Loop, "stranger",
+                       [&](const wire::envelope &) { ++Heard; });
+      Link.connect(Sidecar.Address.text());
+      wire::envelope Hello;
+      Hello.mutable_hello();
+      for (int I = 0; I < 20; ++I) {
+        Link.send(Hello);
+        World.run(0.05);
+      }
+      BOOST_TEST(Heard == 0);
+    }
+  }
+  // Random bytes on every port, while valid traffic keeps its answers.
+  std::mt19937_64 Random(7);
+  std::vector<std::string> Ports = {Sidecar.Address.text(),
+                                    World.Control[0]->Address.text(),
+                                    World.Control[0]->Operators.text(),
+                                    World.Entries["entry-1"]->Address.text()};
+  for (int I = 0; I < 60; ++I) {
+    std::string Bytes(200, 0);
+    for (char &C : Bytes)
+      C = char(Random());
+    sendRaw(Ports[size_t(I) % Ports.size()], Bytes);
+    caller_answer Answer = World.call(World.Entries["entry-1"]->Address.text(),
+                                      {.Body = chatBody("plan", "x")});
+    BOOST_TEST(Answer.Status == 200);
+  }
+  BOOST_TEST(World.engineCounts(Sidecar)["started"].get<uint64_t>() <=
+             Before + 60);
+  for (auto &[Name, Node] : World.Entries)
+    BOOST_TEST(Node->Process->running());
+  for (auto &[Name, Node] : World.Sidecars)
+    BOOST_TEST(Node->Process->running());
+  for (auto &Node : World.Control) {
+    BOOST_TEST(Node->Process->running());
+    BOOST_TEST(Node->Process->logText().find(Secret.data()) ==
+               std::string::npos);
+  }
+}
+
+// A peer that holds the system's key but sends attempts doubled, late or for
+// another start of the sidecar: none runs twice.
+BOOST_AUTO_TEST_CASE(doubled_and_late_attempts_run_once) {
+  world World;
+  World.startUsual(1);
+  sidecar_node &Sidecar = *World.Sidecars["led"];
+  link_context Context;
+  uint64_t Incarnation = 0;
+  int Refused = 0;
+  int Ends = 0;
+  client_link Link(Context, World.Loop, "rough",
+                   [&](const wire::envelope &Message) {
+                     if (Message.has_news())
+                       Incarnation = Message.news().incarnation();
+                     Refused += Message.has_refused() ? 1 : 0;
+                     Ends += Message.has_end() ? 1 : 0;
+                   });
+  Link.connect(Sidecar.Address.text());
+  wire::envelope Hello;
+  Hello.mutable_hello();
+  World.until("news", [&] {
+    Link.send(Hello);
+    return Incarnation != 0;
+  });
+  auto Attempt = [&](uint64_t Request, uint64_t Start) {
+    wire::envelope Message;
+    wire::attempt *A = Message.mutable_attempt();
+    A->mutable_id()->set_entry(99);
+    A->mutable_id()->set_request(Request);
+    A->set_sidecar_incarnation(Start);
+    A->set_account("dispatch");
+    A->set_method("POST");
+    A->set_path("/ledger/x");
+    A->set_idempotency_key("rough-" + std::to_string(Request));
+    A->set_budget_ms(5000);
+    return Message;
+  };
+  wire::envelope Doubled = Attempt(1, Incarnation);
+  for (int I = 0; I < 5; ++I)
+    Link.send(Doubled);
+  World.until("an end", [&] { return Ends == 1; });
+  Link.send(Doubled);
+  Link.send(Attempt(2, Incarnation + 1));
+  wire::envelope Cancel;
+  *Cancel.mutable_cancel()->mutable_id() = Attempt(3, 0).attempt().id();
+  Cancel.mutable_cancel()->set_only_if_not_started(true);
+  Cancel.mutable_cancel()->set_sidecar_incarnation(Incarnation);
+  Link.send(Cancel);
+  Link.send(Attempt(3, Incarnation));
+  World.until("refusals", [&] { return Refused >= 2; });
+  json Counts = World.engineCounts(Sidecar);
+  BOOST_TEST(runsOf(Counts, "rough-1") == 1U);
+  BOOST_TEST(runsOf(Counts, "rough-2") == 0U);
+  BOOST_TEST(runsOf(Counts, "rough-3") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -258,13 +258,15 @@
   std::string Name = "control-" + std::to_string(Node.Id);
   json Members = membersFor(Name);
   Members[Node.Id - 1]["address"] = Node.Address.text();
-  return {{"node", Name},
-          {"data_hall", "charguia"},
-          {"control_members", Members},
-          {"control",
-           {{"id", Node.Id},
-            {"operator_address", Node.Operators.text()},
-            {"data_folder", Node.Folder}}}};
+  json Settings = {{"node", Name},
+                   {"data_hall", "charguia"},
+                   {"control_members", Members},
+                   {"control",
+                    {{"id", Node.Id},
+                     {"operator_address", Node.Operators.text()},
+                     {"data_folder", Node.Folder}}}};
+  Settings.update(ExtraSettings);
+  return Settings;
 }
 
 void world::startControl(size_t Count) {
@@ -312,6 +314,7 @@
                    {"entry",
                     {{"address", Node->Address.text()},
                      {"rating_url", "http://" + Ratings->address()}}}};
+  Settings.update(ExtraSettings);
   Node->Process =
       std::make_unique<daemon_process>(Name, Folder.path(), Settings);
   Node->Process->start();
@@ -335,6 +338,7 @@
                     {{"address", Node->Address.text()},
                      {"upstream", Upstream},
                      {"engine_url", "http://" + Node->Engine->address()}}}};
+  Settings.update(ExtraSettings);
   Node->Process =
       std::make_unique<daemon_process>(Name, Folder.path(), Settings);
   Node->Process->start();
--- a/tests/world.h
+++ b/tests/world.h
@@ -155,6 +155,8 @@
   /// On the paths of one node to all control VMs.
   void isolateNode(const std::string &Name, proxy_fault Fault);
 
+  /// Added to the settings of every process started from now on.
+  json ExtraSettings = json::object();
   struct ev_loop *Loop;
   temporary_folder Folder;
   std::vector<std::unique_ptr<control_node>> Control;
@@ -165,7 +167,6 @@
 private:
   json membersFor(const std::string &User);
   json controlSettings(control_node &Node);
-  friend class control_restart;
   uint64_t NextChange = 1;
   std::unique_ptr<http_client> Http;
 };
