--- a/lease/outbox.cpp
+++ b/lease/outbox.cpp
@@ -49,6 +49,10 @@
         if (!Kept)
           Waiting.insert(Waiting.begin(), InFlight.begin(), InFlight.end());
         InFlight.clear();
+        // More than a batch waits after a burst: go on at once, or bills
+        // would pile up above a thousand a second.
+        if (Kept && Waiting.size() >= BatchBills)
+          sendBatch(steadySeconds());
       });
 }
 
