--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -144,15 +144,7 @@
   if (Ratings.ratings() < Known + EstimateStep && Known <= Ratings.ratings())
     return;
   Table.set_index(Ratings.ratings());
-  for (const auto &[Key, Sums] : Ratings.quality().cells()) {
-    wire::rating_sum *Out = Table.add_cells();
-    Out->set_template_(Key.Template);
-    Out->set_account(Key.Account);
-    Out->set_arm(Key.Arm.text());
-    Out->set_ratings(Sums.Ratings);
-    Out->set_scores(Sums.Scores);
-    Out->set_costs(Sums.Costs);
-  }
+  saveCells(Ratings.quality(), *Table.mutable_cells());
 }
 
 void control_task::sendClaimResult(const std::string &Peer, uint64_t Call,
--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/digest.h"
 #include "base/log.h"
+#include "ledger/ratings.h"
 #include <algorithm>
 #include <charconv>
 
@@ -92,10 +93,7 @@
   if (Grant.estimates().cells().empty())
     return;
   EstimatesIndex = Grant.estimates().index();
-  Estimates.clear();
-  for (const wire::rating_sum &Cell : Grant.estimates().cells())
-    Estimates.set({Cell.template_(), Cell.account(), parseArm(Cell.arm())},
-                  {Cell.ratings(), Cell.scores(), Cell.costs()});
+  loadCells(Grant.estimates().cells(), Estimates);
 }
 
 void entry_task::refuse(http_exchange &Exchange, const absl::Status &Status) {
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -63,6 +63,10 @@
   bool isChat() const { return Service.empty(); }
 };
 
+/// How long, and how often, an entry asks what became of a claimed attempt.
+constexpr double ResolveSeconds = 6;
+constexpr double ResolveAgainSeconds = 0.3;
+
 class request_task : public std::enable_shared_from_this<request_task> {
 public:
   request_task(entry_context &Context, std::shared_ptr<http_exchange> Exchange,
--- a/ledger/ratings.cpp
+++ b/ledger/ratings.cpp
@@ -162,16 +162,29 @@
   return Reports;
 }
 
-void rating_book::save(wire::state_image &Image) const {
+void saveCells(const estimates &Estimates,
+               google::protobuf::RepeatedPtrField<wire::rating_sum> &Out) {
   for (const auto &[Key, Sums] : Estimates.cells()) {
-    wire::rating_sum *Out = Image.add_ratings();
-    Out->set_template_(Key.Template);
-    Out->set_account(Key.Account);
-    Out->set_arm(Key.Arm.text());
-    Out->set_ratings(Sums.Ratings);
-    Out->set_scores(Sums.Scores);
-    Out->set_costs(Sums.Costs);
+    wire::rating_sum *Cell = Out.Add();
+    Cell->set_template_(Key.Template);
+    Cell->set_account(Key.Account);
+    Cell->set_arm(Key.Arm.text());
+    Cell->set_ratings(Sums.Ratings);
+    Cell->set_scores(Sums.Scores);
+    Cell->set_costs(Sums.Costs);
   }
+}
+
+void loadCells(const google::protobuf::RepeatedPtrField<wire::rating_sum> &In,
+               estimates &Estimates) {
+  Estimates.clear();
+  for (const wire::rating_sum &Cell : In)
+    Estimates.set({Cell.template_(), Cell.account(), parseArm(Cell.arm())},
+                  {Cell.ratings(), Cell.scores(), Cell.costs()});
+}
+
+void rating_book::save(wire::state_image &Image) const {
+  saveCells(Estimates, *Image.mutable_ratings());
   for (const auto &[Name, Record] : Versions) {
     wire::version_image *Out = Image.add_versions();
     Out->set_model(Name.Model);
@@ -189,12 +202,9 @@
 }
 
 void rating_book::load(const wire::state_image &Image) {
-  Estimates.clear();
   Versions.clear();
   Count = Image.rating_count();
-  for (const wire::rating_sum &In : Image.ratings())
-    Estimates.set({In.template_(), In.account(), parseArm(In.arm())},
-                  {In.ratings(), In.scores(), In.costs()});
+  loadCells(Image.ratings(), Estimates);
   for (const wire::version_image &In : Image.versions()) {
     version_record &Record = Versions[{In.model(), In.version()}];
     Record.Answers = In.answers();
--- a/ledger/ratings.h
+++ b/ledger/ratings.h
@@ -61,6 +61,14 @@
   uint64_t Count = 0;
 };
 
+/// Writes all cells into \p Out.
+void saveCells(const estimates &Estimates,
+               google::protobuf::RepeatedPtrField<wire::rating_sum> &Out);
+
+/// Sets the cells of \p Estimates to those of \p In and no others.
+void loadCells(const google::protobuf::RepeatedPtrField<wire::rating_sum> &In,
+               estimates &Estimates);
+
 } // namespace olivevalve
 
 #endif // OLIVEVALVE_LEDGER_RATINGS_H
