A new leader waits for leases it does not know, from its first change on

Between its election and its next tick (50 ms) a VM led already with an empty table of leases, so a change proposed just then waited for nobody. Ruled out: nodes acting past their lease (their own ends are earlier), a reverted index. Change: the table is begun anew before any lease is granted or waited for. Also: the test of lost disks killed a VM whose vote was not yet committed; status tells members_settled, and the test waits for it. No functional change to decisions.

--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -121,6 +121,9 @@
   std::vector<wire::log_entry> entriesAfterSnapshot() const {
     return {Log.begin(), Log.end()};
   }
+  /// False while a change of members is not yet committed: the loss of a VM may
+  /// still undo it.
+  bool membersSettled() const { return MembersIndex <= Commit; }
   /// True if the members in force include this VM with this disk.
   bool isMember() const;
 
@@ -164,7 +167,6 @@
   void truncateFrom(uint64_t Index);
   void refreshMembers();
   void proposeMembers(const wire::member_list &Next);
-  bool membersSettled() const { return MembersIndex <= Commit; }
   void maintainMembers(double Now);
   void sendAppend(uint64_t To, double Now, bool Heartbeat);
   void broadcast(double Now, bool Heartbeat);
--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -98,6 +98,7 @@
 
 void control_task::onRenew(const std::string &Peer, const wire::renew &Renew) {
   double Now = steadySeconds();
+  noteLeadership();
   if (!leads(Now))
     return redirect(Peer);
   Nodes.renewed(Peer, Renew, Now);
@@ -221,16 +222,23 @@
   }
 }
 
+// Called before leases are granted or waited for: between an election and the
+// next tick this VM leads already, and a change must not count as in force
+// because the leases of the last leader are not known here.
+void control_task::noteLeadership() {
+  const raft_core &Core = Log->core();
+  if (!Core.isLeader() || Core.term() == LedTerm)
+    return;
+  LedTerm = Core.term();
+  Nodes.reset(steadySeconds());
+  GuardPending.clear();
+  logLine(log_level::Info, "leads control", {{"term", int64_t(LedTerm)}});
+}
+
 void control_task::tick() {
   double Now = steadySeconds();
   const raft_core &Core = Log->core();
-  bool NewLeadership = Core.isLeader() && Core.term() != LedTerm;
-  if (NewLeadership) {
-    LedTerm = Core.term();
-    Nodes.reset(Now);
-    GuardPending.clear();
-    logLine(log_level::Info, "leads control", {{"term", int64_t(LedTerm)}});
-  }
+  noteLeadership();
   if (!Core.isLeader())
     Nodes.dropWaits();
   Nodes.poll(Now);
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -55,6 +55,7 @@
                        const apply_result *Result);
   void onApplied(uint64_t Index, const apply_result &Result);
   void pushConfig();
+  void noteLeadership();
   void tick();
   void guardVersions(double Now);
   void setVersionState(const guard_report &Report, version_state State);
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -153,6 +153,7 @@
 void operator_api::waitInForce(const exchange &Exchange, uint64_t Index,
                                bool Repeated) {
   std::weak_ptr<http_exchange> Weak = Exchange;
+  Control.noteLeadership();
   double Now = steadySeconds();
   Control.Nodes.awaitInForce(
       Index, Now, [Weak, Index, Repeated](double Seconds) {
@@ -212,6 +213,7 @@
              {"first_index", Core.firstIndex()},
              {"ratings", Control.Log->state().ratings().ratings()},
              {"claims", Control.Log->state().claims().size()},
+             {"members_settled", Core.membersSettled()},
              {"members", Members}});
 }
 
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -290,7 +290,8 @@
       call(leader().Operators.text(),
            {.Method = "GET", .Path = "/v1/status", .Key = "", .Seconds = 2});
   json Status = json::parse(Answer.Body, nullptr, false);
-  if (!Status.is_object() || Status["members"].size() != Control.size())
+  if (!Status.is_object() || Status["members"].size() != Control.size() ||
+      !Status.value("members_settled", false))
     return 0;
   return size_t(
       std::count_if(Status["members"].begin(), Status["members"].end(),
