--- a/base/error.cpp
+++ b/base/error.cpp
@@ -57,6 +57,7 @@
     {AnswerTooLarge, "answer_too_large", Server, 502, outcome::Ran, false, 0},
     {DeadlineUnknown, "deadline_exceeded_unknown", Server, 504,
      outcome::Unknown, false, 1},
+    {EntryFull, "entry_full", Server, 503, outcome::NotRun, false, 1},
 }};
 
 } // namespace
--- a/base/error.h
+++ b/base/error.h
@@ -46,7 +46,8 @@
   NoQuorum = 25,
   AnswerTooLarge = 26,
   DeadlineUnknown = 27,
-  Last = DeadlineUnknown
+  EntryFull = 28,
+  Last = EntryFull
 };
 
 /// What is known about whether the work of a refused request ran.
--- a/base/fields.cpp
+++ b/base/fields.cpp
@@ -50,16 +50,24 @@
 } // namespace
 
 void fault_list::add(std::string_view Path, std::string_view What) {
-  Faults.push_back(std::string(Path) + ": " + std::string(What));
+  Faults.push_back({std::string(Path), std::string(What)});
 }
 
 std::string fault_list::text() const {
   std::string Text;
-  for (const std::string &Fault : Faults) {
-    if (!Text.empty())
-      Text += "\n";
-    Text += Fault;
-  }
+  for (const fault &Fault : Faults)
+    absl::StrAppend(&Text, Text.empty() ? "" : "\n", Fault.Path, ": ",
+                    Fault.What);
+  return Text;
+}
+
+std::string fault_list::textOf(const std::string &File,
+                               const field_lines &Lines) const {
+  std::string Text;
+  for (const fault &Fault : Faults)
+    absl::StrAppend(&Text, Text.empty() ? "" : "\n", File, ": line ",
+                    Lines.lineOf(Fault.Path), ": ", Fault.Path, ": ",
+                    Fault.What);
   return Text;
 }
 
--- a/base/fields.h
+++ b/base/fields.h
@@ -10,6 +10,7 @@
 #define OLIVEVALVE_BASE_FIELDS_H
 
 #include "absl/status/statusor.h"
+#include "base/field_lines.h"
 #include "nlohmann/json.hpp"
 #include <functional>
 #include <set>
@@ -26,10 +27,17 @@
 public:
   void add(std::string_view Path, std::string_view What);
   bool empty() const { return Faults.empty(); }
+  /// One line for each fault: "field: what".
   std::string text() const;
+  /// The same for faults found in a file: "file: line N: field: what".
+  std::string textOf(const std::string &File, const field_lines &Lines) const;
 
 private:
-  std::vector<std::string> Faults;
+  struct fault {
+    std::string Path;
+    std::string What;
+  };
+  std::vector<fault> Faults;
 };
 
 enum class presence : uint8_t { Optional, Required };
--- a/base/log.cpp
+++ b/base/log.cpp
@@ -33,16 +33,18 @@
 
 void setLogLevel(log_level Level) { Threshold = Level; }
 
-log_level logLevelFromName(std::string_view Name) {
+bool logs(log_level Level) { return Level >= Threshold; }
+
+std::optional<log_level> logLevelFromName(std::string_view Name) {
   for (size_t I = 0; I < LevelNames.size(); ++I)
     if (LevelNames[I] == Name)
       return log_level(I);
-  return log_level::Info;
+  return std::nullopt;
 }
 
 void logLine(log_level Level, std::string_view Message,
              std::initializer_list<log_field> Fields) {
-  if (Level < Threshold)
+  if (!logs(Level))
     return;
   nlohmann::json Line;
   Line["time"] = wallSeconds();
--- a/base/log.h
+++ b/base/log.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -34,8 +35,11 @@
 void startLog(const log_identity &Identity, log_level Level);
 void setLogLevel(log_level Level);
 
-/// The level called \p Name ("debug", "info", "warning", "error"), or Info.
-log_level logLevelFromName(std::string_view Name);
+/// True if lines of \p Level are written; for lines that cost to make.
+bool logs(log_level Level);
+
+/// The level called \p Name: "debug", "info", "warning" or "error".
+std::optional<log_level> logLevelFromName(std::string_view Name);
 
 void logLine(log_level Level, std::string_view Message,
              std::initializer_list<log_field> Fields = {});
--- a/catalog/catalog.cpp
+++ b/catalog/catalog.cpp
@@ -35,6 +35,10 @@
     return absl::OkStatus();
   }
 
+  absl::Status checkOne(const object_key &, const node_spec &) {
+    return absl::OkStatus();
+  }
+
   absl::Status checkOne(const object_key &Key, const template_spec &Spec) {
     if (Catalog.model(Spec.Name))
       return badReference(Key, "has the name of a model; names must differ");
@@ -115,6 +119,10 @@
   return find<upstream_spec>("upstream", Name);
 }
 
+const node_spec *catalog::node(const std::string &Name) const {
+  return find<node_spec>("node", Name);
+}
+
 const version_spec *catalog::version(const version_name &Name) const {
   const model_spec *Model = model(Name.Model);
   if (!Model)
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -42,6 +42,7 @@
   const template_spec *templateNamed(const std::string &Name) const;
   const account_spec *account(const std::string &Name) const;
   const upstream_spec *upstream(const std::string &Name) const;
+  const node_spec *node(const std::string &Name) const;
   const version_spec *version(const version_name &Name) const;
   /// The client account that owns the key, or null.
   const account_spec *accountByKeyDigest(const std::string &Digest) const;
--- a/catalog/document.cpp
+++ b/catalog/document.cpp
@@ -165,6 +165,12 @@
   return Service;
 }
 
+node_spec readNode(object_reader &Reader) {
+  node_spec Node;
+  Reader.flag("draining", Node.Draining);
+  return Node;
+}
+
 document readKind(size_t Kind, object_reader &Reader, fault_list &Faults) {
   switch (Kind) {
   case 0:
@@ -175,8 +181,10 @@
     return readAccount(Reader, Faults);
   case 3:
     return readUpstream(Reader);
-  default:
+  case 4:
     return readService(Reader);
+  default:
+    return readNode(Reader);
   }
 }
 
@@ -228,7 +236,7 @@
   if (Place == KindNames.end())
     return makeError(error_kind::BadConfiguration,
                      Source + ": kind must be one of model, template, account, "
-                              "upstream, service");
+                              "upstream, service, node");
   if (!isName(Name))
     return makeError(error_kind::BadConfiguration,
                      Source + ": name must be 1 to 64 letters, digits, - _ .");
--- a/catalog/document.h
+++ b/catalog/document.h
@@ -1,7 +1,7 @@
 //===- document.h - The documents that operators write ----------*- C++ -*-===//
 //
-// Models with versions, templates, client accounts, upstreams and plain
-// services: their fields, units and limits, read from JSON and checked.
+// Models with versions, templates, client accounts, upstreams, plain services
+// and nodes: their fields, units and limits, read from JSON and checked.
 //
 //===----------------------------------------------------------------------===//
 
@@ -126,12 +126,19 @@
   int64_t Priority = 1;
 };
 
+/// What operators say of one process, by the name in its settings. Entries
+/// need no such document; one is written to drain them.
+struct node_spec {
+  std::string Name;
+  bool Draining = false; ///< Not ready, so that the balancer passes it by.
+};
+
 using document = std::variant<model_spec, template_spec, account_spec,
-                              upstream_spec, service_spec>;
+                              upstream_spec, service_spec, node_spec>;
 
 /// The kinds in the order of the alternatives of document.
-constexpr std::array<std::string_view, 5> KindNames = {
-    "model", "template", "account", "upstream", "service"};
+constexpr std::array<std::string_view, 6> KindNames = {
+    "model", "template", "account", "upstream", "service", "node"};
 
 /// Reads the document of \p Kind; an error lists every faulty field.
 absl::StatusOr<document> parseDocument(std::string_view Kind,
--- a/control/node_table.cpp
+++ b/control/node_table.cpp
@@ -33,6 +33,7 @@
   Node.Acked = std::max(Node.Acked, Renew.config_index());
   Node.LastSeen = Now;
   Node.Stopping = Renew.stopping();
+  Node.OpenRequests = Renew.open_requests();
   if (Renew.has_upstream_news())
     Node.News = Renew.upstream_news();
   Node.Demand.clear();
--- a/control/node_table.h
+++ b/control/node_table.h
@@ -27,6 +27,7 @@
   double LeaseEnd = 0; ///< Never before the node's own view of it.
   double LastSeen = 0;
   bool Stopping = false;
+  uint32_t OpenRequests = 0;            ///< Entries.
   wire::news News;                      ///< Sidecars.
   std::map<std::string, double> Demand; ///< Entries: requests per second.
 };
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -231,6 +231,11 @@
                  {"lease_seconds", std::max(0.0, Node.LeaseEnd - Now)},
                  {"seen_seconds_ago", Now - Node.LastSeen},
                  {"stopping", Node.Stopping}};
+    const node_spec *Spec = Control.Log->state().config().node(Node.Node);
+    if (Node.Role == "entry") {
+      Item["open_requests"] = Node.OpenRequests;
+      Item["draining"] = Spec && Spec->Draining;
+    }
     if (Node.Role == "sidecar") {
       Item["running"] = Node.News.running();
       Item["queued"] = Node.News.queued();
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -92,14 +92,14 @@
 absl::StatusOr<json> changesOfFile(const command_options &Options) {
   if (Options.File.empty())
     return usage("-f FILE is required");
-  auto Objects = loadConfigFile(Options.File);
-  if (!Objects.ok())
-    return Objects.status();
+  auto File = loadConfigFile(Options.File);
+  if (!File.ok())
+    return File.status();
   auto Answer = readObjects(Options);
   if (!Answer.ok())
     return Answer.status();
   json Changes = json::array();
-  for (const file_object &Object : *Objects) {
+  for (const file_object &Object : File->Objects) {
     present_object Present = findObject(*Answer, Object.Key);
     if (Present.Index == 0 || Present.Document != Object.Document)
       Changes.push_back(makePut(Object.Key, Present, Object.Document));
@@ -138,13 +138,13 @@
 absl::Status check(const command_options &Options) {
   if (Options.File.empty())
     return usage("-f FILE is required");
-  auto Objects = loadConfigFile(Options.File);
-  if (!Objects.ok())
-    return Objects.status();
-  if (absl::Status Status = checkObjects(*Objects); !Status.ok())
-    return makeError(kindOf(Status),
-                     Options.File + ": " + std::string(messageOf(Status)));
-  print(absl::StrCat(Options.File, ": good; ", Objects->size(), " objects\n"));
+  auto File = loadConfigFile(Options.File);
+  if (!File.ok())
+    return File.status();
+  if (absl::Status Status = checkConfig(*File); !Status.ok())
+    return Status;
+  print(absl::StrCat(Options.File, ": good; ", File->Objects.size(),
+                     " objects\n"));
   return absl::OkStatus();
 }
 
@@ -256,14 +256,53 @@
                     {"ALLOWANCE", "allowance"}});
 }
 
-absl::Status drain(const command_options &Options) {
+/// True if a process called \p Name holds or held a lease as an entry.
+absl::StatusOr<bool> isEntry(const command_options &Options,
+                             const std::string &Name) {
+  auto Answer = operator_client(Options.Client).get("/v1/nodes");
+  if (!Answer.ok())
+    return Answer.status();
+  for (const json &Node : (*Answer)["nodes"])
+    if (Node["node"] == Name && Node["role"] == "entry")
+      return true;
+  return false;
+}
+
+/// An upstream takes no new work; an entry is no longer ready, and serves on
+/// what still comes until the balancer has noticed.
+absl::Status setDraining(const command_options &Options, bool Draining) {
   if (Options.Arguments.size() != 1)
-    return usage("drain UPSTREAM");
-  return editObject(Options, {"upstream", Options.Arguments[0]},
-                    [](json &Document) {
-                      Document["leaving"] = true;
-                      return absl::OkStatus();
-                    });
+    return usage("drain|undrain UPSTREAM|ENTRY");
+  const std::string &Name = Options.Arguments[0];
+  auto Answer = readObjects(Options);
+  if (!Answer.ok())
+    return Answer.status();
+  object_key Key{"upstream", Name};
+  present_object Present = findObject(*Answer, Key);
+  if (Present.Index != 0) {
+    Present.Document["leaving"] = Draining;
+    return sendChanges(Options,
+                       json::array({makePut(Key, Present, Present.Document)}));
+  }
+  auto Entry = isEntry(Options, Name);
+  if (!Entry.ok())
+    return Entry.status();
+  if (!*Entry)
+    return makeError(error_kind::NotFound,
+                     Name + ": is no upstream and no entry; see "
+                            "'olivevalvectl get upstream' and 'nodes'");
+  Key.Kind = "node";
+  Present = findObject(*Answer, Key);
+  return sendChanges(
+      Options, json::array({makePut(Key, Present, {{"draining", Draining}})}));
+}
+
+absl::Status drain(const command_options &Options) {
+  return setDraining(Options, true);
+}
+
+absl::Status undrain(const command_options &Options) {
+  return setDraining(Options, false);
 }
 
 absl::Status status(const command_options &Options) {
@@ -298,6 +337,8 @@
                     {"DATA HALL", "data_hall"},
                     {"CONFIG", "config_index"},
                     {"LEASE", "lease_seconds"},
+                    {"OPEN", "open_requests"},
+                    {"DRAINING", "draining"},
                     {"RUNNING", "running"},
                     {"QUEUED", "queued"},
                     {"STOPPING", "stopping"}});
@@ -407,7 +448,10 @@
       {"version", "roll-out|pause|resume|activate|withdraw MODEL@VERSION",
        "Roll a version in or out", version},
       {"versions", "", "Show versions, their ratings and roll-outs", versions},
-      {"drain", "UPSTREAM", "Let an upstream take no new work", drain},
+      {"drain", "UPSTREAM|ENTRY",
+       "Let an upstream take no new work, or the balancer pass an entry by",
+       drain},
+      {"undrain", "UPSTREAM|ENTRY", "Take a drain back", undrain},
       {"status", "", "Show the control VMs", status},
       {"nodes", "", "Show entries and sidecars with their leases", nodes},
       {"bills", "", "Show totals by account, model and version", bills},
--- a/ctl/config_file.cpp
+++ b/ctl/config_file.cpp
@@ -2,11 +2,37 @@
 
 #include "ctl/config_file.h"
 #include "base/error.h"
+#include <algorithm>
 
 namespace olivevalve {
 
-absl::StatusOr<std::vector<file_object>>
-loadConfigFile(const std::string &Path) {
+namespace {
+
+// The catalog names an object "kind/name" and its fields "kind/name.field"; in
+// a file that is "kinds.name.field".
+std::string pathInFile(std::string_view Named) {
+  size_t Slash = Named.find('/');
+  if (Slash == std::string_view::npos)
+    return std::string(Named);
+  return std::string(Named.substr(0, Slash)) + "s." +
+         std::string(Named.substr(Slash + 1));
+}
+
+std::string withLines(const config_file &File, std::string_view Message) {
+  std::string Text;
+  while (!Message.empty()) {
+    std::string_view Fault = Message.substr(0, Message.find('\n'));
+    Message.remove_prefix(std::min(Message.size(), Fault.size() + 1));
+    std::string Path = pathInFile(Fault.substr(0, Fault.find(':')));
+    Text += (Text.empty() ? "" : "\n") + File.Path + ": line " +
+            std::to_string(File.Lines.lineOf(Path)) + ": " + std::string(Fault);
+  }
+  return Text;
+}
+
+} // namespace
+
+absl::StatusOr<config_file> loadConfigFile(const std::string &Path) {
   auto Text = readFile(Path);
   if (!Text.ok())
     return Text.status();
@@ -14,30 +40,34 @@
   if (!Value.ok())
     return Value.status();
   fault_list Faults;
-  std::vector<file_object> Objects;
+  config_file File{Path, {}, field_lines(*Text)};
   object_reader Reader(*Value, "", Faults);
   for (std::string_view Kind : KindNames)
-    Reader.members(std::string(Kind) + "s",
-                   [&](const std::string &Name, const json &Document,
-                       const std::string &) {
-                     Objects.push_back({{std::string(Kind), Name}, Document});
-                   });
+    Reader.members(std::string(Kind) + "s", [&](const std::string &Name,
+                                                const json &Document,
+                                                const std::string &) {
+      File.Objects.push_back({{std::string(Kind), Name}, Document});
+    });
   Reader.finish();
   if (!Faults.empty())
-    return makeError(error_kind::BadConfiguration, Path + ": " + Faults.text());
-  return Objects;
+    return makeError(error_kind::BadConfiguration,
+                     Faults.textOf(Path, File.Lines));
+  return File;
 }
 
-absl::Status checkObjects(const std::vector<file_object> &Objects) {
+absl::Status checkConfig(const config_file &File) {
   wire::change_set Changes;
-  for (const file_object &Object : Objects) {
+  for (const file_object &Object : File.Objects) {
     wire::config_change *Change = Changes.add_changes();
     Change->set_kind(Object.Key.Kind);
     Change->set_name(Object.Key.Name);
     Change->set_document(Object.Document.dump());
   }
   catalog Catalog;
-  return Catalog.applyChanges(Changes, 1);
+  absl::Status Status = Catalog.applyChanges(Changes, 1);
+  if (Status.ok())
+    return Status;
+  return makeError(kindOf(Status), withLines(File, messageOf(Status)));
 }
 
 } // namespace olivevalve
--- a/ctl/config_file.h
+++ b/ctl/config_file.h
@@ -1,7 +1,7 @@
 //===- config_file.h - Configuration files ----------------------*- C++ -*-===//
 //
 // A file of JSON with comments: "models", "templates", "accounts",
-// "upstreams", "services", each an object from name to document.
+// "upstreams", "services", "nodes", each an object from name to document.
 //
 //===----------------------------------------------------------------------===//
 
@@ -19,12 +19,18 @@
   json Document;
 };
 
-/// Reads a file; an error names file, line or field.
-absl::StatusOr<std::vector<file_object>>
-loadConfigFile(const std::string &Path);
+struct config_file {
+  std::string Path;
+  std::vector<file_object> Objects;
+  field_lines Lines;
+};
+
+/// Reads a file; an error names file, line and field.
+absl::StatusOr<config_file> loadConfigFile(const std::string &Path);
 
-/// Checks documents and references of all objects together.
-absl::Status checkObjects(const std::vector<file_object> &Objects);
+/// Checks documents and references of all objects together; an error names
+/// file, line and field.
+absl::Status checkConfig(const config_file &File);
 
 } // namespace olivevalve
 
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -82,7 +82,11 @@
     return Exchange->reply(200, "text/plain; version=0.0.4",
                            Metrics.prometheusText());
   if (Path == "/log-level" && Exchange->method() == "PUT") {
-    setLogLevel(logLevelFromName(Exchange->body()));
+    auto Level = logLevelFromName(Exchange->body());
+    if (!Level)
+      return Exchange->reply(400, "text/plain",
+                             "body: must be debug, info, warning or error\n");
+    setLogLevel(*Level);
     return Exchange->reply(200, "text/plain", "ok\n");
   }
   Exchange->reply(404, "text/plain",
@@ -110,19 +114,31 @@
   }
   Stopping = true;
   logLine(log_level::Info, "draining");
-  DrainUntil = steadySeconds() + Settings.DrainSeconds;
+  double Now = steadySeconds();
+  RefuseAt = Entry ? Now + Settings.UnreadySeconds : Now;
+  DrainUntil = RefuseAt + Settings.DrainSeconds;
+  DrainTimer.startRepeating(DrainPollSeconds);
+  checkDrain();
+}
+
+void node::beginDrain() {
+  Refusing = true;
   if (Entry)
     Entry->drain();
   if (Sidecar)
     Sidecar->drain();
   if (Control)
     Control->drain();
-  DrainTimer.startRepeating(DrainPollSeconds);
 }
 
 // Control goes last: the other roles hand their bills to it.
 void node::checkDrain() {
-  bool Over = steadySeconds() >= DrainUntil;
+  double Now = steadySeconds();
+  if (!Refusing && Now >= RefuseAt)
+    beginDrain();
+  if (!Refusing)
+    return;
+  bool Over = Now >= DrainUntil;
   bool Done = (!Entry || Entry->drained()) &&
               (!Sidecar || Sidecar->drained()) &&
               (!Control || Control->drained());
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -1,8 +1,8 @@
 //===- node.h - One process with its roles ----------------------*- C++ -*-===//
 //
 // Starts the roles that the settings name, serves health and metrics, and
-// stops in order: not ready, no new work, running work ends, bills are handed
-// over, the lease is given up.
+// stops in order: not ready, no new work once the balancer has noticed, running
+// work ends, bills are handed over, the lease is given up.
 //
 //===----------------------------------------------------------------------===//
 
@@ -28,6 +28,7 @@
   void handleHealth(const std::shared_ptr<http_exchange> &Exchange);
   void countTraffic();
   bool ready() const;
+  void beginDrain();
   void checkDrain();
   void end();
 
@@ -43,6 +44,8 @@
   timer DrainTimer;
   timer EndTimer;
   bool Stopping = false;
+  bool Refusing = false; ///< The entry takes nothing new any more.
+  double RefuseAt = 0;
   double DrainUntil = 0;
   int ExitCode = 0;
 };
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -165,6 +165,7 @@
   Reader.choice("log_level", Level, {"debug", "info", "warning", "error"});
   Settings.LogLevel = log_level(Level);
   Reader.number("drain_seconds", Settings.DrainSeconds, {1, 86400});
+  Reader.number("unready_seconds", Settings.UnreadySeconds, {0, 600});
   std::vector<control_peer> Members = readMembers(Reader, Faults);
   Reader.object("keys", [&](object_reader &Keys) {
     key_files Files;
@@ -185,7 +186,8 @@
   if (!Settings.Entry && !Settings.Sidecar && !Settings.Control)
     Faults.add("document", "must have a role: entry, sidecar or control");
   if (!Faults.empty())
-    return makeError(error_kind::BadConfiguration, Path + ": " + Faults.text());
+    return makeError(error_kind::BadConfiguration,
+                     Faults.textOf(Path, field_lines(*Text)));
   std::vector<control_member_address> Control;
   for (const control_peer &Member : Members)
     Control.push_back({Member.Id, Member.Address});
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -24,6 +24,9 @@
   std::string HealthAddress = "127.0.0.1:0"; ///< /healthz, /readyz, /metrics.
   log_level LogLevel = log_level::Info;
   double DrainSeconds = 300; ///< Longest planned stop.
+  /// An entry that is to stop says for so long that it is not ready and still
+  /// serves: until the balancer, which asks now and then, sends it nothing.
+  double UnreadySeconds = 5;
   std::optional<key_files> Keys;
   std::optional<entry_options> Entry;
   std::optional<sidecar_options> Sidecar;
--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -16,10 +16,14 @@
 constexpr double TickSeconds = 0.05;
 constexpr double MostDeadline = 3600;
 constexpr size_t MostHeaderText = 256;
+// Connections beyond the open requests, so that one request too many hears
+// that it did not run, and idle connections do not keep others out.
+constexpr unsigned SpareConnections = 256;
 
 http_limits limitsOf(const entry_options &Options) {
   return {.MaxBodyBytes = size_t(Options.MaxBodyBytes),
-          .MaxConnections = unsigned(Options.MaxOpenRequests)};
+          .MaxConnections =
+              unsigned(Options.MaxOpenRequests) + SpareConnections};
 }
 
 // A candidate without a version means every version of the model.
@@ -71,6 +75,7 @@
   Control.OnGrant = [this](const wire::grant &Grant) { onGrant(Grant); };
   Control.OnRenew = [this](wire::renew &Renew) {
     Renew.set_estimates_index(EstimatesIndex);
+    Renew.set_open_requests(uint32_t(Tasks.size()));
     double Now = steadySeconds();
     for (const auto &[Account, Use] : Uses) {
       double Rate = Use.Meter.perSecond(Now);
@@ -126,6 +131,12 @@
   if (Stopping)
     return refuse(*Exchange,
                   makeError(error_kind::Draining, "this entry is stopping"));
+  if (isFull())
+    return refuse(
+        *Exchange,
+        makeError(error_kind::EntryFull,
+                  absl::StrCat("this entry has ", Options.MaxOpenRequests,
+                               " requests open, its most")));
   if (!Control.hasLease())
     return refuse(*Exchange, makeError(error_kind::NoLease,
                                        "this entry holds no configuration "
@@ -396,6 +407,13 @@
   Metrics.gauge("pinned_sessions", double(Sessions.size()));
 }
 
+// Requests that are over are swept now and then; here they must not count.
+bool entry_task::isFull() {
+  if (int64_t(Tasks.size()) >= Options.MaxOpenRequests)
+    sweep();
+  return int64_t(Tasks.size()) >= Options.MaxOpenRequests;
+}
+
 void entry_task::sweep() {
   std::erase_if(Tasks, [&](const auto &Item) {
     if (!Item.second->over())
@@ -405,6 +423,12 @@
   });
 }
 
+bool entry_task::ready() const {
+  const node_spec *Node = Control.config().node(Options.Node);
+  bool Drained = Node && Node->Draining;
+  return Control.hasLease() && !Stopping && !Drained && Pool.acquainted();
+}
+
 void entry_task::drain() {
   Stopping = true;
   Control.renewNow();
--- a/entry/entry_task.h
+++ b/entry/entry_task.h
@@ -30,11 +30,10 @@
 
   bool bind() { return Server.bind(Options.Address); }
   std::string address() const { return Server.address(); }
-  bool ready() const { return Control.hasLease() && !Stopping; }
+  bool ready() const;
+  /// New requests are refused from now on; those that run go on.
   void drain();
   bool drained() const;
-  /// New requests are refused from now on.
-  void stopListening() { Server.stopListening(); }
   void leave() { Control.leave(); }
 
 private:
@@ -62,6 +61,7 @@
   void onLost(const std::string &Upstream);
   void onGrant(const wire::grant &Grant);
   void tick();
+  bool isFull();
   void sweep();
 
   metrics &Metrics;
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -574,6 +574,13 @@
   Context.Metrics.record(measure::Cost, Facts.Account,
                          double(CostMicros) * 1e-6);
   Context.Metrics.count("answered", Facts.Account);
+  if (logs(log_level::Debug))
+    logLine(log_level::Debug, "request answered",
+            {{"request_id", Facts.Id},
+             {"account", Facts.Account},
+             {"version", Version.text()},
+             {"upstream", Upstream},
+             {"seconds", steadySeconds() - Facts.Arrived}});
   finishTask();
 }
 
--- a/entry/upstream_pool.cpp
+++ b/entry/upstream_pool.cpp
@@ -16,6 +16,8 @@
 constexpr double SilentSeconds = 3.5;
 // News is asked for again well before a sidecar forgets the entry.
 constexpr double HelloSeconds = 5;
+// A new entry waits so long for upstreams that do not answer, no longer.
+constexpr double AcquaintSeconds = 3;
 // Upstreams linked for each version or service: enough for even load at a
 // dozen requests a second, few enough for the bound on control traffic.
 constexpr size_t SubsetSize = 8;
@@ -93,6 +95,8 @@
 }
 
 void upstream_pool::open(const std::string &Name, const std::string &Address) {
+  if (FirstOpened == 0)
+    FirstOpened = steadySeconds();
   member &Member = Members[Name];
   Member.Address = Address;
   Member.Link = std::make_unique<client_link>(
@@ -108,6 +112,14 @@
   Member.Link->connect(Address);
 }
 
+bool upstream_pool::acquainted() const {
+  bool HeardAll =
+      std::all_of(Members.begin(), Members.end(), [](const auto &M) {
+        return M.second.News.incarnation() != 0;
+      });
+  return HeardAll || steadySeconds() > FirstOpened + AcquaintSeconds;
+}
+
 void upstream_pool::receive(const std::string &Name,
                             const wire::envelope &Message) {
   auto It = Members.find(Name);
--- a/entry/upstream_pool.h
+++ b/entry/upstream_pool.h
@@ -61,7 +61,9 @@
   void failed(const std::string &Upstream);
   /// Load that came along with an answer.
   void noteLoad(const std::string &Upstream, uint32_t Running, uint32_t Queued);
-  size_t size() const { return Members.size(); }
+  /// False while an entry that has just started may still hear from upstreams
+  /// for the first time: it would refuse what another entry can serve.
+  bool acquainted() const;
 
 private:
   struct member {
@@ -89,6 +91,7 @@
   message_handler OnMessage;
   lost_handler OnLost;
   std::map<std::string, member> Members;
+  double FirstOpened = 0; ///< When the first link was opened.
   std::vector<std::unique_ptr<client_link>> Closing;
   timer Timer;
   before_wait Prepare;
--- a/tests/stand_in.cpp
+++ b/tests/stand_in.cpp
@@ -100,6 +100,8 @@
     ++Cancelled;
     drop(*Raw);
   };
+  G.Pad = size_t(directive(Prompt, "pad", 0));
+  Exchange->OnDrained = [this](size_t Chunks) { Taken += Chunks; };
   if (G.Stream)
     Exchange->startStream(200, "text/event-stream");
   G.Timer.startOnce(
@@ -127,6 +129,7 @@
   ++G.Sent;
   if (G.Stream)
     G.Exchange->write(
+        std::string(G.Pad ? ": " + std::string(G.Pad, '.') + "\n\n" : "") +
         "data: " +
         json({{"object", "chat.completion.chunk"},
               {"model", G.Model},
@@ -235,6 +238,7 @@
                         {"finished", Finished},
                         {"cancelled", Cancelled},
                         {"rated", Rated},
+                        {"taken", Taken},
                         {"running", Generations.size()},
                         {"runs", Runs}})
                       .dump());
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -5,7 +5,8 @@
 // can hold what callers were told against what happened.
 //
 // A prompt may steer the engine: "tokens=40", "gap=5" (ms between tokens),
-// "first=20" (ms), "fail=500", "cut=3" (breaks off after so many tokens).
+// "first=20" (ms), "fail=500", "cut=3" (breaks off after so many tokens),
+// "pad=1000" (bytes more in each token of a stream).
 //
 //===----------------------------------------------------------------------===//
 
@@ -46,6 +47,7 @@
     int CutAfter = -1;
     double Gap = 0;
     size_t PromptTokens = 0;
+    size_t Pad = 0;
     std::string Text;
   };
 
@@ -73,6 +75,7 @@
   uint64_t Finished = 0;
   uint64_t Cancelled = 0;
   uint64_t Rated = 0;
+  uint64_t Taken = 0; ///< Chunks of streams that the sidecar has read.
   bool RatingsOff = false;
 };
 
--- /dev/null
+++ b/tests/system/once_test.cpp
@@ -0,0 +1,134 @@
+//===- once_test.cpp - Requests that may run once -------------------------===//
+
+#include "boost/test/unit_test.hpp"
+#include "tests/world.h"
+
+using namespace olivevalve;
+
+BOOST_AUTO_TEST_SUITE(requests_that_may_run_once)
+
+struct once_fault {
+  const char *What;
+  enum class at {
+    None,
+    EntryKilled,
+    SidecarKilled,
+    LeaderKilled,
+    CutToSidecar,
+    CallerGone,
+    Engine
+  } At;
+};
+
+// In each case a caller books, something dies while the booking runs, and the
+// caller asks again with the same key at the other entry.
+BOOST_AUTO_TEST_CASE(run_once_whatever_dies) {
+  using at = once_fault::at;
+  const once_fault Cases[] = {
+      {"nothing", at::None},
+      {"the entry is killed while it runs", at::EntryKilled},
+      {"the sidecar is killed while it runs", at::SidecarKilled},
+      {"the leader is killed while it runs", at::LeaderKilled},
+      {"the path to the sidecar is cut while it runs", at::CutToSidecar},
+      {"the caller leaves while it runs", at::CallerGone},
+  };
+  world World;
+  World.startUsual();
+  int Number = 0;
+  for (const once_fault &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.What) {
+      std::string Key = "booking-" + std::to_string(++Number);
+      sidecar_node &Sidecar = *World.Sidecars["led"];
+      caller_request Request = booking(Key, 700);
+      if (Case.At == at::CallerGone)
+        Request.Seconds = 0.4;
+      auto First =
+          World.begin(World.Entries["entry-1"]->Address.text(), Request);
+      World.until("the booking runs", [&] {
+        return runsOf(World.engineCounts(Sidecar), Key) == 1;
+      });
+      if (Case.At == at::EntryKilled)
+        World.Entries["entry-1"]->Process->kill();
+      if (Case.At == at::SidecarKilled)
+        Sidecar.Process->kill();
+      if (Case.At == at::LeaderKilled)
+        World.leader().Process->kill();
+      if (Case.At == at::CutToSidecar)
+        Sidecar.Path->set(proxy_fault::Cut);
+      if (Case.At == at::SidecarKilled)
+        Sidecar.Process->start();
+      World.run(0.3);
+      Sidecar.Path->set(proxy_fault::None);
+      caller_answer Again;
+      World.until(
+          "the caller learns the outcome",
+          [&] {
+            Again = World.call(World.Entries["entry-2"]->Address.text(),
+                               booking(Key, 700));
+            return Again.Status == 200 || Again.Status == 502;
+          },
+          25);
+      BOOST_TEST(runsOf(World.engineCounts(Sidecar), Key) == 1U);
+      if (Case.At == at::SidecarKilled)
+        BOOST_TEST(Again.outcome() == "unknown");
+      else
+        BOOST_TEST(Again.Status == 200);
+      World.until("the first caller has an answer",
+                  [&] { return First->Done; });
+      // "not run" must never be said of a request that ran.
+      BOOST_TEST(First->outcome() != "not-run");
+      for (auto &[Name, Node] : World.Entries)
+        if (!Node->Process->running())
+          Node->Process->start();
+      for (auto &Node : World.Control)
+        if (!Node->Process->running())
+          Node->Process->start();
+      for (auto &[Name, Node] : World.Entries)
+        World.untilReady(Node->Health);
+      World.untilAllVote();
+      World.until("the sidecar serves", [&] {
+        return World
+                   .call(World.Entries["entry-1"]->Address.text(),
+                         {.Method = "GET", .Path = "/ledger/x"})
+                   .Status == 200;
+      });
+    }
+  }
+  BOOST_TEST_CONTEXT("a key used for another request is refused") {
+    caller_answer Other = World.call(World.Entries["entry-2"]->Address.text(),
+                                     booking("booking-1", 1));
+    BOOST_TEST(Other.Status == 422);
+    BOOST_TEST(Other.outcome() == "not-run");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(that_never_started_can_be_sent_again) {
+  world World;
+  World.startUsual();
+  sidecar_node &Sidecar = *World.Sidecars["led"];
+  // The attempt falls into a hole on the way; the truth is found out when the
+  // path is back, and the key is free again.
+  Sidecar.Path->set(proxy_fault::HoleToServer);
+  caller_request Request = booking("lost", 0);
+  Request.Headers.push_back("X-Deadline-Ms: 9000");
+  auto First = World.begin(World.Entries["entry-1"]->Address.text(), Request);
+  World.run(1);
+  Sidecar.Path->set(proxy_fault::Cut);
+  Sidecar.Path->set(proxy_fault::None);
+  World.until("an answer", [&] { return First->Done; });
+  uint64_t Runs = runsOf(World.engineCounts(Sidecar), "lost");
+  BOOST_TEST(Runs <= 1U);
+  if (First->Status == 200)
+    BOOST_TEST(Runs == 1U);
+  if (First->outcome() == "not-run")
+    BOOST_TEST(Runs == 0U);
+  caller_answer Again;
+  World.until("the caller gets its booking", [&] {
+    Again = World.call(World.Entries["entry-2"]->Address.text(),
+                       booking("lost", 0));
+    return Again.Status == 200;
+  });
+  BOOST_TEST(runsOf(World.engineCounts(Sidecar), "lost") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/system/path_test.cpp
@@ -0,0 +1,237 @@
+//===- path_test.cpp - One request from caller to engine and back ---------===//
+
+#include "boost/test/unit_test.hpp"
+#include "tests/world.h"
+#include <arpa/inet.h>
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace olivevalve;
+
+namespace {
+
+/// A caller with a small receive buffer that reads only when it is told to.
+class slow_caller {
+public:
+  explicit slow_caller(const std::string &Address)
+      : Socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    int Small = 8192;
+    setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &Small, sizeof(Small));
+    sockaddr_in Where{};
+    Where.sin_family = AF_INET;
+    Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Where.sin_port =
+        htons(uint16_t(std::stoi(Address.substr(Address.rfind(':') + 1))));
+    BOOST_REQUIRE(connect(Socket, reinterpret_cast<sockaddr *>(&Where),
+                          sizeof(Where)) == 0);
+  }
+  ~slow_caller() { close(Socket); }
+  slow_caller(const slow_caller &) = delete;
+  slow_caller &operator=(const slow_caller &) = delete;
+
+  void send(const std::string &Bytes) const {
+    BOOST_REQUIRE(::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
+                  ssize_t(Bytes.size()));
+  }
+  /// Adds what is there now; false at the end.
+  bool read(std::string &Out) const {
+    std::array<char, 65536> Buffer{};
+    for (;;) {
+      ssize_t Got = recv(Socket, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+      if (Got <= 0)
+        return Got < 0;
+      Out.append(Buffer.data(), size_t(Got));
+    }
+  }
+
+private:
+  int Socket;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_whole_path)
+
+BOOST_AUTO_TEST_CASE(answers_plain_streamed_and_service_requests) {
+  world World;
+  World.startUsual(1);
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+
+  BOOST_TEST_CONTEXT("a plain answer says what ran") {
+    caller_answer Answer =
+        World.call(Entry, {.Body = chatBody("plan", "tokens=3")});
+    BOOST_TEST(Answer.Status == 200);
+    BOOST_TEST(!Answer.version().empty());
+    BOOST_TEST(!Answer.upstream().empty());
+    BOOST_TEST(json::parse(Answer.Body)["usage"]["completion_tokens"] == 3);
+  }
+  BOOST_TEST_CONTEXT("a stream ends as the engine ended it") {
+    caller_answer Answer =
+        World.call(Entry, {.Body = chatBody("plan", "tokens=40", true)});
+    BOOST_TEST(Answer.Status == 200);
+    BOOST_TEST(Answer.Error == "");
+    BOOST_TEST(Answer.Body.ends_with("data: [DONE]\n\n"));
+  }
+  BOOST_TEST_CONTEXT("a stream that breaks off ends in an error") {
+    caller_answer Answer =
+        World.call(Entry, {.Body = chatBody("plan", "tokens=40 cut=10", true)});
+    BOOST_TEST(Answer.Error != "");
+  }
+  BOOST_TEST_CONTEXT("a caller that leaves ends the work at the engine") {
+    auto Cancelled = [&] {
+      return World.engineCounts(*World.Sidecars["a"])["cancelled"]
+                 .get<uint64_t>() +
+             World.engineCounts(*World.Sidecars["b"])["cancelled"]
+                 .get<uint64_t>();
+    };
+    uint64_t Before = Cancelled();
+    caller_answer Left = World.call(
+        Entry, {.Body = chatBody("plan", "tokens=100000 gap=5", true),
+                .Seconds = 0.3});
+    BOOST_TEST(Left.Error != "");
+    World.until("the engine stops", [&] { return Cancelled() > Before; });
+  }
+  struct refusal_case {
+    const char *What;
+    caller_request Request;
+    int Status;
+    const char *Code;
+  };
+  std::string Good = chatBody("plan", "x");
+  std::string Deep(200, '[');
+  const refusal_case Cases[] = {
+      {"a wrong key", {.Body = Good, .Key = "x"}, 401, "invalid_api_key"},
+      {"no key", {.Body = Good, .Key = ""}, 401, "invalid_api_key"},
+      {"broken JSON", {.Body = "{\"model\":"}, 400, "bad_request"},
+      {"deep JSON", {.Body = Deep}, 400, "bad_request"},
+      {"no messages", {.Body = "{\"model\":\"plan\"}"}, 400, "bad_request"},
+      {"an unknown model", {.Body = chatBody("nope", "x")}, 404, "not_found"},
+      {"an unknown path", {.Path = "/nope", .Body = Good}, 404, "not_found"},
+      {"a body too large",
+       {.Body = std::string(9 << 20, 'x')},
+       413,
+       "body_too_large"},
+      {"a deadline that is none",
+       {.Body = Good, .Headers = {"X-Deadline-Ms: soon"}},
+       400,
+       "bad_request"},
+      {"a key that is no text",
+       {.Path = "/ledger/book",
+        .Body = "{}",
+        .Headers = {"Idempotency-Key: \xff\xfe"}},
+       400,
+       "bad_request"},
+      {"a booking without a key",
+       {.Path = "/ledger/book", .Body = "{}"},
+       400,
+       "idempotency_key_required"},
+  };
+  for (const refusal_case &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.What) {
+      caller_answer Answer = World.call(Entry, Case.Request);
+      BOOST_TEST(Answer.Status == Case.Status);
+      BOOST_TEST(Answer.outcome() == "not-run");
+      json Body = json::parse(Answer.Body, nullptr, false);
+      BOOST_REQUIRE(Body.is_object());
+      BOOST_TEST(Body["error"]["code"] == Case.Code);
+    }
+  }
+}
+
+// A caller that does not read holds its engine back; nothing piles up on the
+// way, and what it reads later is whole.
+BOOST_AUTO_TEST_CASE(a_slow_caller_holds_its_engine_back) {
+  world World;
+  World.startUsual(1);
+  constexpr uint64_t Tokens = 30000;
+  std::string Body =
+      chatBody("plan", "pad=1500 gap=0 tokens=" + std::to_string(Tokens), true);
+  slow_caller Caller(World.Entries["entry-1"]->Address.text());
+  auto Sum = [&](const char *Count) {
+    uint64_t Both = 0;
+    for (const char *Name : {"a", "b"})
+      Both += World.engineCounts(*World.Sidecars[Name])[Count].get<uint64_t>();
+    return Both;
+  };
+  uint64_t FinishedBefore = Sum("finished");
+  Caller.send("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+              "Authorization: Bearer demo-dispatch\r\nConnection: close\r\n"
+              "Content-Length: " +
+              std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  World.until("the engine has made all of it",
+              [&] { return Sum("finished") == FinishedBefore + 1; });
+  uint64_t Before = 0;
+  World.until("nothing moves any more", [&] {
+    uint64_t Taken = Sum("taken");
+    bool Still = Taken == Before;
+    Before = Taken;
+    World.run(0.5);
+    return Still;
+  });
+  BOOST_TEST_MESSAGE("taken from the engine by a caller that does not read: "
+                     << Before << " of " << Tokens);
+  BOOST_TEST(Before < Tokens / 2);
+  std::string Answer;
+  World.until("the caller has read it all",
+              [&] { return !Caller.read(Answer); });
+  BOOST_TEST(Answer.find("data: [DONE]\n\n") != std::string::npos);
+  BOOST_TEST(Answer.ends_with("\r\n0\r\n\r\n"));
+  BOOST_TEST(Answer.size() > Tokens * 1500);
+}
+
+BOOST_AUTO_TEST_CASE(one_request_too_many_hears_that_it_did_not_run) {
+  world World;
+  World.EntrySettings = {{"max_open_requests", 2}};
+  World.startUsual(1);
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  std::vector<std::shared_ptr<caller_answer>> Open;
+  for (int I = 0; I < 2; ++I)
+    Open.push_back(World.begin(Entry, {.Body = chatBody("plan", "first=800")}));
+  World.until("both run", [&] {
+    return World.engineCounts(*World.Sidecars["a"])["running"].get<int>() +
+               World.engineCounts(*World.Sidecars["b"])["running"].get<int>() ==
+           2;
+  });
+  caller_answer Third = World.call(Entry, {.Body = chatBody("plan", "x")});
+  BOOST_TEST(Third.Status == 503);
+  BOOST_TEST(Third.outcome() == "not-run");
+  BOOST_TEST(Third.header("retry-after") == "1");
+  World.until("both have their answer",
+              [&] { return Open[0]->Status == 200 && Open[1]->Status == 200; });
+  caller_answer Wide =
+      World.call(Entry, {.Body = chatBody("plan", "x"),
+                         .Headers = {"X-Wide: " + std::string(40 << 10, 'x')}});
+  BOOST_TEST(Wide.Status == 431);
+  BOOST_TEST(World.call(Entry, {.Body = chatBody("plan", "x")}).Status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(the_log_level_changes_while_it_runs) {
+  world World;
+  World.startUsual(1);
+  entry_node &Entry = *World.Entries["entry-1"];
+  auto SetLevel = [&](const std::string &Level) {
+    return World
+        .call(Entry.Health.text(),
+              {.Method = "PUT", .Path = "/log-level", .Body = Level, .Key = ""})
+        .Status;
+  };
+  auto Logged = [&](const std::string &Level) {
+    caller_answer Answer =
+        World.call(Entry.Address.text(), {.Body = chatBody("plan", Level)});
+    std::string Id = Answer.header("x-request-id");
+    World.until("the answer is whole", [&] { return Answer.Status == 200; });
+    World.run(0.1);
+    return Entry.Process->logText().find(Id) != std::string::npos;
+  };
+  BOOST_TEST(!Logged("info"));
+  BOOST_TEST(SetLevel("debug") == 200);
+  BOOST_TEST(Logged("debug"));
+  BOOST_TEST(SetLevel("loud") == 400);
+  BOOST_TEST(Logged("still debug"));
+  BOOST_TEST(SetLevel("error") == 200);
+  BOOST_TEST(!Logged("error"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/system/stops_test.cpp
@@ -0,0 +1,196 @@
+//===- stops_test.cpp - Sessions and planned stops ------------------------===//
+
+#include "base/clock.h"
+#include "boost/test/unit_test.hpp"
+#include "tests/world.h"
+#include <set>
+
+using namespace olivevalve;
+
+namespace {
+
+/// As the platform's: asks each entry now and then whether it is ready and
+/// sends it nothing after two misses, until it is ready again.
+class balancer {
+public:
+  explicit balancer(world &World) : World(World) {}
+
+  void ask() {
+    if (steadySeconds() < NextAsk)
+      return;
+    NextAsk = steadySeconds() + 0.2;
+    for (auto &[Name, Node] : World.Entries)
+      Misses[Name] = World.ready(Node->Health) ? 0 : Misses[Name] + 1;
+  }
+  bool sendsTo(const std::string &Entry) { return Misses[Entry] < 2; }
+
+private:
+  world &World;
+  std::map<std::string, int> Misses;
+  double NextAsk = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(sessions_and_stops)
+
+BOOST_AUTO_TEST_CASE(a_session_keeps_its_version) {
+  world World;
+  World.startUsual();
+  auto Ask = [&](const std::string &Entry, int Session) {
+    return World.ask(World.Entries[Entry]->Address.text(),
+                     {.Body = chatBody("plan", "x"),
+                      .Headers = {"X-Session: s" + std::to_string(Session)}});
+  };
+  constexpr int Sessions = 30;
+  std::map<int, std::string> Pinned;
+  for (int I = 0; I < Sessions; ++I)
+    Pinned[I] = Ask("entry-1", I).version();
+  std::set<std::string> Used;
+  for (const auto &[Session, Version] : Pinned)
+    Used.insert(Version);
+  BOOST_TEST(Used.size() == 2U);
+  BOOST_TEST_CONTEXT("at the other entry, after new weights") {
+    json Weights = {{"candidates", {"olive-llm@1", "olive-llm@2"}},
+                    {"policy", {{"kind", "split"}, {"weights", {0, 1}}}}};
+    World.putObject("template", "plan", Weights);
+    for (int I = 0; I < Sessions; ++I)
+      BOOST_TEST(Ask("entry-2", I).version() == Pinned[I]);
+  }
+  BOOST_TEST_CONTEXT("after its entry died and a new leader came") {
+    World.Entries["entry-1"]->Process->kill();
+    World.leader().Process->kill();
+    World.Entries["entry-1"]->Process->start();
+    World.until("ready",
+                [&] { return World.ready(World.Entries["entry-1"]->Health); });
+    for (int I = 0; I < Sessions; ++I)
+      BOOST_TEST(Ask("entry-1", I).version() == Pinned[I]);
+  }
+  BOOST_TEST_CONTEXT("but not when its version is withdrawn") {
+    World.putObject("model", "olive-llm", modelWith("withdrawn", "active"));
+    for (int I = 0; I < Sessions; ++I)
+      BOOST_TEST(Ask("entry-2", I).version() == "2");
+  }
+}
+
+// Streams run through every process while each is stopped and started anew.
+BOOST_AUTO_TEST_CASE(a_rolling_restart_cuts_no_request) {
+  world World;
+  World.ExtraSettings = {{"unready_seconds", 1}};
+  World.startUsual();
+  balancer Balancer(World);
+  struct tally {
+    int Whole = 0;
+    int Cut = 0;
+    int Refused = 0;
+  } Tally;
+  std::vector<std::shared_ptr<caller_answer>> Open;
+  auto Collect = [&] {
+    std::erase_if(Open, [&](const auto &Answer) {
+      if (!Answer->Done)
+        return false;
+      bool Whole = Answer->Status == 200 && Answer->Error.empty() &&
+                   Answer->Body.ends_with("data: [DONE]\n\n");
+      if (Whole)
+        ++Tally.Whole;
+      else if (Answer->Status == 503 && Answer->outcome() == "not-run")
+        BOOST_TEST(++Tally.Refused == 0, Answer->Body);
+      else
+        ++Tally.Cut;
+      return true;
+    });
+  };
+  auto Send = [&] {
+    Balancer.ask();
+    for (auto &[Name, Node] : World.Entries)
+      if (Balancer.sendsTo(Name) && Open.size() < 200)
+        Open.push_back(
+            World.begin(Node->Address.text(),
+                        {.Body = chatBody("plan", "tokens=60 gap=4", true)}));
+  };
+  double Until = 0;
+  auto Load = [&](const std::function<bool()> &Over) {
+    Until = steadySeconds() + 30;
+    while (!Over()) {
+      BOOST_REQUIRE(steadySeconds() < Until);
+      Send();
+      World.run(0.02);
+      Collect();
+    }
+  };
+  auto LoadFor = [&](double Seconds) {
+    double End = steadySeconds() + Seconds;
+    Load([&] { return steadySeconds() >= End; });
+  };
+  auto Restart = [&](daemon_process &Process, const reserved_address *Health) {
+    Process.signal(SIGTERM);
+    Load([&] { return !Process.running(); });
+    BOOST_TEST(Process.exitCode() == 0);
+    Process.start();
+    if (Health)
+      Load([&] { return World.ready(*Health); });
+    LoadFor(1.0);
+  };
+  LoadFor(0.5);
+  for (auto &[Name, Node] : World.Entries)
+    Restart(*Node->Process, &Node->Health);
+  for (auto &[Name, Node] : World.Sidecars)
+    Restart(*Node->Process, &Node->Health);
+  for (auto &Node : World.Control)
+    Restart(*Node->Process, nullptr);
+  LoadFor(0.5);
+  World.until("all answers", [&] {
+    Collect();
+    return Open.empty();
+  });
+  BOOST_TEST_MESSAGE("whole " << Tally.Whole << ", cut " << Tally.Cut
+                              << ", refused " << Tally.Refused);
+  BOOST_TEST(Tally.Whole > 500);
+  BOOST_TEST(Tally.Cut == 0);
+  BOOST_TEST(Tally.Refused == 0);
+}
+
+// An operator takes an entry out of service and back, and learns when nothing
+// runs on it any more; a caller that still comes is served.
+BOOST_AUTO_TEST_CASE(an_operator_drains_an_entry_and_an_upstream) {
+  world World;
+  World.startUsual(1);
+  entry_node &Entry = *World.Entries["entry-1"];
+  auto Running = World.begin(Entry.Address.text(),
+                             {.Body = chatBody("plan", "tokens=40 gap=20")});
+  BOOST_TEST(World.ctl({"drain", "entry-1"}).ExitCode == 0);
+  BOOST_TEST(!World.ready(Entry.Health));
+  BOOST_TEST(World.ready(World.Entries["entry-2"]->Health));
+  caller_answer Late =
+      World.call(Entry.Address.text(), {.Body = chatBody("plan", "x")});
+  BOOST_TEST(Late.Status == 200);
+  auto Listed = [&](const std::string &Name) {
+    json Nodes = json::parse(World.ctl({"nodes", "-o", "json"}).Text);
+    for (const json &Node : Nodes["nodes"])
+      if (Node["node"] == Name)
+        return Node;
+    return json();
+  };
+  World.until("nothing runs there", [&] {
+    return Running->Done && Listed("entry-1")["open_requests"] == 0;
+  });
+  BOOST_TEST(Running->Status == 200);
+  BOOST_TEST(Listed("entry-1")["draining"] == true);
+  BOOST_TEST(World.ctl({"undrain", "entry-1"}).ExitCode == 0);
+  World.untilReady(Entry.Health);
+
+  BOOST_TEST(World.ctl({"drain", "a"}).ExitCode == 0);
+  uint64_t Before = World.engineCounts(*World.Sidecars["a"])["started"];
+  for (int I = 0; I < 20; ++I)
+    BOOST_TEST(World.call(Entry.Address.text(), {.Body = chatBody("plan", "x")})
+                   .upstream() == "b");
+  BOOST_TEST(World.engineCounts(*World.Sidecars["a"])["started"] == Before);
+
+  ctl_result Wrong = World.ctl({"drain", "nobody"});
+  BOOST_TEST(Wrong.ExitCode == 1);
+  BOOST_TEST(Wrong.Text.find("nobody: is no upstream and no entry") !=
+                 std::string::npos,
+             Wrong.Text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/system/strangers_test.cpp
@@ -0,0 +1,161 @@
+//===- strangers_test.cpp - Who may speak, and what they cannot break -----===//
+
+#include "boost/test/unit_test.hpp"
+#include "net/link.h"
+#include "tests/world.h"
+#include <arpa/inet.h>
+#include <array>
+#include <fstream>
+#include <netinet/in.h>
+#include <random>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <zmq.h>
+
+using namespace olivevalve;
+
+namespace {
+
+void sendRaw(const std::string &Address, const std::string &Bytes) {
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Where{};
+  Where.sin_family = AF_INET;
+  Where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Where.sin_port =
+      htons(uint16_t(std::stoi(Address.substr(Address.rfind(':') + 1))));
+  if (connect(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) == 0)
+    send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  close(Socket);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(strangers)
+
+BOOST_AUTO_TEST_CASE(are_kept_out_and_do_no_harm) {
+  world World;
+  std::array<char, 41> Public{};
+  std::array<char, 41> Secret{};
+  BOOST_REQUIRE(zmq_curve_keypair(Public.data(), Secret.data()) == 0);
+  std::string Prefix = World.Folder.path() + "/system";
+  std::ofstream(Prefix + ".public") << Public.data() << "\n";
+  std::ofstream(Prefix + ".secret") << Secret.data() << "\n";
+  World.ExtraSettings = {{"keys",
+                          {{"public_file", Prefix + ".public"},
+                           {"secret_file", Prefix + ".secret"}}}};
+  World.startUsual(3);
+  sidecar_node &Sidecar = *World.Sidecars["a"];
+  uint64_t Before = World.engineCounts(Sidecar)["started"];
+
+  std::array<char, 41> OtherPublic{};
+  std::array<char, 41> OtherSecret{};
+  zmq_curve_keypair(OtherPublic.data(), OtherSecret.data());
+  struct stranger {
+    const char *What;
+    link_keys Keys;
+  };
+  const stranger Strangers[] = {
+      {"without a key", {}},
+      {"with a key of its own", {OtherPublic.data(), OtherSecret.data()}},
+  };
+  for (const stranger &Stranger : Strangers) {
+    BOOST_TEST_CONTEXT(Stranger.What) {
+      link_context Context(Stranger.Keys);
+      int Heard = 0;
+      client_link Link(Context, World.Loop, "stranger",
+                       [&](const wire::envelope &) { ++Heard; });
+      Link.connect(Sidecar.Address.text());
+      wire::envelope Hello;
+      Hello.mutable_hello();
+      for (int I = 0; I < 20; ++I) {
+        Link.send(Hello);
+        World.run(0.05);
+      }
+      BOOST_TEST(Heard == 0);
+    }
+  }
+  // Random bytes on every port, while valid traffic keeps its answers.
+  std::mt19937_64 Random(7);
+  std::vector<std::string> Ports = {Sidecar.Address.text(),
+                                    World.Control[0]->Address.text(),
+                                    World.Control[0]->Operators.text(),
+                                    World.Entries["entry-1"]->Address.text()};
+  for (int I = 0; I < 60; ++I) {
+    std::string Bytes(200, 0);
+    for (char &C : Bytes)
+      C = char(Random());
+    sendRaw(Ports[size_t(I) % Ports.size()], Bytes);
+    caller_answer Answer = World.call(World.Entries["entry-1"]->Address.text(),
+                                      {.Body = chatBody("plan", "x")});
+    BOOST_TEST(Answer.Status == 200);
+  }
+  BOOST_TEST(World.engineCounts(Sidecar)["started"].get<uint64_t>() <=
+             Before + 60);
+  for (auto &[Name, Node] : World.Entries)
+    BOOST_TEST(Node->Process->running());
+  for (auto &[Name, Node] : World.Sidecars)
+    BOOST_TEST(Node->Process->running());
+  for (auto &Node : World.Control) {
+    BOOST_TEST(Node->Process->running());
+    BOOST_TEST(Node->Process->logText().find(Secret.data()) ==
+               std::string::npos);
+  }
+}
+
+// A peer that holds the system's key but sends attempts doubled, late or for
+// another start of the sidecar: none runs twice.
+BOOST_AUTO_TEST_CASE(doubled_and_late_attempts_run_once) {
+  world World;
+  World.startUsual(1);
+  sidecar_node &Sidecar = *World.Sidecars["led"];
+  link_context Context;
+  uint64_t Incarnation = 0;
+  int Refused = 0;
+  int Ends = 0;
+  client_link Link(Context, World.Loop, "rough",
+                   [&](const wire::envelope &Message) {
+                     if (Message.has_news())
+                       Incarnation = Message.news().incarnation();
+                     Refused += Message.has_refused() ? 1 : 0;
+                     Ends += Message.has_end() ? 1 : 0;
+                   });
+  Link.connect(Sidecar.Address.text());
+  wire::envelope Hello;
+  Hello.mutable_hello();
+  World.until("news", [&] {
+    Link.send(Hello);
+    return Incarnation != 0;
+  });
+  auto Attempt = [&](uint64_t Request, uint64_t Start) {
+    wire::envelope Message;
+    wire::attempt *A = Message.mutable_attempt();
+    A->mutable_id()->set_entry(99);
+    A->mutable_id()->set_request(Request);
+    A->set_sidecar_incarnation(Start);
+    A->set_account("dispatch");
+    A->set_method("POST");
+    A->set_path("/ledger/x");
+    A->set_idempotency_key("rough-" + std::to_string(Request));
+    A->set_budget_ms(5000);
+    return Message;
+  };
+  wire::envelope Doubled = Attempt(1, Incarnation);
+  for (int I = 0; I < 5; ++I)
+    Link.send(Doubled);
+  World.until("an end", [&] { return Ends == 1; });
+  Link.send(Doubled);
+  Link.send(Attempt(2, Incarnation + 1));
+  wire::envelope Cancel;
+  *Cancel.mutable_cancel()->mutable_id() = Attempt(3, 0).attempt().id();
+  Cancel.mutable_cancel()->set_only_if_not_started(true);
+  Cancel.mutable_cancel()->set_sidecar_incarnation(Incarnation);
+  Link.send(Cancel);
+  Link.send(Attempt(3, Incarnation));
+  World.until("refusals", [&] { return Refused >= 2; });
+  json Counts = World.engineCounts(Sidecar);
+  BOOST_TEST(runsOf(Counts, "rough-1") == 1U);
+  BOOST_TEST(runsOf(Counts, "rough-2") == 0U);
+  BOOST_TEST(runsOf(Counts, "rough-3") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/system/versions_test.cpp
@@ -0,0 +1,117 @@
+//===- versions_test.cpp - Bad versions and overload ----------------------===//
+
+#include "boost/test/unit_test.hpp"
+#include "tests/world.h"
+
+using namespace olivevalve;
+
+BOOST_AUTO_TEST_SUITE(versions_and_overload)
+
+// A version that rolls out and is bad is stopped without an operator, and
+// sessions and traffic go back to the last good one.
+BOOST_AUTO_TEST_CASE(a_bad_roll_out_is_stopped_by_the_guard) {
+  world World;
+  World.startUsual();
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  for (const char *Name : {"a", "b"})
+    World.steerEngine(*World.Sidecars[Name]->Engine,
+                      {{"qualities", {{"olive-llm@2", 0.3}}}});
+  json Template = {{"candidates", {"olive-llm"}},
+                   {"policy", {{"kind", "cheapest"}}}};
+  World.putObject("template", "plan", Template);
+  json Model = modelWith("active", "rolling");
+  Model["versions"]["2"]["exposure_budget"] = 25;
+  World.putObject("model", "olive-llm", Model);
+  auto State = [&] {
+    json Versions = World.operators("GET", "/v1/versions");
+    for (const json &Version : Versions["versions"])
+      if (Version["version"] == "2")
+        return Version;
+    return json();
+  };
+  int OnBad = 0;
+  int Sent = 0;
+  World.until(
+      "the guard stops the version",
+      [&] {
+        for (int I = 0; I < 10; ++I) {
+          caller_answer Answer = World.call(
+              Entry, {.Body = chatBody("plan", "n" + std::to_string(Sent++))});
+          BOOST_TEST(Answer.Status == 200);
+          OnBad += Answer.version() == "2" ? 1 : 0;
+        }
+        return State()["state"] == "stopped";
+      },
+      40);
+  BOOST_TEST_MESSAGE("answers by the bad version: " << OnBad << " of " << Sent);
+  // Its budget, and what ratings earned before they told against it.
+  BOOST_TEST(OnBad <= 60);
+  caller_answer After = World.call(Entry, {.Body = chatBody("plan", "x")});
+  BOOST_TEST(After.version() == "1");
+}
+
+// A burst far above capacity: goodput during it, and after it all is as before.
+BOOST_AUTO_TEST_CASE(an_overload_does_not_stick) {
+  world World;
+  World.startUsual(1);
+  json Config = World.usualConfig();
+  for (const char *Name : {"a", "b"})
+    Config["upstreams"][Name]["slots"] = 4;
+  World.apply(Config);
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  struct goodput {
+    int Good = 0;
+    int NotRun = 0;
+    int Other = 0;
+  };
+  auto Drive = [&](int Count, size_t AtOnce) {
+    goodput Result;
+    std::vector<std::shared_ptr<caller_answer>> Open;
+    int Sent = 0;
+    while (Result.Good + Result.NotRun + Result.Other < Count) {
+      while (Sent < Count && Open.size() < AtOnce) {
+        Open.push_back(
+            World.begin(Entry, {.Body = chatBody("plan", "first=20 tokens=2"),
+                                .Headers = {"X-Deadline-Ms: 800"}}));
+        ++Sent;
+      }
+      World.run(0.01);
+      std::erase_if(Open, [&](const auto &Answer) {
+        if (!Answer->Done)
+          return false;
+        if (Answer->Status == 200)
+          ++Result.Good;
+        else if (Answer->outcome() == "not-run")
+          ++Result.NotRun;
+        else
+          ++Result.Other;
+        return true;
+      });
+    }
+    return Result;
+  };
+  auto Started = [&] {
+    uint64_t Sum = 0;
+    for (const char *Name : {"a", "b"})
+      Sum +=
+          World.engineCounts(*World.Sidecars[Name])["started"].get<uint64_t>();
+    return Sum;
+  };
+  goodput Before = Drive(60, 4);
+  uint64_t StartedBefore = Started();
+  goodput During = Drive(1500, 900);
+  uint64_t Ran = Started() - StartedBefore;
+  goodput After = Drive(60, 4);
+  BOOST_TEST_MESSAGE("good before "
+                     << Before.Good << "/60, during " << During.Good
+                     << "/1500 (not run " << During.NotRun << ", other "
+                     << During.Other << ", started at engines " << Ran
+                     << "), after " << After.Good << "/60");
+  BOOST_TEST(Before.Good == 60);
+  BOOST_TEST(During.Good > 100);
+  BOOST_TEST(After.Good == 60);
+  // Every "not run" is held against what the engines started.
+  BOOST_TEST(Ran <= uint64_t(During.Good + During.Other));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "catalog/node_copy.h"
 #include "control/node_table.h"
+#include "ctl/config_file.h"
 #include "daemon/settings.h"
 #include "entry/chat_request.h"
 #include "google/protobuf/stubs/logging.h"
@@ -19,6 +20,7 @@
 #include "sidecar/attempt_table.h"
 #include "sidecar/engine.h"
 #include "tests/temporary_folder.h"
+#include <array>
 #include <fstream>
 
 using namespace olivevalve;
@@ -540,6 +542,58 @@
   BOOST_TEST(!loadSettings(Folder.path() + "/none.json").ok());
 }
 
+BOOST_AUTO_TEST_CASE(name_the_line_of_each_fault) {
+  temporary_folder Folder;
+  std::string Path = Folder.path() + "/s.json";
+  std::ofstream(Path) << R"({
+  "node": "n", // a comment, with "quotes": and {braces}
+  "data_hall": "h",
+  /* and
+     another */
+  "control_members": [
+    {"id": 1, "address": "127.0.0.1:1"},
+    {"id": 1, "address": "nowhere"}
+  ],
+  "entry": {
+    "address": "127.0.0.1:5",
+    "max_body_bytes": 1
+  }
+})";
+  auto Settings = loadSettings(Path);
+  BOOST_REQUIRE(!Settings.ok());
+  std::string Message(messageOf(Settings.status()));
+  for (const char *Says : {"line 8: control_members[1].address: is 'nowhere'",
+                           "line 8: control_members[1].id: 1 is used twice",
+                           "line 12: entry.max_body_bytes: is 1, must be from"})
+    BOOST_TEST(Message.find(Path + ": " + Says) != std::string::npos, Message);
+
+  std::ofstream(Path) << R"({
+  "models": {"m.1": {"versions": {"2.0": {}}}},
+  "accounts": {
+    "a": {"models": ["m.1"],
+          "concurrent": 0},
+    "b": {"models": ["none"]}
+  }
+})";
+  auto Check = [&] {
+    auto File = loadConfigFile(Path);
+    BOOST_REQUIRE(File.ok());
+    return std::string(messageOf(checkConfig(*File)));
+  };
+  std::string Fault = Check();
+  BOOST_TEST(Fault.starts_with(Path + ": line 5: account/a.concurrent: is 0"),
+             Fault);
+  std::ofstream(Path) << R"({
+  "models": {"m": {"versions": {"2.0": {}}}},
+  "accounts": {
+    "b": {"models": ["none"]}
+  }
+})";
+  Fault = Check();
+  BOOST_TEST(Fault.starts_with(Path + ": line 4: account/b: models: no model"),
+             Fault);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Random and broken bytes on every parser: nothing may crash. The seeds are
@@ -578,12 +632,13 @@
                 *Command.mutable_change() =
                     put("model", "m", R"({"versions":{"1":{}}})");
               }));
-  const std::string Documents[] = {
+  const std::array<std::string, KindNames.size()> Documents = {
       R"({"versions":{"1":{"state":"rolling","input_price":2}}})",
       R"({"candidates":["m@1"],"policy":{"kind":"split","weights":[1]}})",
       R"({"models":["m"],"templates":{"t":{"priority":1}}})",
       R"({"address":"127.0.0.1:1","data_hall":"h","versions":["m@1"]})",
-      R"({"path_prefix":"/x/","repeatable_methods":["GET"]})"};
+      R"({"path_prefix":"/x/","repeatable_methods":["GET"]})",
+      R"({"draining":true})"};
   std::string Chat = R"({"model":"m","messages":[{"content":"x"}]})";
   int Accepted = 0;
   for (int I = 0; I < 20000; ++I) {
@@ -594,6 +649,9 @@
             ? 1
             : 0;
     Accepted += parseChatRequest(mutate(Chat, Random)).ok() ? 1 : 0;
+    std::string File = mutate(Documents[Kind], Random);
+    if (parseJson(File, "file").ok())
+      Accepted += field_lines(File).lineOf("versions.1") == 1 ? 1 : 0;
     usage_scanner Scanner;
     Scanner.feed(mutate("{\"usage\":{\"prompt_tokens\":1}}", Random));
     Scanner.usage();
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -45,6 +45,23 @@
       .dump();
 }
 
+caller_request booking(const std::string &Key, int Milliseconds) {
+  return {.Path = "/ledger/assignments",
+          .Body = "{\"note\":\"first=" + std::to_string(Milliseconds) + "\"}",
+          .Headers = {"Idempotency-Key: " + Key}};
+}
+
+json modelWith(const std::string &State1, const std::string &State2) {
+  return {
+      {"versions",
+       {{"1", {{"state", State1}, {"input_price", 1}, {"output_price", 2}}},
+        {"2", {{"state", State2}, {"input_price", 1}, {"output_price", 2}}}}}};
+}
+
+uint64_t runsOf(const json &Counts, const std::string &Key) {
+  return Counts["runs"].value("service " + Key, uint64_t(0));
+}
+
 daemon_process::daemon_process(std::string NewName, std::string NewFolder,
                                json NewSettings)
     : Name(std::move(NewName)), Folder(std::move(NewFolder)),
@@ -323,6 +340,7 @@
                    {"entry",
                     {{"address", Node->Address.text()},
                      {"rating_url", "http://" + Ratings->address()}}}};
+  Settings["entry"].update(EntrySettings);
   Settings.update(ExtraSettings);
   Node->Process =
       std::make_unique<daemon_process>(Name, Folder.path(), Settings);
@@ -411,6 +429,35 @@
   }
 }
 
+ctl_result world::ctl(const std::vector<std::string> &Arguments) {
+  std::string Addresses;
+  for (auto &Node : Control)
+    Addresses += (Addresses.empty() ? "" : ",") + Node->Operators.text();
+  std::vector<std::string> Words = {"olivevalvectl", "-c", Addresses};
+  Words.insert(Words.end(), Arguments.begin(), Arguments.end());
+  std::vector<char *> Raw;
+  for (std::string &Word : Words)
+    Raw.push_back(Word.data());
+  Raw.push_back(nullptr);
+  std::string Path = Folder.path() + "/ctl.out";
+  pid_t Pid = fork();
+  if (Pid == 0) {
+    int File = open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    dup2(File, STDOUT_FILENO);
+    dup2(File, STDERR_FILENO);
+    execv(OLIVEVALVECTL, Raw.data());
+    _exit(127);
+  }
+  // The loop goes on meanwhile: paths between processes run in it.
+  int Status = 0;
+  until("olivevalvectl ends",
+        [&] { return waitpid(Pid, &Status, WNOHANG) == Pid; });
+  std::ifstream File(Path);
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return {WIFEXITED(Status) ? WEXITSTATUS(Status) : -1, Text.str()};
+}
+
 void world::untilReady(const reserved_address &Health) {
   until("a node is ready", [&] { return ready(Health); });
 }
--- a/tests/world.h
+++ b/tests/world.h
@@ -61,6 +61,21 @@
 std::string chatBody(const std::string &Model, const std::string &Prompt,
                      bool Stream = false);
 
+/// What the operators' client printed, and how it ended.
+struct ctl_result {
+  int ExitCode = -1;
+  std::string Text;
+};
+
+/// A booking at the plain service that takes so long.
+caller_request booking(const std::string &Key, int Milliseconds = 0);
+
+/// Model olive-llm with the states of its versions 1 and 2.
+json modelWith(const std::string &State1, const std::string &State2);
+
+/// Runs of a booking at the stand-in service, from its counts.
+uint64_t runsOf(const json &Counts, const std::string &Key);
+
 class daemon_process {
 public:
   daemon_process(std::string Name, std::string Folder, json Settings);
@@ -143,6 +158,8 @@
   /// Calls control, following the leader; null if none answers.
   json operators(const std::string &Method, const std::string &Path,
                  const json &Body = {}, double Seconds = 20);
+  /// Runs olivevalvectl against all control VMs.
+  ctl_result ctl(const std::vector<std::string> &Arguments);
   json engineCounts(const sidecar_node &Sidecar);
   json steerEngine(const stand_in &Engine, const json &Body);
   bool ready(const reserved_address &Health);
@@ -159,6 +176,8 @@
 
   /// Added to the settings of every process started from now on.
   json ExtraSettings = json::object();
+  /// Added to the settings of the entry role.
+  json EntrySettings = json::object();
   struct ev_loop *Loop;
   temporary_folder Folder;
   std::vector<std::unique_ptr<control_node>> Control;
