Keep the text of a streamed answer for its rating, not its events

The service was also given raw events to rate.

Change: the text is taken out while it passes, without parsing the event.

--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -17,8 +17,6 @@
 constexpr uint32_t FirstCredits = 32;
 // An answer that is not streamed is held whole before it is given.
 constexpr size_t MostAnswerBytes = 16 << 20;
-// Of a streamed answer, kept for the rating service.
-constexpr size_t RatedBytes = 16 << 10;
 // After its deadline a request waits this long for the truth on "not run".
 constexpr double DeadlineGraceSeconds = 0.25;
 // The rating between the halves of a cascade must not eat the caller's time.
@@ -180,6 +178,7 @@
   Accepted = false;
   NextSequence = 0;
   Answer.clear();
+  Streamed.clear();
   SentTo = Context.Pool.incarnation(Upstream);
   Context.Pool.attemptStarted(Upstream);
   InFlight = true;
@@ -332,8 +331,8 @@
     Context.Pool.send(Upstream, Message);
     return;
   }
-  if (Answer.size() < RatedBytes)
-    Answer += Frame.data();
+  if (Context.Rater.enabled())
+    Streamed.feed(Frame.data());
   if (!Streaming) {
     Streaming = true;
     std::weak_ptr<request_task> Weak = shared_from_this();
@@ -485,6 +484,15 @@
           .Version = Used};
 }
 
+rated_answer request_task::rateRequest(uint64_t Micros) const {
+  rated_answer Ask = ratedAnswer(Version);
+  Ask.Question =
+      Facts.Chat.Body.dump(-1, ' ', false, json::error_handler_t::replace);
+  Ask.Answer = Streaming ? Streamed.text() : textOfAnswer(Answer);
+  Ask.Cost = double(Micros) * 1e-6;
+  return Ask;
+}
+
 void request_task::answered(const wire::usage &Usage) {
   wire::bill_item *Item = Bill.add_items();
   Item->set_model(Facts.isChat() ? Version.Model : Facts.Service);
@@ -497,11 +505,7 @@
   if (Rated && Arm.isCascade() && !OnSecond)
     return rateFirst();
   if (Rated) {
-    rated_answer Ask = ratedAnswer(Version);
-    Ask.Question =
-        Facts.Chat.Body.dump(-1, ' ', false, json::error_handler_t::replace);
-    Ask.Answer = Answer;
-    Ask.Cost = double(Item->cost_micros()) * 1e-6;
+    rated_answer Ask = rateRequest(Item->cost_micros());
     auto Self = shared_from_this();
     bool WasCascade = Arm.isCascade();
     Context.Rater.rate(Ask, LateRatingSeconds,
@@ -520,11 +524,7 @@
 // Between the halves of a cascade: a good first answer ends it.
 void request_task::rateFirst() {
   Stage = stage::Rating;
-  rated_answer Ask = ratedAnswer(Version);
-  Ask.Question =
-      Facts.Chat.Body.dump(-1, ' ', false, json::error_handler_t::replace);
-  Ask.Answer = Answer;
-  Ask.Cost = double(CostMicros) * 1e-6;
+  rated_answer Ask = rateRequest(CostMicros);
   double Threshold = escalationThreshold(
       {.QualityTarget = Facts.QualityTarget, .Policy = Facts.Policy});
   double Left = Facts.Deadline - steadySeconds();
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -11,6 +11,7 @@
 
 #include "base/error.h"
 #include "base/metrics.h"
+#include "entry/answer_text.h"
 #include "entry/chat_request.h"
 #include "entry/rater.h"
 #include "entry/sessions.h"
@@ -143,6 +144,8 @@
   void refuse(error_kind Kind, const std::string &Message);
   void finishTask();
   rated_answer ratedAnswer(const version_name &Version) const;
+  /// The same with question and answer, for the rating service.
+  rated_answer rateRequest(uint64_t Micros) const;
   bool claimed() const { return !Facts.Key.empty(); }
 
   entry_context &Context;
@@ -168,7 +171,8 @@
   int Status = 0;
   std::string ContentType;
   bool Streaming = false;  ///< Bytes have gone to the caller.
-  std::string Answer;      ///< Not streamed, or the start of it for rating.
+  std::string Answer;      ///< Not streamed: all of it.
+  answer_text Streamed;    ///< Streamed: its text, for the rating service.
   std::string FirstAnswer; ///< Of a cascade's first version.
   wire::bill Bill;
   uint64_t CostMicros = 0;
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -9,6 +9,7 @@
 #include "control/node_table.h"
 #include "ctl/config_file.h"
 #include "daemon/settings.h"
+#include "entry/answer_text.h"
 #include "entry/chat_request.h"
 #include "google/protobuf/stubs/logging.h"
 #include "ledger/state_machine.h"
@@ -488,6 +489,31 @@
   BOOST_TEST(!chooseArm(Question, None, Random));
 }
 
+BOOST_AUTO_TEST_CASE(the_text_of_an_answer_wherever_it_is_cut) {
+  std::string Stream;
+  for (const char *Token : {R"(\u00e9t\u00e9)", R"( \"two\")", R"(\\)", " end"})
+    Stream += std::string("data: {\"choices\":[{\"delta\":{\"content\": \"") +
+              Token + "\"}}]}\n\n";
+  Stream += ": a comment with \"content\":\"no\"\n\n"
+            "data: {\"choices\":[{\"delta\":{\"content\":null}}]}\r\n\r\n"
+            "data: [DONE]\n\n";
+  const std::string Wanted = "\xc3\xa9t\xc3\xa9 \"two\"\\ end";
+  for (size_t Size = 1; Size <= Stream.size(); ++Size) {
+    answer_text Text;
+    for (size_t At = 0; At < Stream.size(); At += Size)
+      Text.feed(std::string_view(Stream).substr(At, Size));
+    BOOST_REQUIRE_EQUAL(Text.text(), Wanted);
+  }
+  answer_text Long;
+  std::string Token(1000, 'x');
+  for (int I = 0; I < 100; ++I)
+    Long.feed("data: {\"content\":\"" + Token + "\"}\n");
+  BOOST_TEST(Long.text().size() == 16000U);
+  BOOST_TEST(textOfAnswer(R"({"choices":[{"message":{"content":"hi"}}]})") ==
+             "hi");
+  BOOST_TEST(textOfAnswer("{\"choices\":[]}") == "{\"choices\":[]}");
+}
+
 BOOST_AUTO_TEST_CASE(body_and_directives_of_a_chat_request) {
   BOOST_TEST(parseChatRequest(R"({"model":"m","messages":[{}]})").ok());
   for (const char *Bad : {"", "[]", "{}", R"({"model":1,"messages":[{}]})",
