Never say 'not run' of a request whose earlier attempt may have run

Cause: a request that may be repeated was tried at one upstream, the answer broke off, and no other upstream was left: the caller heard 503 no_upstream, not-run, though the engine had worked on it. The same held for a deadline that passed while a second attempt waited.

Change: once an attempt has failed after it may have started, a refusal says 'unknown' (engine_failed, deadline_exceeded_unknown). Tests: that table; every fault of the proxy between entry and sidecars, half-close and drip among them; an entry that dies between claim and send; a full disk of follower and leader in the running system (a file size limit no longer ends the process by a signal).

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -71,6 +71,8 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  // A limit on file sizes is a failed write like any other.
+  std::signal(SIGXFSZ, SIG_IGN);
   curl_global_init(CURL_GLOBAL_DEFAULT);
   startLog({Settings->Node, Settings->roles(), Settings->DataHall},
            Settings->LogLevel);
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -383,6 +383,7 @@
     return refuse(error_kind::OutcomeUnknown, Message);
   }
   cancelAttempt(false);
+  MayHaveRun = true;
   if (Streaming) {
     endAttempt();
     return refuse(Kind, Message);
@@ -595,7 +596,16 @@
   return Headers;
 }
 
+// The last attempt may be known not to have run; the one before it need not.
+error_kind request_task::truthful(error_kind Kind) const {
+  if (!MayHaveRun || answerFor(Kind).Outcome != outcome::NotRun)
+    return Kind;
+  return Kind == error_kind::DeadlineExceeded ? error_kind::DeadlineUnknown
+                                              : error_kind::EngineFailed;
+}
+
 void request_task::refuse(error_kind Kind, const std::string &Message) {
+  Kind = truthful(Kind);
   // A cascade that cannot go on still has its first answer.
   if (OnSecond && !FirstAnswer.empty()) {
     Answer = std::move(FirstAnswer);
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -141,6 +141,7 @@
   void deliver();
   void noteCompleted();
   std::vector<http_header> headers() const;
+  error_kind truthful(error_kind Kind) const;
   void refuse(error_kind Kind, const std::string &Message);
   void finishTask();
   rated_answer ratedAnswer(const version_name &Version) const;
@@ -163,6 +164,7 @@
   uint32_t Tries = 0;
   int PinTries = 0;
   bool InFlight = false; ///< Counted at the pool.
+  bool MayHaveRun = false; ///< An earlier attempt started, or may have.
   bool Accepted = false;
   double SentAt = 0;
   double FirstFrameAt = 0;
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -5,6 +5,7 @@
 #include "tests/world.h"
 #include <algorithm>
 #include <filesystem>
+#include <sys/resource.h>
 
 using namespace olivevalve;
 
@@ -176,4 +177,47 @@
   BOOST_TEST(Objects["objects"].size() == 4U);
 }
 
+// A disk that is full ends the VM's process with a clear word; what was
+// accepted stays, the others go on, and with room again it takes part again.
+BOOST_AUTO_TEST_CASE(a_full_disk_stops_one_vm_and_loses_nothing) {
+  world World;
+  World.startControl(3);
+  uint64_t Objects = 0;
+  auto Put = [&] {
+    // The padding makes the log the largest file of the process.
+    json Padded = {
+        {"versions", {{"1", {{"engine_model", std::string(20000, 'x')}}}}}};
+    json Answer =
+        World.putObject("model", "m" + std::to_string(++Objects), Padded);
+    BOOST_TEST(Answer.value("in_force", false), Answer.dump());
+  };
+  for (bool LeaderFull : {false, true}) {
+    BOOST_TEST_CONTEXT((LeaderFull ? "the leader's" : "a follower's")) {
+      for (int I = 0; I < 5; ++I)
+        Put();
+      control_node &Leader = World.leader();
+      control_node &Full = LeaderFull || &Leader != World.Control[0].get()
+                               ? (LeaderFull ? Leader : *World.Control[0])
+                               : *World.Control[1];
+      uint64_t Largest = 0;
+      for (const auto &File : std::filesystem::directory_iterator(Full.Folder))
+        if (File.is_regular_file())
+          Largest = std::max<uint64_t>(Largest, File.file_size());
+      rlimit Limit{Largest + 1000, Largest + 1000};
+      BOOST_REQUIRE(
+          prlimit(Full.Process->pid(), RLIMIT_FSIZE, &Limit, nullptr) == 0);
+      Put();
+      World.until("the process ends", [&] { return !Full.Process->running(); });
+      BOOST_TEST(Full.Process->exitCode() == 3);
+      BOOST_TEST(Full.Process->logText().find("storage failed") !=
+                 std::string::npos);
+      Put();
+      Full.Process->start();
+      World.untilAllVote();
+    }
+  }
+  json Kept = World.operators("GET", "/v1/objects?kind=model");
+  BOOST_TEST(Kept["objects"].size() == Objects);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -131,4 +131,29 @@
   BOOST_TEST(runsOf(World.engineCounts(Sidecar), "lost") == 1U);
 }
 
+// The claim stands, the attempt has not come to the sidecar, and the only one
+// who knew of it is dead: another entry finds out that it never started.
+BOOST_AUTO_TEST_CASE(whose_entry_dies_between_claim_and_send) {
+  world World;
+  World.startUsual();
+  sidecar_node &Sidecar = *World.Sidecars["led"];
+  uint64_t Before = World.statusOf(World.leader())["claims"];
+  Sidecar.Path->set(proxy_fault::HoleToServer);
+  auto First = World.begin(World.Entries["entry-1"]->Address.text(),
+                           booking("orphan", 0));
+  World.until("the claim is committed", [&] {
+    return World.statusOf(World.leader())["claims"] == Before + 1;
+  });
+  World.Entries["entry-1"]->Process->kill();
+  Sidecar.Path->set(proxy_fault::Cut);
+  Sidecar.Path->set(proxy_fault::None);
+  BOOST_TEST(runsOf(World.engineCounts(Sidecar), "orphan") == 0U);
+  World.until("the caller gets its booking", [&] {
+    caller_answer Again = World.call(World.Entries["entry-2"]->Address.text(),
+                                     booking("orphan", 0));
+    return Again.Status == 200;
+  });
+  BOOST_TEST(runsOf(World.engineCounts(Sidecar), "orphan") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/system/paths_test.cpp
@@ -0,0 +1,265 @@
+//===- paths_test.cpp - Faults between an entry and its sidecars ----------===//
+
+#include "boost/test/unit_test.hpp"
+#include "net/link.h"
+#include "tests/world.h"
+#include <algorithm>
+#include <set>
+
+using namespace olivevalve;
+
+namespace {
+
+/// One message of a sidecar that answers an attempt in its own way.
+struct rough_step {
+  enum class kind : uint8_t { Frame, End } Kind;
+  uint32_t Number;           ///< Of the frame, or how many the end counts.
+  bool OfAnotherOne = false; ///< Under the id of another request.
+  bool OfAnEarlierTry = false;
+};
+
+struct rough_case {
+  const char *What;
+  std::vector<rough_step> Steps;
+  bool Whole; ///< Whether the caller gets an answer; else an error.
+};
+
+constexpr std::array<std::string_view, 4> Pieces = {"one ", "two ", "three",
+                                                    "four"};
+
+/// Speaks to entries as a sidecar does and answers by the steps it is given.
+class rough_sidecar {
+public:
+  explicit rough_sidecar(world &World)
+      : Server(Context, World.Loop,
+               [this](const std::string &Peer, const wire::envelope &Message) {
+                 receive(Peer, Message);
+               }),
+        Timer(World.Loop, [this] { sayNews(); }) {
+    BOOST_REQUIRE(Server.bind("127.0.0.1:0"));
+    Timer.startRepeating(0.5);
+  }
+  std::string address() const { return Server.address(); }
+
+  std::vector<rough_step> Steps;
+
+private:
+  void receive(const std::string &Peer, const wire::envelope &Message) {
+    if (Message.has_hello()) {
+      Peers.insert(Peer);
+      sayNews();
+    }
+    if (Message.has_attempt())
+      answer(Peer, Message.attempt().id());
+  }
+
+  void sayNews() {
+    wire::envelope Message;
+    Message.mutable_news()->set_upstream("rough");
+    Message.mutable_news()->set_incarnation(7);
+    Message.mutable_news()->set_has_lease(true);
+    Message.mutable_news()->set_slots(8);
+    for (const std::string &Peer : Peers)
+      Server.send(Peer, Message);
+  }
+
+  void answer(const std::string &Peer, const wire::attempt_id &Id) {
+    wire::envelope Head;
+    *Head.mutable_head()->mutable_id() = Id;
+    Head.mutable_head()->set_status(200);
+    Head.mutable_head()->set_content_type("text/event-stream");
+    Server.send(Peer, Head);
+    for (const rough_step &Step : Steps) {
+      wire::attempt_id Of = Id;
+      if (Step.OfAnotherOne)
+        Of.set_request(Id.request() + 1000);
+      if (Step.OfAnEarlierTry)
+        Of.set_number(Id.number() - 1);
+      bool Wrong = Step.OfAnotherOne || Step.OfAnEarlierTry;
+      wire::envelope Message;
+      if (Step.Kind == rough_step::kind::End) {
+        *Message.mutable_end()->mutable_id() = Of;
+        Message.mutable_end()->set_frames(Step.Number);
+      } else {
+        *Message.mutable_frame()->mutable_id() = Of;
+        Message.mutable_frame()->set_sequence(Step.Number);
+        Message.mutable_frame()->set_data(
+            Wrong ? "WRONG" : std::string(Pieces[Step.Number]));
+      }
+      Server.send(Peer, Message);
+    }
+  }
+
+  link_context Context;
+  server_link Server;
+  std::set<std::string> Peers;
+  timer Timer;
+};
+
+constexpr auto Frame = rough_step::kind::Frame;
+constexpr auto End = rough_step::kind::End;
+
+const std::vector<rough_step> Right = {
+    {Frame, 0}, {Frame, 1}, {Frame, 2}, {End, 3}};
+
+const rough_case RoughCases[] = {
+    {"frames of another request between",
+     {{Frame, 0}, {Frame, 1, true}, {Frame, 1}, {Frame, 2}, {End, 3}},
+     true},
+    {"frames of an earlier try between",
+     {{Frame, 0}, {Frame, 1, false, true}, {Frame, 1}, {Frame, 2}, {End, 3}},
+     true},
+    {"the end of another request first",
+     {{End, 0, true}, {Frame, 0}, {Frame, 1}, {Frame, 2}, {End, 3}},
+     true},
+    {"a late frame after the end",
+     {{Frame, 0}, {Frame, 1}, {Frame, 2}, {End, 3}, {Frame, 3}},
+     true},
+    {"a frame twice",
+     {{Frame, 0}, {Frame, 0}, {Frame, 1}, {Frame, 2}, {End, 3}},
+     false},
+    {"a frame missing", {{Frame, 0}, {Frame, 2}, {End, 2}}, false},
+    {"two frames swapped",
+     {{Frame, 0}, {Frame, 2}, {Frame, 1}, {End, 3}},
+     false},
+    {"the last frame missing", {{Frame, 0}, {Frame, 1}, {End, 3}}, false},
+    {"an end that counts too few",
+     {{Frame, 0}, {Frame, 1}, {Frame, 2}, {End, 2}},
+     false},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(paths)
+
+// A caller gets the whole answer to its own request or an error, whatever
+// comes from the sidecar.
+BOOST_AUTO_TEST_CASE(frames_crossed_doubled_or_missing_are_no_answer) {
+  world World;
+  World.startUsual(1);
+  rough_sidecar Rough(World);
+  json Config = World.usualConfig();
+  Config["models"]["rough"] = {{"versions", {{"1", json::object()}}}};
+  Config["accounts"]["dispatch"]["models"] = {"olive-llm", "rough"};
+  Config["upstreams"]["rough"] = {{"address", Rough.address()},
+                                  {"data_hall", "charguia"},
+                                  {"versions", {"rough@1"}}};
+  BOOST_REQUIRE(World.apply(Config).value("in_force", false));
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  auto Ask = [&](bool Stream) {
+    return World.ask(Entry, {.Body = chatBody("rough", "x", Stream)});
+  };
+  for (const rough_case &Case : RoughCases)
+    for (bool Stream : {false, true}) {
+      BOOST_TEST_CONTEXT(Case.What << (Stream ? ", streamed" : ", plain")) {
+        Rough.Steps = Case.Steps;
+        caller_answer Answer = Ask(Stream);
+        if (Case.Whole) {
+          BOOST_TEST(Answer.Status == 200);
+          BOOST_TEST(Answer.Error == "");
+          BOOST_TEST(Answer.Body == "one two three");
+        } else {
+          bool Broken = Answer.Error != "" || Answer.outcome() == "unknown";
+          BOOST_TEST(Broken, Answer.Status << " " << Answer.Body);
+        }
+        BOOST_TEST(Answer.Body.find("WRONG") == std::string::npos);
+        // A good answer between closes the breaker.
+        Rough.Steps = Right;
+        BOOST_TEST(Ask(Stream).Body == "one two three");
+      }
+    }
+}
+
+struct path_fault {
+  const char *What;
+  proxy_fault Fault;
+};
+
+// Every fault on the way to one engine and to the service: what callers are
+// told is held against what ran.
+BOOST_AUTO_TEST_CASE(faults_on_the_way_leave_only_true_answers) {
+  const path_fault Cases[] = {
+      {"cut", proxy_fault::Cut},
+      {"a hole both ways", proxy_fault::Hole},
+      {"a hole towards the sidecar", proxy_fault::HoleToServer},
+      {"a hole towards the entry", proxy_fault::HoleToClient},
+      {"half closed", proxy_fault::HalfClose},
+      {"dripping", proxy_fault::Drip},
+      {"slow", proxy_fault::Slow},
+  };
+  world World;
+  World.startUsual(1);
+  sidecar_node &Service = *World.Sidecars["led"];
+  int Booking = 0;
+  for (const path_fault &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.What) {
+      std::map<std::string, std::shared_ptr<caller_answer>> Bookings;
+      std::map<int, std::shared_ptr<caller_answer>> Plain;
+      std::vector<std::shared_ptr<caller_answer>> Streams;
+      auto SendAll = [&] {
+        for (auto &[Name, Node] : World.Entries) {
+          std::string Entry = Node->Address.text();
+          std::string Key = "path-" + std::to_string(++Booking);
+          caller_request Book = booking(Key, 30);
+          Book.Headers.push_back("X-Deadline-Ms: 4000");
+          Bookings[Key] = World.begin(Entry, Book);
+          int Tokens = 2 + int(Plain.size());
+          Plain[Tokens] = World.begin(
+              Entry,
+              {.Body = chatBody("plan", "tokens=" + std::to_string(Tokens)),
+               .Headers = {"X-Deadline-Ms: 4000"}});
+          Streams.push_back(World.begin(
+              Entry, {.Body = chatBody("plan", "tokens=20 gap=5", true),
+                      .Headers = {"X-Deadline-Ms: 4000"}}));
+        }
+      };
+      SendAll();
+      World.run(0.05);
+      for (const char *Name : {"a", "led"})
+        World.Sidecars[Name]->Path->set(Case.Fault);
+      SendAll();
+      auto AllDone = [](const auto &Answers) {
+        return std::all_of(Answers.begin(), Answers.end(),
+                           [](const auto &A) { return A.second->Done; });
+      };
+      World.until("all have an answer", [&] {
+        return AllDone(Bookings) && AllDone(Plain) &&
+               std::all_of(Streams.begin(), Streams.end(),
+                           [](const auto &A) { return A->Done; });
+      });
+      for (const char *Name : {"a", "led"})
+        World.Sidecars[Name]->Path->set(proxy_fault::None);
+      json Counts = World.engineCounts(Service);
+      int Served = 0;
+      for (const auto &[Key, Answer] : Bookings) {
+        uint64_t Runs = runsOf(Counts, Key);
+        BOOST_TEST(Runs <= 1U);
+        BOOST_TEST((Answer->Status != 200 || Runs == 1));
+        BOOST_TEST((Answer->outcome() != "not-run" || Runs == 0));
+        Served += Answer->Status == 200 ? 1 : 0;
+      }
+      for (const auto &[Tokens, Answer] : Plain) {
+        Served += Answer->Status == 200 ? 1 : 0;
+        if (Answer->Status == 200)
+          BOOST_TEST(json::parse(Answer->Body)["usage"]["completion_tokens"] ==
+                     Tokens);
+      }
+      for (const auto &Answer : Streams) {
+        Served += Answer->Status == 200 && Answer->Error.empty() ? 1 : 0;
+        if (Answer->Status == 200 && Answer->Error.empty())
+          BOOST_TEST(Answer->Body.ends_with("data: [DONE]\n\n"));
+      }
+      BOOST_TEST_MESSAGE(Case.What << ": served " << Served << " of 12");
+      for (auto &[Name, Node] : World.Entries)
+        World.until("it serves as before", [&] {
+          std::string Entry = Node->Address.text();
+          return World.call(Entry, booking("path-" + std::to_string(++Booking)))
+                         .Status == 200 &&
+                 World.call(Entry, {.Body = chatBody("plan", "x")}).Status ==
+                     200;
+        });
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
