End a bad version only where it is bad

Change: ratings part by template and by account, so the bets of all are the product of the parts. A part whose own bets tell against it is ended alone if the rest, multiplied, looks good over 10 ratings; else the version is ended whole as before. stopped_for in the model's document; entries keep to it, also for sessions; an operator overrules it.

--- a/catalog/document.cpp
+++ b/catalog/document.cpp
@@ -44,6 +44,10 @@
   Reader.number("output_price", Version.OutputPrice, PriceRange);
   Reader.text("engine_model", Version.EngineModel);
   Reader.number("exposure_budget", Version.ExposureBudget, {1, 1e6});
+  Reader.object("stopped_for", [&](object_reader &Scopes) {
+    Scopes.texts("templates", Version.StoppedFor.Templates);
+    Scopes.texts("accounts", Version.StoppedFor.Accounts);
+  });
   Reader.finish();
   return Version;
 }
@@ -210,6 +214,15 @@
                      });
 }
 
+bool stopped_scopes::covers(const std::string &Template,
+                            const std::string &Account) const {
+  auto Has = [](const std::vector<std::string> &Names,
+                const std::string &Name) {
+    return std::find(Names.begin(), Names.end(), Name) != Names.end();
+  };
+  return Has(Templates, Template) || Has(Accounts, Account);
+}
+
 uint64_t costMicros(const version_spec &Version, const wire::usage &Usage) {
   uint32_t Cached = std::min(Usage.input_tokens(), Usage.cached_tokens());
   double Fresh = double(Usage.input_tokens() - Cached);
--- a/catalog/document.h
+++ b/catalog/document.h
@@ -45,6 +45,13 @@
          State == version_state::Paused;
 }
 
+/// Where the roll-out guard has ended a version that is good elsewhere.
+struct stopped_scopes {
+  std::vector<std::string> Templates;
+  std::vector<std::string> Accounts;
+  bool covers(const std::string &Template, const std::string &Account) const;
+};
+
 struct version_spec {
   version_state State = version_state::Active;
   double InputPrice = 0;  ///< Price units per million tokens.
@@ -52,6 +59,7 @@
   double OutputPrice = 0;
   std::string EngineModel; ///< What the engine calls it; default model@version.
   double ExposureBudget = 50; ///< Unrated answers a roll-out may have out.
+  stopped_scopes StoppedFor;
 };
 
 struct model_spec {
--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -257,6 +257,8 @@
       continue;
     if (Report.Verdict == guard_verdict::Stop)
       setVersionState(Report, version_state::Stopped);
+    else if (!Report.Stops.empty())
+      stopScopes(Report);
     if (Report.Verdict == guard_verdict::Settle &&
         Spec->State == version_state::Rolling)
       setVersionState(Report, version_state::Active);
@@ -265,22 +267,46 @@
 
 // The last version that takes new work of its model is never stopped: a poor
 // answer is an operator's decision, no answer at all is not the guard's.
-void control_task::setVersionState(const guard_report &Report,
-                                   version_state State) {
-  const catalog &Config = Log->state().config();
-  const model_spec *Model = Config.model(Report.Name.Model);
-  auto Object = Config.objects().find({"model", Report.Name.Model});
-  auto Others = std::count_if(
+bool control_task::isLastOfItsModel(const version_name &Name) const {
+  const model_spec *Model = Log->state().config().model(Name.Model);
+  return std::none_of(
       Model->Versions.begin(), Model->Versions.end(), [&](const auto &V) {
-        return V.first != Report.Name.Version && takesNewWork(V.second.State);
+        return V.first != Name.Version && takesNewWork(V.second.State);
       });
-  if (State == version_state::Stopped && Others == 0)
+}
+
+void control_task::setVersionState(const guard_report &Report,
+                                   version_state State) {
+  if (State == version_state::Stopped && isLastOfItsModel(Report.Name))
     return;
+  changeVersion(Report, nameOf(State),
+                [State](json &Version) { Version["state"] = nameOf(State); });
+}
+
+void control_task::stopScopes(const guard_report &Report) {
+  if (isLastOfItsModel(Report.Name))
+    return;
+  changeVersion(Report, "stopped for a part", [&](json &Version) {
+    for (const guard_scope &Scope : Report.Stops) {
+      bool IsTemplate = Scope.Kind == guard_scope::scope_kind::Template;
+      Version["stopped_for"][IsTemplate ? "templates" : "accounts"].push_back(
+          Scope.Name);
+    }
+  });
+}
+
+// Commits the guard's change of one version, unless someone else has changed
+// the model meanwhile.
+void control_task::changeVersion(const guard_report &Report,
+                                 std::string_view What,
+                                 const std::function<void(json &)> &Edit) {
+  auto Object =
+      Log->state().config().objects().find({"model", Report.Name.Model});
   std::string Name = Report.Name.text();
   auto Document = parseJson(Object->second.Text, "model");
   if (GuardPending[Name] || !Document.ok())
     return;
-  (*Document)["versions"][Report.Name.Version]["state"] = nameOf(State);
+  Edit((*Document)["versions"][Report.Name.Version]);
   wire::command Command;
   wire::change_set *Set = Command.mutable_change();
   Set->set_change_id(absl::StrCat("guard-", Name, "-", Object->second.Index));
@@ -293,8 +319,9 @@
   Change->set_document(Document->dump());
   logLine(log_level::Warning, "roll-out guard changes a version",
           {{"version", Name},
-           {"state", nameOf(State)},
+           {"change", What},
            {"reason", Report.Reason},
+           {"part", Report.Stops.empty() ? "" : Report.Stops[0].Name},
            {"evidence", Report.Evidence},
            {"ratings", Report.Ratings}});
   GuardPending[Name] = true;
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -9,6 +9,7 @@
 #ifndef OLIVEVALVE_CONTROL_CONTROL_TASK_H
 #define OLIVEVALVE_CONTROL_CONTROL_TASK_H
 
+#include "base/fields.h"
 #include "base/metrics.h"
 #include "control/node_table.h"
 #include "control/operator_api.h"
@@ -58,7 +59,11 @@
   void noteLeadership();
   void tick();
   void guardVersions(double Now);
+  bool isLastOfItsModel(const version_name &Name) const;
   void setVersionState(const guard_report &Report, version_state State);
+  void stopScopes(const guard_report &Report);
+  void changeVersion(const guard_report &Report, std::string_view What,
+                     const std::function<void(json &)> &Edit);
   bool leads(double Now) const { return Log->core().hasLeaderLease(Now); }
 
   struct ev_loop *Loop;
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -273,6 +273,8 @@
       List.push_back({{"model", Model.Name},
                       {"version", Version},
                       {"state", nameOf(Spec.State)},
+                      {"stopped_templates", Spec.StoppedFor.Templates},
+                      {"stopped_accounts", Spec.StoppedFor.Accounts},
                       {"answers", Report.Answers},
                       {"ratings", Report.Ratings},
                       {"evidence_against", Report.Evidence},
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -240,7 +240,12 @@
         if (!Document["versions"].contains(Name.Version))
           return makeError(error_kind::NotFound,
                            Name.text() + ": does not exist");
-        Document["versions"][Name.Version]["state"] = nameOf(Wanted->State);
+        json &Version = Document["versions"][Name.Version];
+        Version["state"] = nameOf(Wanted->State);
+        // The operator overrules the guard.
+        bool Anew = Wanted->Name == "roll-out" || Wanted->Name == "activate";
+        if (Anew)
+          Version.erase("stopped_for");
         return absl::OkStatus();
       });
 }
@@ -250,6 +255,8 @@
                    {{"MODEL", "model"},
                     {"VERSION", "version"},
                     {"STATE", "state"},
+                    {"STOPPED FOR TEMPLATES", "stopped_templates"},
+                    {"AND ACCOUNTS", "stopped_accounts"},
                     {"ANSWERS", "answers"},
                     {"RATINGS", "ratings"},
                     {"EVIDENCE AGAINST", "evidence_against"},
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -70,13 +70,26 @@
   return Spec && takesNewWork(Spec->State) && (Pinned || !Held);
 }
 
+bool request_task::stoppedHere(const version_name &Name) const {
+  const version_spec *Spec = Context.Control.config().version(Name);
+  return Spec && Spec->StoppedFor.covers(Facts.Template, Facts.Account);
+}
+
 double request_task::priorCost(const version_spec &Spec) const {
   double Input = double(Facts.Chat.PromptBytes) / BytesPerToken;
   return (Input * Spec.InputPrice + UsualOutputTokens * Spec.OutputPrice) *
          1e-6;
 }
 
+// Versions that the guard has ended for this template or account are used only
+// when there is no other: a poor answer is better than none.
 std::vector<version_candidate> request_task::candidates() const {
+  std::vector<version_candidate> List = candidates(false);
+  return List.empty() ? candidates(true) : List;
+}
+
+std::vector<version_candidate>
+request_task::candidates(bool WithStopped) const {
   const catalog &Config = Context.Control.config();
   std::vector<version_candidate> List;
   for (const version_name &Name : Facts.Candidates) {
@@ -84,6 +97,9 @@
         !Context.Pool.canServe(need(Name), Config))
       continue;
     const version_spec &Spec = *Config.version(Name);
+    bool Stopped = Spec.StoppedFor.covers(Facts.Template, Facts.Account);
+    if (Stopped && !WithStopped)
+      continue;
     version_candidate Candidate{.Name = Name, .PriorCost = priorCost(Spec)};
     Candidate.Rolling = Spec.State == version_state::Rolling;
     auto Allowance = Context.Allowances.find(Name);
@@ -120,7 +136,7 @@
 void request_task::choosePinned() {
   session_key Key{Facts.Account, Facts.Session, Facts.Template};
   auto Known = Context.Sessions.known(Key);
-  if (Known && versionUsable(*Known, true)) {
+  if (Known && versionUsable(*Known, true) && !stoppedHere(*Known)) {
     Arm = {*Known, {}};
     return run(*Known);
   }
@@ -145,7 +161,9 @@
           return refuse(error_kind::NoLease,
                         "control could not be asked for the session's "
                         "version");
-        if (!versionUsable(*Stands, true) && PinTries < 4)
+        bool Gone = !versionUsable(*Stands, true) ||
+                    (stoppedHere(*Stands) && *Stands != Wanted);
+        if (Gone && PinTries < 4)
           return pin(Wanted, Stands);
         Arm = {*Stands, {}};
         run(*Stands);
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -100,7 +100,10 @@
   };
 
   std::vector<version_candidate> candidates() const;
+  std::vector<version_candidate> candidates(bool WithStopped) const;
   bool versionUsable(const version_name &Name, bool Pinned) const;
+  /// The guard has ended the version for this template or account.
+  bool stoppedHere(const version_name &Name) const;
   upstream_need need(const version_name &Version) const;
   double priorCost(const version_spec &Spec) const;
   std::optional<choice_answer> choose(bool MayCascade);
--- a/ledger/ratings.cpp
+++ b/ledger/ratings.cpp
@@ -115,38 +115,129 @@
 
 void rating_book::reset(const version_name &Name) { Versions.erase(Name); }
 
+// Evidence against all of a version's traffic but what is stopped already and,
+// if given, \p Scope. Ratings part by template and by account: what is stopped
+// of one kind is still in the other's product, so the lower one counts.
+double rating_book::evidenceWithout(const version_spec &Spec,
+                                    const version_record &Record,
+                                    const guard_scope *Scope) {
+  using scope_kind = guard_scope::scope_kind;
+  auto Combined = [&](const scope_tests &Tests, scope_kind Kind,
+                      const std::vector<std::string> &Stopped) {
+    std::vector<const score_test *> Kept;
+    for (const auto &[Name, Test] : Tests) {
+      bool Out =
+          std::find(Stopped.begin(), Stopped.end(), Name) != Stopped.end() ||
+          (Scope && Scope->Kind == Kind && Scope->Name == Name);
+      if (!Out)
+        Kept.push_back(&Test);
+    }
+    return score_test::combined(Kept);
+  };
+  return std::min(Combined(Record.ByTemplate, scope_kind::Template,
+                           Spec.StoppedFor.Templates),
+                  Combined(Record.ByAccount, scope_kind::Account,
+                           Spec.StoppedFor.Accounts));
+}
+
+// True if a version looks good without \p Scope. A settled one has been rated
+// too long for the product of its tests to say so; it is taken to.
+bool rating_book::goodWithout(const version_spec &Spec,
+                              const version_record &Record,
+                              const guard_scope &Scope) {
+  if (Spec.State != version_state::Rolling)
+    return true;
+  const scope_tests &Tests = Scope.Kind == guard_scope::scope_kind::Template
+                                 ? Record.ByTemplate
+                                 : Record.ByAccount;
+  uint64_t Rest =
+      Record.Overall.ratings() - Tests.find(Scope.Name)->second.ratings();
+  return Rest >= Guard.RestRatings && evidenceWithout(Spec, Record, &Scope) < 1;
+}
+
+// The one template or account without which a rolling version looks good.
+std::optional<guard_scope>
+rating_book::onlyBadScope(const version_spec &Spec,
+                          const version_record &Record) {
+  using scope_kind = guard_scope::scope_kind;
+  std::optional<guard_scope> Worst;
+  double Most = 1;
+  auto Consider = [&](const scope_tests &Tests, scope_kind Kind) {
+    for (const auto &[Name, Test] : Tests) {
+      guard_scope Scope{Kind, Name};
+      if (Test.evidence() <= Most || !goodWithout(Spec, Record, Scope))
+        continue;
+      Most = Test.evidence();
+      Worst = Scope;
+    }
+  };
+  Consider(Record.ByTemplate, scope_kind::Template);
+  Consider(Record.ByAccount, scope_kind::Account);
+  return Worst;
+}
+
 // Each further test is one more chance of a false stop, so the thresholds of
 // the finer ones grow with their number.
 guard_report rating_book::judgeOne(const version_name &Name,
                                    const version_spec &Spec,
-                                   const version_record &Record) const {
+                                   const version_record &Record) {
+  using scope_kind = guard_scope::scope_kind;
   bool Rolling = Spec.State == version_state::Rolling;
   guard_report Report{.Name = Name};
   Report.Ratings = Record.Ratings;
   Report.Answers = Record.Answers;
-  auto Judge = [&](const score_test &Test, const std::string &Scope,
-                   double Tests) {
+  auto Judge = [&](double Evidence, uint64_t Ratings, double Tests) {
     guard_options Options = Guard;
     Options.RollingEvidence *= Tests;
     Options.SettledEvidence *= Tests;
-    double Evidence =
-        (Rolling ? Test.evidence() : Test.recentEvidence()) / Tests;
-    Report.Evidence = std::max(Report.Evidence, Evidence);
-    guard_verdict Verdict = judgeVersion(Test, Rolling, Options);
-    if (Verdict != guard_verdict::Stop)
-      return Verdict;
-    Report.Verdict = guard_verdict::Stop;
-    Report.Reason = Scope;
-    return Verdict;
+    Report.Evidence = std::max(Report.Evidence, Evidence / Tests);
+    return judgeVersion(Evidence, Ratings, Rolling, Options);
+  };
+  auto EvidenceOf = [&](const score_test &Test) {
+    return Rolling ? Test.evidence() : Test.recentEvidence();
   };
-  Judge(Record.Failures, "failures", 1);
-  for (const auto &[Template, Test] : Record.ByTemplate)
-    Judge(Test, "template " + Template, double(Record.ByTemplate.size()));
-  for (const auto &[Account, Test] : Record.ByAccount)
-    Judge(Test, "account " + Account, double(Record.ByAccount.size()));
-  guard_verdict Overall = Judge(Record.Overall, "all answers", 1);
-  if (Report.Verdict == guard_verdict::Go && Overall == guard_verdict::Settle)
+  auto JudgeScopes = [&](const scope_tests &Tests, scope_kind Kind) {
+    for (const auto &[Scope, Test] : Tests) {
+      bool IsTemplate = Kind == scope_kind::Template;
+      bool Stopped = Spec.StoppedFor.covers(IsTemplate ? Scope : "",
+                                            IsTemplate ? "" : Scope);
+      if (Stopped)
+        continue;
+      guard_verdict Verdict =
+          Judge(EvidenceOf(Test), Test.ratings(), double(Tests.size()));
+      if (Verdict != guard_verdict::Stop)
+        continue;
+      Report.Reason = (IsTemplate ? "template " : "account ") + Scope;
+      if (goodWithout(Spec, Record, {Kind, Scope}))
+        Report.Stops.push_back({Kind, Scope});
+      else
+        Report.Verdict = guard_verdict::Stop;
+    }
+  };
+  guard_verdict Failures =
+      Judge(EvidenceOf(Record.Failures), Record.Failures.ratings(), 1);
+  JudgeScopes(Record.ByTemplate, scope_kind::Template);
+  JudgeScopes(Record.ByAccount, scope_kind::Account);
+  double All = Rolling ? evidenceWithout(Spec, Record, nullptr)
+                       : Record.Overall.recentEvidence();
+  guard_verdict Overall = Judge(All, Record.Overall.ratings(), 1);
+  if (Failures == guard_verdict::Stop) {
+    Report.Verdict = guard_verdict::Stop;
+    Report.Reason = "failures";
+  } else if (Overall == guard_verdict::Stop &&
+             Report.Verdict != guard_verdict::Stop) {
+    std::optional<guard_scope> Only;
+    if (Rolling)
+      Only = onlyBadScope(Spec, Record);
+    if (Only)
+      Report.Stops = {*Only};
+    else
+      Report.Verdict = guard_verdict::Stop;
+    Report.Reason = "all answers";
+  } else if (Overall == guard_verdict::Settle && Report.Stops.empty() &&
+             Report.Verdict == guard_verdict::Go) {
     Report.Verdict = guard_verdict::Settle;
+  }
   return Report;
 }
 
--- a/ledger/ratings.h
+++ b/ledger/ratings.h
@@ -13,16 +13,24 @@
 #include "policy/guard.h"
 #include "wire/wire.pb.h"
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace olivevalve {
 
+/// A part of a version's traffic.
+struct guard_scope {
+  enum class scope_kind : uint8_t { Template, Account } Kind;
+  std::string Name;
+};
+
 /// What the guard says of one version.
 struct guard_report {
   version_name Name;
   guard_verdict Verdict = guard_verdict::Go;
   std::string Reason;
+  std::vector<guard_scope> Stops; ///< Parts it ends while the rest goes on.
   double Allowance = 0; ///< All entries together; rolling versions only.
   double Evidence = 0;  ///< The strongest of its tests.
   double Ratings = 0;
@@ -45,18 +53,28 @@
   void load(const wire::state_image &Image);
 
 private:
+  using scope_tests = std::map<std::string, score_test>;
   struct version_record {
     double Answers = 0;
     double Ratings = 0;
     score_test Overall;
     score_test Failures; ///< Score 1: a whole answer in time.
-    std::map<std::string, score_test> ByTemplate;
-    std::map<std::string, score_test> ByAccount;
+    scope_tests ByTemplate;
+    scope_tests ByAccount;
   };
   double referenceFor(const std::string &Template, const version_name &Name,
                       const catalog &Catalog) const;
-  guard_report judgeOne(const version_name &Name, const version_spec &Spec,
-                        const version_record &Record) const;
+  static guard_report judgeOne(const version_name &Name,
+                               const version_spec &Spec,
+                               const version_record &Record);
+  static double evidenceWithout(const version_spec &Spec,
+                                const version_record &Record,
+                                const guard_scope *Scope);
+  static bool goodWithout(const version_spec &Spec,
+                          const version_record &Record,
+                          const guard_scope &Scope);
+  static std::optional<guard_scope> onlyBadScope(const version_spec &Spec,
+                                                 const version_record &Record);
 
   void addEstimate(const estimate_key &Key, double Score, double Cost);
 
--- a/policy/guard.cpp
+++ b/policy/guard.cpp
@@ -48,15 +48,24 @@
 
 double score_test::recentEvidence() const { return average(Recent); }
 
-guard_verdict judgeVersion(const score_test &Test, bool Rolling,
+// Wealth is a product over ratings: that of all is the product of the parts.
+double score_test::combined(const std::vector<const score_test *> &Tests) {
+  wealth All = {1, 1, 1, 1};
+  for (const score_test *Test : Tests)
+    for (size_t I = 0; I < BetCount; ++I)
+      All[I] = std::min(All[I] * Test->Wealth[I], 1e100);
+  return average(All);
+}
+
+guard_verdict judgeVersion(double Evidence, uint64_t Ratings, bool Rolling,
                            const guard_options &Options) {
   if (!Rolling)
-    return Test.recentEvidence() > Options.SettledEvidence ? guard_verdict::Stop
-                                                           : guard_verdict::Go;
-  if (Test.evidence() > Options.RollingEvidence)
+    return Evidence > Options.SettledEvidence ? guard_verdict::Stop
+                                              : guard_verdict::Go;
+  if (Evidence > Options.RollingEvidence)
     return guard_verdict::Stop;
-  bool Done = Test.ratings() >= Options.SettleRatings &&
-              Test.evidence() < Options.SettleEvidence;
+  bool Done =
+      Ratings >= Options.SettleRatings && Evidence < Options.SettleEvidence;
   return Done ? guard_verdict::Settle : guard_verdict::Go;
 }
 
--- a/policy/guard.h
+++ b/policy/guard.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace olivevalve {
 
@@ -30,6 +31,9 @@
   uint64_t ratings() const { return Ratings; }
 
   static constexpr size_t BetCount = 4;
+  /// Evidence of several tests of separate ratings taken as one test.
+  static double combined(const std::vector<const score_test *> &Tests);
+
   using wealth = std::array<double, BetCount>;
   const wealth &allWealth() const { return Wealth; }
   const wealth &recentWealth() const { return Recent; }
@@ -51,11 +55,15 @@
   double Tolerance = 0.04;       ///< Worse than the reference by less is fine.
   uint64_t SettleRatings = 200;  ///< A roll-out is done after so many.
   double SettleEvidence = 0.3;   ///< ... and evidence well below even.
+  /// A version is ended for one template or account only if it looks good
+  /// without it, by so many ratings.
+  uint64_t RestRatings = 10;
 };
 
 enum class guard_verdict : uint8_t { Go, Stop, Settle };
 
-guard_verdict judgeVersion(const score_test &Test, bool Rolling,
+/// \p Evidence of a score_test or several, its recent one if not \p Rolling.
+guard_verdict judgeVersion(double Evidence, uint64_t Ratings, bool Rolling,
                            const guard_options &Options);
 
 /// What bounds the answers that a rolling version may give.
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -44,7 +44,8 @@
   std::string Policy;
   double MedianExposed = 0; ///< Answers by the version once it was bad.
   double WorstExposed = 0;
-  double StoppedShare = 0;  ///< Of runs.
+  double StoppedShare = 0;  ///< Of runs, whole.
+  double InPartShare = 0;   ///< Of runs, for the bad part and no other.
   double MedianSettled = 0; ///< Requests of all until it took all traffic.
 };
 std::vector<rollout_row> benchRollout(decision_signature &Signature);
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -22,12 +22,13 @@
     std::printf("%-26s %-34s %10.0f %8.4f %10.4f %5.0f%%\n",
                 Row.Workload.c_str(), Row.Policy.c_str(), Row.CostPerThousand,
                 Row.Quality, Row.WorstShortfall, 100 * Row.CellsMet);
-  std::printf("\n%-32s %-20s %9s %9s %9s %9s\n", "ROLL-OUT", "POLICY",
-              "EXPOSED", "WORST", "STOPPED", "SETTLED");
+  std::printf("\n%-32s %-20s %9s %9s %9s %9s %9s\n", "ROLL-OUT", "POLICY",
+              "EXPOSED", "WORST", "STOPPED", "IN PART", "SETTLED");
   for (const rollout_row &Row : Rollout)
-    std::printf("%-32s %-20s %9.0f %9.0f %8.0f%% %9.0f\n", Row.Scenario.c_str(),
-                Row.Policy.c_str(), Row.MedianExposed, Row.WorstExposed,
-                100 * Row.StoppedShare, Row.MedianSettled);
+    std::printf("%-32s %-20s %9.0f %9.0f %8.0f%% %8.0f%% %9.0f\n",
+                Row.Scenario.c_str(), Row.Policy.c_str(), Row.MedianExposed,
+                Row.WorstExposed, 100 * Row.StoppedShare, 100 * Row.InPartShare,
+                Row.MedianSettled);
   std::printf("\n%-32s %-20s %9s %9s %9s %9s\n", "REPLICAS", "POLICY",
               "MEAN ms", "P95 ms", "P99 ms", "WARM");
   for (const replica_row &Row : Replicas)
@@ -55,6 +56,7 @@
                               {"median_exposed", Row.MedianExposed},
                               {"worst_exposed", Row.WorstExposed},
                               {"stopped_share", Row.StoppedShare},
+                              {"in_part_share", Row.InPartShare},
                               {"median_settled", Row.MedianSettled}});
   for (const replica_row &Row : Replicas)
     Out["replicas"].push_back({{"scenario", Row.Scenario},
--- a/tests/bench/rollout.cpp
+++ b/tests/bench/rollout.cpp
@@ -1,5 +1,6 @@
 //===- rollout.cpp - Exposure to bad versions -----------------------------===//
 
+#include "base/fields.h"
 #include "ledger/ratings.h"
 #include "policy/version_choice.h"
 #include "tests/bench/bench.h"
@@ -41,13 +42,17 @@
     {"a third of answers fail", 0, 0, false, false, 0.33},
 };
 
-catalog makeCatalog(const std::string &State) {
+catalog makeCatalog(const std::string &State,
+                    const stopped_scopes &Stopped = {}) {
+  json Scopes = {{"templates", Stopped.Templates},
+                 {"accounts", Stopped.Accounts}};
   wire::change_set Set;
   wire::config_change *Change = Set.add_changes();
   Change->set_kind("model");
   Change->set_name("m");
-  Change->set_document("{\"versions\":{\"1\":{},\"2\":{\"state\":\"" + State +
-                       "\",\"exposure_budget\":30}}}");
+  Change->set_document(
+      "{\"versions\":{\"1\":{},\"2\":{\"state\":\"" + State +
+      "\",\"exposure_budget\":30,\"stopped_for\":" + Scopes.dump() + "}}}");
   catalog Catalog;
   Catalog.applyChanges(Set, 1).IgnoreError();
   return Catalog;
@@ -63,6 +68,7 @@
   int Exposed = 0; ///< Bad answers or failures given.
   int SettledAt = -1;
   bool Stopped = false;
+  bool InPart = false; ///< Ended for the bad part and no other.
 };
 
 /// Requests, answers and ratings that come late, in part and with noise.
@@ -71,13 +77,18 @@
   rollout_run(const bench_scenario &Scenario, uint64_t Seed)
       : Random(Seed), Scenario(Scenario) {
     // The old version has been rated for long.
-    for (int I = 0; I < 800; ++I)
+    for (int I = 0; I < 800; ++I) {
+      Template = "t" + std::to_string(Random() % 4);
+      Account = "a" + std::to_string(Random() % Accounts);
       Book.add(makeRating("1", I, false), Config);
+    }
   }
 
   run_result run(const std::function<bool(rollout_run &, int)> &UsesNew,
                  const std::function<void(rollout_run &, int)> &Look) {
     for (int I = 0; I < Requests; ++I) {
+      Template = "t" + std::to_string(Random() % 4);
+      Account = "a" + std::to_string(Random() % Accounts);
       while (!Late.empty() && Late.top().At <= I) {
         const wire::rating &Rating = Late.top().Rating;
         Book.add(Rating, Config);
@@ -93,12 +104,27 @@
     return Result;
   }
 
+  std::string Template; ///< Of the request that is decided now.
+  std::string Account;
+  stopped_scopes Stopped;
   catalog Config = makeCatalog("rolling");
   rating_book Book;
   run_result Result;
   std::mt19937_64 Random;
   std::uniform_real_distribution<double> Unit{0, 1};
   double Allowance = 0;
+  void stopParts(const std::vector<guard_scope> &Parts) {
+    for (const guard_scope &Part : Parts) {
+      bool IsTemplate = Part.Kind == guard_scope::scope_kind::Template;
+      (IsTemplate ? Stopped.Templates : Stopped.Accounts).push_back(Part.Name);
+    }
+    Config = makeCatalog(Settled ? "active" : "rolling", Stopped);
+    Result.InPart = (Scenario.OneTemplate && Stopped.Accounts.empty() &&
+                     Stopped.Templates == std::vector<std::string>{"t0"}) ||
+                    (Scenario.OneAccount && Stopped.Templates.empty() &&
+                     Stopped.Accounts == std::vector<std::string>{"a0"});
+  }
+
   double WindowSum = 0;
   double WindowCount = 0;
   bool Settled = false;
@@ -113,8 +139,8 @@
 
   wire::rating makeRating(const std::string &Version, int I, bool MayBeBad) {
     wire::rating Rating;
-    Rating.set_template_("t" + std::to_string(Random() % 4));
-    Rating.set_account("a" + std::to_string(Random() % Accounts));
+    Rating.set_template_(Template);
+    Rating.set_account(Account);
     Rating.set_model("m");
     Rating.set_version(Version);
     bool Bad = MayBeBad && Version == "2" &&
@@ -163,6 +189,8 @@
     Question.Candidates = {{.Name = {"m", "1"}}, {.Name = {"m", "2"}}};
     Question.Candidates[1].Rolling = !R.Settled;
     Question.Candidates[1].Allowance = R.Allowance;
+    if (R.Stopped.covers(R.Template, R.Account))
+      return false;
     if (R.Settled)
       return true;
     bool New = chooseArm(Question, None, R.Random)->Rolling;
@@ -177,10 +205,13 @@
       Signature.add(std::to_string(int(Report.Verdict)));
       if (Report.Verdict == guard_verdict::Stop) {
         R.Result.Stopped = true;
+        R.Result.InPart = false;
+      } else if (!Report.Stops.empty()) {
+        R.stopParts(Report.Stops);
       } else if (Report.Verdict == guard_verdict::Settle && !R.Settled) {
         R.Settled = true;
         R.Result.SettledAt = I;
-        R.Config = makeCatalog("active");
+        R.Config = makeCatalog("active", R.Stopped);
       }
     }
   };
@@ -223,6 +254,7 @@
   std::vector<double> Settled;
   for (const run_result &Result : Results) {
     Exposed.push_back(Result.Exposed);
+    Row.InPartShare += Result.InPart ? 1.0 / double(Results.size()) : 0;
     Row.StoppedShare += Result.Stopped ? 1.0 / double(Results.size()) : 0;
     if (Result.SettledAt >= 0)
       Settled.push_back(Result.SettledAt);
--- a/tests/system/versions_test.cpp
+++ b/tests/system/versions_test.cpp
@@ -50,6 +50,38 @@
   BOOST_TEST(After.version() == "1");
 }
 
+// Where the guard has ended a version it answers no more, sessions included;
+// elsewhere it does, and an operator overrules the guard.
+BOOST_AUTO_TEST_CASE(a_version_ended_for_one_template_serves_the_others) {
+  world World;
+  World.startUsual(1);
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  json Split = {{"candidates", {"olive-llm@1", "olive-llm@2"}},
+                {"policy", {{"kind", "split"}, {"weights", {0, 1}}}}};
+  World.putObject("template", "plan", Split);
+  World.putObject("template", "note", Split);
+  auto Used = [&](const std::string &Template, const std::string &Session) {
+    std::vector<std::string> Headers;
+    if (!Session.empty())
+      Headers.push_back("X-Session: " + Session);
+    return World
+        .ask(Entry, {.Body = chatBody(Template, "x"), .Headers = Headers})
+        .version();
+  };
+  BOOST_TEST(Used("plan", "s") == "2");
+  json Model = modelWith("active", "active");
+  Model["versions"]["2"]["stopped_for"] = {{"templates", {"plan"}}};
+  World.putObject("model", "olive-llm", Model);
+  for (int I = 0; I < 10; ++I) {
+    BOOST_TEST(Used("plan", "") == "1");
+    BOOST_TEST(Used("plan", "s") == "1");
+    BOOST_TEST(Used("note", "") == "2");
+  }
+  BOOST_TEST(World.ctl({"versions"}).Text.find("plan") != std::string::npos);
+  BOOST_TEST(World.ctl({"version", "activate", "olive-llm@2"}).ExitCode == 0);
+  BOOST_TEST(Used("plan", "") == "2");
+}
+
 // A burst far above capacity: goodput during it, and after it all is as before.
 BOOST_AUTO_TEST_CASE(an_overload_does_not_stick) {
   world World;
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -332,6 +332,71 @@
   BOOST_TEST(!Back.restore("nonsense"));
 }
 
+// The guard ends a version where it is bad and nowhere else; one that is bad
+// everywhere it ends whole.
+BOOST_AUTO_TEST_CASE(end_a_version_only_where_it_is_bad) {
+  struct bad_case {
+    const char *What;
+    bool OneTemplate;
+    bool OneAccount;
+  };
+  const bad_case Cases[] = {{"for one template", true, false},
+                            {"for one account", false, true},
+                            {"everywhere", false, false}};
+  for (const bad_case &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.What) {
+      auto Config = [](const std::string &StoppedFor) {
+        catalog Catalog;
+        wire::change_set Set =
+            put("model", "m",
+                R"({"versions":{"1":{},"2":{"state":"rolling","stopped_for":)" +
+                    StoppedFor + "}}}");
+        BOOST_REQUIRE(Catalog.applyChanges(Set, 1).ok());
+        return Catalog;
+      };
+      catalog Catalog = Config("{}");
+      rating_book Book;
+      std::mt19937_64 Random(5);
+      std::normal_distribution<double> Noise(0, 0.1);
+      auto Rate = [&](const char *Version, bool MayBeBad) {
+        wire::rating Rating;
+        Rating.set_template_("t" + std::to_string(Random() % 4));
+        Rating.set_account("a" + std::to_string(Random() % 4));
+        Rating.set_model("m");
+        Rating.set_version(Version);
+        bool Bad = MayBeBad &&
+                   (!Case.OneTemplate || Rating.template_() == "t0") &&
+                   (!Case.OneAccount || Rating.account() == "a0");
+        Rating.set_score(
+            std::clamp((Bad ? 0.4 : 0.85) + Noise(Random), 0.0, 1.0));
+        Book.add(Rating, Catalog);
+      };
+      for (int I = 0; I < 400; ++I)
+        Rate("1", false);
+      guard_report Report;
+      for (int I = 0; I < 200 && Report.Stops.empty() &&
+                      Report.Verdict == guard_verdict::Go;
+           ++I) {
+        Rate("2", true);
+        Report = Book.judge(Catalog)[1];
+      }
+      if (!Case.OneTemplate && !Case.OneAccount) {
+        BOOST_TEST((Report.Verdict == guard_verdict::Stop));
+        continue;
+      }
+      BOOST_TEST((Report.Verdict == guard_verdict::Go));
+      BOOST_REQUIRE(Report.Stops.size() == 1U);
+      BOOST_TEST(Report.Stops[0].Name == (Case.OneTemplate ? "t0" : "a0"));
+      Catalog = Config(Case.OneTemplate ? R"({"templates":["t0"]})"
+                                        : R"({"accounts":["a0"]})");
+      Report = Book.judge(Catalog)[1];
+      BOOST_TEST(Report.Stops.empty());
+      BOOST_TEST(Report.Evidence < 1);
+      BOOST_TEST((Report.Verdict == guard_verdict::Go));
+    }
+  }
+}
+
 // Whatever is published when, a node that asks again and again ends up with
 // every cell within a part of its error, and hears each at most once.
 BOOST_AUTO_TEST_CASE(tells_nodes_the_estimates_that_moved) {
