--- a/base/metrics.h
+++ b/base/metrics.h
@@ -8,6 +8,7 @@
 #ifndef OLIVEVALVE_BASE_METRICS_H
 #define OLIVEVALVE_BASE_METRICS_H
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -24,6 +25,14 @@
   Last = Cost
 };
 
+/// The class of a priority from 0 (first) to 3, as it stands in metrics. No
+/// client account is called so: names of objects have no blanks.
+constexpr std::string_view priorityClass(uint32_t Priority) {
+  constexpr std::array<std::string_view, 4> Names = {
+      "priority 0", "priority 1", "priority 2", "priority 3"};
+  return Names[Priority < Names.size() ? Priority : Names.size() - 1];
+}
+
 /// All metrics of one process; every role adds to the same registry.
 class metrics {
 public:
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -325,11 +325,9 @@
   double Now = steadySeconds();
   if (FirstFrameAt == 0) {
     FirstFrameAt = Now;
-    Context.Metrics.record(measure::TimeToFirstToken, Facts.Account,
-                           Now - Facts.Arrived);
+    record(measure::TimeToFirstToken, Now - Facts.Arrived);
   } else {
-    Context.Metrics.record(measure::BetweenTokens, Facts.Account,
-                           Now - LastFrameAt);
+    record(measure::BetweenTokens, Now - LastFrameAt);
   }
   LastFrameAt = Now;
   bool Stream = Facts.isChat() && Facts.Chat.Stream && Status == 200;
@@ -579,6 +577,11 @@
   Exchange->reply(Status, ContentType, std::move(Body), Headers);
 }
 
+void request_task::record(measure Measure, double Value) const {
+  Context.Metrics.record(Measure, Facts.Account, Value);
+  Context.Metrics.record(Measure, priorityClass(Facts.Priority), Value);
+}
+
 // The caller has all of it: now, and only now, it is billed.
 void request_task::noteCompleted() {
   if (Stage == stage::Over)
@@ -588,10 +591,8 @@
   *Message.mutable_settle()->mutable_id() = Id;
   *Message.mutable_settle()->mutable_bill() = Bill;
   Context.Pool.send(Upstream, Message);
-  Context.Metrics.record(measure::TotalTime, Facts.Account,
-                         steadySeconds() - Facts.Arrived);
-  Context.Metrics.record(measure::Cost, Facts.Account,
-                         double(CostMicros) * 1e-6);
+  record(measure::TotalTime, steadySeconds() - Facts.Arrived);
+  record(measure::Cost, double(CostMicros) * 1e-6);
   Context.Metrics.count("answered", Facts.Account);
   if (logs(log_level::Debug))
     logLine(log_level::Debug, "request answered",
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -143,6 +143,8 @@
   void rateFirst();
   void deliver();
   void noteCompleted();
+  /// Adds to the histograms of the client account and of the priority class.
+  void record(measure Measure, double Value) const;
   std::vector<http_header> headers() const;
   error_kind truthful(error_kind Kind) const;
   void refuse(error_kind Kind, const std::string &Message);
@@ -166,7 +168,7 @@
   wire::attempt_id Id;
   uint32_t Tries = 0;
   int PinTries = 0;
-  bool InFlight = false; ///< Counted at the pool.
+  bool InFlight = false;   ///< Counted at the pool.
   bool MayHaveRun = false; ///< An earlier attempt started, or may have.
   bool Accepted = false;
   double SentAt = 0;
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -264,8 +264,10 @@
   Work.Started = Now;
   ++Running;
   Table.set(keyOf(Work.Attempt.id()), attempt_progress::Running, Now);
-  Metrics.record(measure::QueueTime, Work.Attempt.account(),
-                 Now - Work.Arrived);
+  double Waited = Now - Work.Arrived;
+  Metrics.record(measure::QueueTime, Work.Attempt.account(), Waited);
+  Metrics.record(measure::QueueTime, priorityClass(Work.Attempt.priority()),
+                 Waited);
   uint64_t Ticket = Work.Ticket;
   fetch_options Request = engineRequest(Work.Attempt, Options.EngineUrl);
   Work.Attempt.clear_body();
--- a/tests/measure.cpp
+++ b/tests/measure.cpp
@@ -316,10 +316,12 @@
   daemon_process &EntryProcess = *World.Entries["entry-1"]->Process;
   daemon_process &SidecarProcess = *World.Sidecars["a"]->Process;
   Burst(2000);
+  control_node &Leader = World.leader();
   for (int Count : {5000, 20000, 100000}) {
     process_use EntryBefore = useOf(EntryProcess);
     process_use SidecarBefore = useOf(SidecarProcess);
     process_use OtherBefore = useOf(*World.Sidecars["b"]->Process);
+    process_use LeaderBefore = useOf(*Leader.Process);
     double Start = steadySeconds();
     Burst(Count);
     double Took = steadySeconds() - Start;
@@ -334,6 +336,11 @@
     Csv.row("requests", "entry", Count, "requests/s reached", Count / Took);
     Csv.row("requests", "sidecar", Count, "cpu us each",
             1e6 * Sidecars / Count);
+    // Bills of both holders, ratings and counts of answers.
+    Csv.row("requests", "control leader", Count, "cpu us each",
+            1e6 *
+                (useOf(*Leader.Process).CpuSeconds - LeaderBefore.CpuSeconds) /
+                Count);
     Csv.row("requests", "entry", Count, "resident MB", EntryAfter.ResidentMb);
     Csv.row("requests", "sidecar", Count, "resident MB",
             useOf(SidecarProcess).ResidentMb);
@@ -385,6 +392,74 @@
   }
 }
 
+// How long a group is without a leader that may accept changes, when the one
+// it had is killed.
+BOOST_AUTO_TEST_CASE(leaders) {
+  csv_file Csv;
+  world World;
+  World.startControl(3);
+  std::vector<double> Times;
+  constexpr int Kills = 15;
+  for (int I = 0; I < Kills; ++I) {
+    daemon_process &Old = *World.leader().Process;
+    Old.kill();
+    double Start = steadySeconds();
+    World.leader();
+    Times.push_back(steadySeconds() - Start);
+    Old.start();
+    World.untilAllVote();
+  }
+  std::sort(Times.begin(), Times.end());
+  Csv.row("leaders", "control", Kills, "median s", Times[Kills / 2]);
+  Csv.row("leaders", "control", Kills, "worst s", Times.back());
+}
+
+// Restart after very many changes: one VM alone, so that what is read is its
+// own disk. The changes go to few objects, as they do over the days.
+BOOST_AUTO_TEST_CASE(restart) {
+  csv_file Csv;
+  world World;
+  World.startControl(1);
+  std::string Operators = World.Control[0]->Operators.text();
+  daemon_process &Process = *World.Control[0]->Process;
+  int Sent = 0;
+  for (int Count : {1000, 10000, 100000}) {
+    std::vector<std::shared_ptr<caller_answer>> Open;
+    double Start = steadySeconds();
+    int Before = Sent;
+    while (Sent < Count || !Open.empty()) {
+      while (Open.size() < 64 && Sent < Count) {
+        ++Sent;
+        json Change = {{"kind", "model"},
+                       {"name", "m" + std::to_string(Sent % 20)},
+                       {"document", {{"versions", {{"1", json::object()}}}}}};
+        json Body = {{"change_id", "restart-" + std::to_string(Sent)},
+                     {"changes", {Change}}};
+        Open.push_back(World.begin(
+            Operators,
+            {.Path = "/v1/changes", .Body = Body.dump(), .Key = ""}));
+      }
+      ev_run(World.Loop, EVRUN_ONCE);
+      std::erase_if(Open, [](const auto &Answer) {
+        BOOST_REQUIRE((!Answer->Done || Answer->Status == 200));
+        return Answer->Done;
+      });
+    }
+    Csv.row("restart", "control", Count, "changes/s",
+            (Count - Before) / (steadySeconds() - Start));
+    uint64_t Index = World.statusOf(*World.Control[0])["config_index"];
+    Process.kill();
+    Start = steadySeconds();
+    Process.start();
+    World.leader();
+    Csv.row("restart", "control", Count, "s to leading",
+            steadySeconds() - Start);
+    Csv.row("restart", "control", Count, "resident MB",
+            useOf(Process).ResidentMb);
+    BOOST_TEST(World.statusOf(*World.Control[0])["config_index"] == Index);
+  }
+}
+
 // Claims: what a booking costs, and how many a second the log takes.
 BOOST_AUTO_TEST_CASE(claims) {
   csv_file Csv;
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -93,6 +93,22 @@
     BOOST_TEST(Left.Error != "");
     World.until("the engine stops", [&] { return Cancelled() > Before; });
   }
+  BOOST_TEST_CONTEXT("histograms are kept by client account and by class") {
+    std::string Metrics =
+        World
+            .call(World.Entries["entry-1"]->Health.text(),
+                  {.Method = "GET", .Path = "/metrics", .Key = ""})
+            .Body;
+    for (const char *Series :
+         {"time_to_first_token_seconds_count{class=\"dispatch\"}",
+          "time_to_first_token_seconds_count{class=\"priority 1\"}",
+          "between_tokens_seconds_count{class=\"priority 1\"}",
+          "total_seconds_count{class=\"dispatch\"}",
+          "cost_count{class=\"dispatch\"}"})
+      BOOST_TEST(Metrics.find(std::string("olivevalve_") + Series) !=
+                     std::string::npos,
+                 Series);
+  }
   struct refusal_case {
     const char *What;
     caller_request Request;
