--- /dev/null
+++ b/tests/unit/decisions_test.cpp
@@ -0,0 +1,104 @@
+//===- decisions_test.cpp - The decisions ---------------------------------===//
+
+#include "boost/test/unit_test.hpp"
+#include "entry/answer_text.h"
+#include "entry/chat_request.h"
+#include "policy/limits.h"
+#include "policy/replica_choice.h"
+#include "policy/version_choice.h"
+#include "policy/work_queue.h"
+#include <random>
+
+using namespace olivevalve;
+
+BOOST_AUTO_TEST_SUITE(decisions)
+
+BOOST_AUTO_TEST_CASE(a_queue_serves_and_sheds_by_priority) {
+  work_queue Queue(3);
+  BOOST_TEST(!Queue.push({1, 2, 0, 100}));
+  BOOST_TEST(!Queue.push({2, 1, 0, 100}));
+  BOOST_TEST(!Queue.push({3, 2, 0, 1}));
+  BOOST_TEST(*Queue.push({4, 3, 0, 100}) == 4U);
+  BOOST_TEST(*Queue.push({5, 0, 0, 100}) == 3U);
+  BOOST_TEST(Queue.pop(10)->Ticket == 5U);
+  BOOST_TEST(Queue.pop(10)->Ticket == 2U);
+  BOOST_TEST(Queue.remove(1));
+  BOOST_TEST(!Queue.pop(10));
+}
+
+BOOST_AUTO_TEST_CASE(limits_let_through_what_they_say) {
+  rate_limit Rate;
+  int Passed = 0;
+  for (int I = 0; I < 1000; ++I)
+    Passed += Rate.take(10, I * 0.01) ? 1 : 0;
+  BOOST_TEST(Passed >= 100);
+  BOOST_TEST(Passed <= 121);
+  retry_budget Retries;
+  int Retried = 0;
+  for (int I = 0; I < 1000; ++I) {
+    Retries.requestSeen();
+    Retried += Retries.take() ? 1 : 0;
+  }
+  BOOST_TEST(Retried <= 106);
+  circuit_breaker Breaker;
+  for (int I = 0; I < 3; ++I)
+    Breaker.failed(10);
+  BOOST_TEST(!Breaker.allows(10.1));
+  BOOST_TEST(Breaker.allows(11));
+  Breaker.succeeded();
+  BOOST_TEST(Breaker.allows(10.1));
+}
+
+BOOST_AUTO_TEST_CASE(a_rolling_version_runs_only_within_its_allowance) {
+  std::mt19937_64 Random(1);
+  estimates None;
+  choice_question Question{.Policy = cheapest_policy{}};
+  Question.Candidates = {{.Name = {"m", "1"}},
+                         {.Name = {"m", "2"}, .Rolling = true}};
+  for (int I = 0; I < 200; ++I)
+    BOOST_TEST(chooseArm(Question, None, Random)->Arm.First.Version == "1");
+  Question.Candidates[1].Allowance = 5;
+  int New = 0;
+  for (int I = 0; I < 200; ++I)
+    New += chooseArm(Question, None, Random)->Rolling ? 1 : 0;
+  BOOST_TEST(New > 20);
+  BOOST_TEST(New < 90);
+  Question.Candidates.erase(Question.Candidates.begin());
+  Question.Candidates[0].Allowance = 0;
+  BOOST_TEST(!chooseArm(Question, None, Random));
+}
+
+BOOST_AUTO_TEST_CASE(the_text_of_an_answer_wherever_it_is_cut) {
+  std::string Stream;
+  for (const char *Token : {R"(\u00e9t\u00e9)", R"( \"two\")", R"(\\)", " end"})
+    Stream += std::string("data: {\"choices\":[{\"delta\":{\"content\": \"") +
+              Token + "\"}}]}\n\n";
+  Stream += ": a comment with \"content\":\"no\"\n\n"
+            "data: {\"choices\":[{\"delta\":{\"content\":null}}]}\r\n\r\n"
+            "data: [DONE]\n\n";
+  const std::string Wanted = "\xc3\xa9t\xc3\xa9 \"two\"\\ end";
+  for (size_t Size = 1; Size <= Stream.size(); ++Size) {
+    answer_text Text;
+    for (size_t At = 0; At < Stream.size(); At += Size)
+      Text.feed(std::string_view(Stream).substr(At, Size));
+    BOOST_REQUIRE_EQUAL(Text.text(), Wanted);
+  }
+  answer_text Long;
+  std::string Token(1000, 'x');
+  for (int I = 0; I < 100; ++I)
+    Long.feed("data: {\"content\":\"" + Token + "\"}\n");
+  BOOST_TEST(Long.text().size() == 16000U);
+  BOOST_TEST(textOfAnswer(R"({"choices":[{"message":{"content":"hi"}}]})") ==
+             "hi");
+  BOOST_TEST(textOfAnswer("{\"choices\":[]}") == "{\"choices\":[]}");
+}
+
+BOOST_AUTO_TEST_CASE(body_and_directives_of_a_chat_request) {
+  BOOST_TEST(parseChatRequest(R"({"model":"m","messages":[{}]})").ok());
+  for (const char *Bad : {"", "[]", "{}", R"({"model":1,"messages":[{}]})",
+                          R"({"model":"m","messages":[]})",
+                          R"({"model":"m","messages":[{}],"stream":1})"})
+    BOOST_TEST(!parseChatRequest(Bad).ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/errors_test.cpp
@@ -0,0 +1,19 @@
+//===- errors_test.cpp - Error kinds --------------------------------------===//
+
+#include "base/error.h"
+#include "boost/test/unit_test.hpp"
+
+using namespace olivevalve;
+
+BOOST_AUTO_TEST_SUITE(error_kinds)
+
+BOOST_AUTO_TEST_CASE(stand_in_the_table_in_their_own_row) {
+  for (uint32_t I = 0; I <= uint32_t(error_kind::Last); ++I) {
+    const error_answer &Answer = answerFor(error_kind(I));
+    BOOST_TEST(uint32_t(Answer.Kind) == I);
+    BOOST_TEST(!Answer.Code.empty());
+    BOOST_TEST((kindOf(makeError(error_kind(I), "x")) == error_kind(I)));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/leases_test.cpp
@@ -0,0 +1,113 @@
+//===- leases_test.cpp - A node's copy, the leader's view -----------------===//
+
+#include "base/digest.h"
+#include "boost/test/unit_test.hpp"
+#include "catalog/node_copy.h"
+#include "control/node_table.h"
+#include "tests/unit/fixtures.h"
+
+using namespace olivevalve;
+
+BOOST_AUTO_TEST_SUITE(a_nodes_copy)
+
+wire::grant grantOf(const catalog &Config, uint64_t Since, double SentAt) {
+  wire::grant Grant;
+  Grant.set_sent_at(SentAt);
+  Grant.set_lease_seconds(LeaseSeconds);
+  Config.fillDelta(Since, *Grant.mutable_delta());
+  return Grant;
+}
+
+BOOST_AUTO_TEST_CASE(follows_deltas_and_never_goes_back) {
+  catalog Config = smallCatalog();
+  wire::grant Old = grantOf(Config, 0, 10);
+  node_copy Copy;
+  BOOST_TEST(Copy.take(Old, 10.1));
+  BOOST_TEST(Copy.config().index() == 5U);
+  BOOST_TEST(Copy.hasLease(15));
+  BOOST_TEST(!Copy.hasLease(16));
+
+  wire::change_set Delete;
+  Delete.add_changes()->set_kind("upstream");
+  Delete.mutable_changes(0)->set_name("s");
+  Delete.mutable_changes(0)->set_delete_(true);
+  BOOST_REQUIRE(Config.applyChanges(Delete, 8).ok());
+  wire::grant Delta = grantOf(Config, 5, 11);
+  BOOST_TEST(Delta.delta().objects_size() == 1);
+  BOOST_TEST(Copy.take(Delta, 11.1));
+  BOOST_TEST(!Copy.config().upstream("s"));
+
+  Old.set_sent_at(12);
+  BOOST_TEST(!Copy.take(Old, 12.1));
+  BOOST_TEST(Copy.config().index() == 8U);
+  BOOST_TEST(Copy.leaseEnd() < 17.1);
+}
+
+BOOST_AUTO_TEST_CASE(gets_no_lease_from_a_grant_that_was_long_on_the_way) {
+  node_copy Copy;
+  Copy.take(grantOf(smallCatalog(), 0, 10), 30);
+  BOOST_TEST(!Copy.hasLease(30));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(the_leaders_view)
+
+wire::renew renewOf(const std::string &Node, uint64_t Index) {
+  wire::renew Renew;
+  Renew.set_node(Node);
+  Renew.set_role("entry");
+  Renew.set_incarnation(checksum(Node));
+  Renew.set_config_index(Index);
+  return Renew;
+}
+
+BOOST_AUTO_TEST_CASE(waits_for_every_lease_that_lacks_the_change) {
+  node_table Table;
+  Table.reset(0);
+  double Now = 100;
+  for (const char *Node : {"a", "b", "c"}) {
+    Table.renewed(Node, renewOf(Node, 4), Now);
+    Table.granted(Node, Now);
+  }
+  double Took = -1;
+  Table.awaitInForce(5, Now, [&](double Seconds) { Took = Seconds; });
+  Table.renewed("a", renewOf("a", 5), Now + 1);
+  Table.left("b");
+  Table.poll(Now + 1);
+  BOOST_TEST(Took < 0);
+  // The silent one holds the change up until its lease has surely ended.
+  Table.poll(Now + LeaseSeconds * 0.99);
+  BOOST_TEST(Took < 0);
+  Table.poll(Now + LeaseSeconds * (1 + 2 * DriftShare));
+  BOOST_TEST(Took > LeaseSeconds);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_waits_for_leases_it_does_not_know) {
+  node_table Table;
+  Table.reset(100);
+  bool Done = false;
+  Table.awaitInForce(5, 101, [&](double) { Done = true; });
+  Table.poll(105);
+  BOOST_TEST(!Done);
+  Table.poll(106.2);
+  BOOST_TEST(Done);
+}
+
+BOOST_AUTO_TEST_CASE(shares_limits_by_demand) {
+  node_table Table;
+  Table.reset(0);
+  for (auto [Node, Rate] : {std::pair{"a", 30.0}, {"b", 10.0}}) {
+    wire::renew Renew = renewOf(Node, 1);
+    Renew.add_demand()->set_account("x");
+    Renew.mutable_demand(0)->set_requests_per_second(Rate);
+    Table.renewed(Node, Renew, 10);
+    Table.granted(Node, 10);
+  }
+  double A = Table.sharesOf("a", 10)[0].share();
+  double B = Table.sharesOf("b", 10)[0].share();
+  BOOST_TEST(A > 2 * B);
+  BOOST_TEST(A + B <= 1.0001);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/state_test.cpp
@@ -0,0 +1,208 @@
+//===- state_test.cpp - The replicated state ------------------------------===//
+
+#include "boost/test/unit_test.hpp"
+#include "ledger/state_machine.h"
+#include "tests/unit/fixtures.h"
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+using namespace olivevalve;
+
+BOOST_AUTO_TEST_SUITE(the_replicated_state)
+
+BOOST_AUTO_TEST_CASE(gives_a_claim_to_the_first_and_only_once) {
+  claim_table Table;
+  BOOST_TEST(Table.claim(claimOf("k", "one"), 10).won());
+  BOOST_TEST(Table.claim(claimOf("k", "one"), 11).won());
+  wire::claim_result Lost = Table.claim(claimOf("k", "two"), 12);
+  BOOST_TEST(!Lost.won());
+  BOOST_TEST(Lost.value() == "one");
+  wire::claim Replace = claimOf("k", "three");
+  Replace.set_replaces("one");
+  BOOST_TEST(Table.claim(Replace, 13).won());
+  BOOST_TEST(!Table.claim(Replace, 14).value().empty());
+  BOOST_TEST(!Table.claim(claimOf("k", "one"), 15).won());
+  Table.expire(13 + 25 * 3600);
+  BOOST_TEST(Table.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(counts_a_bill_once_in_any_order) {
+  bill_ledger Ledger;
+  for (uint64_t Request : {3, 1, 2, 3, 1, 7, 6, 2}) {
+    wire::bill Bill;
+    Bill.set_entry(9);
+    Bill.set_request(Request);
+    Bill.set_account("a");
+    wire::bill_item *Item = Bill.add_items();
+    Item->set_model("m");
+    Item->mutable_usage()->set_output_tokens(10);
+    Ledger.add(Bill);
+  }
+  BOOST_REQUIRE(Ledger.totals().size() == 1U);
+  BOOST_TEST(Ledger.totals().begin()->second.Requests == 5U);
+  BOOST_TEST(Ledger.totals().begin()->second.OutputTokens == 50U);
+  BOOST_TEST(Ledger.duplicates() == 3U);
+  wire::state_image Image;
+  Ledger.save(Image);
+  BOOST_TEST(Image.ranges_size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(comes_back_whole_from_its_image) {
+  state_machine State;
+  auto Change = [](const std::string &Id) {
+    return commandText([&](wire::command &Command) {
+      *Command.mutable_change() =
+          put("model", "m", R"({"versions":{"1":{},"2":{"state":"rolling"}}})");
+      Command.mutable_change()->set_change_id(Id);
+    });
+  };
+  State.apply(1, Change("first"));
+  State.apply(2, commandText([](wire::command &Command) {
+                *Command.mutable_claim() = claimOf("k", "v");
+              }));
+  for (uint64_t Index = 3; Index < 100; ++Index)
+    State.apply(Index, commandText([&](wire::command &Command) {
+                  Command.mutable_ratings()->set_reporter("e");
+                  Command.mutable_ratings()->set_sequence(Index);
+                  wire::rating *Rating =
+                      Command.mutable_ratings()->add_ratings();
+                  Rating->set_template_("t");
+                  Rating->set_model("m");
+                  Rating->set_version("2");
+                  Rating->set_score(0.1);
+                }));
+  state_machine Back;
+  BOOST_REQUIRE(Back.restore(State.image()));
+  BOOST_TEST(Back.image() == State.image());
+  BOOST_TEST(Back.apply(100, Change("first")).Repeated);
+  auto Reports = Back.ratings().judge(Back.config());
+  BOOST_REQUIRE(Reports.size() == 2U);
+  BOOST_TEST((Reports[1].Verdict == guard_verdict::Stop));
+  BOOST_TEST(!Back.restore("nonsense"));
+}
+
+// The guard ends a version where it is bad and nowhere else; one that is bad
+// everywhere it ends whole.
+BOOST_AUTO_TEST_CASE(end_a_version_only_where_it_is_bad) {
+  struct bad_case {
+    const char *What;
+    bool OneTemplate;
+    bool OneAccount;
+  };
+  const bad_case Cases[] = {{"for one template", true, false},
+                            {"for one account", false, true},
+                            {"everywhere", false, false}};
+  for (const bad_case &Case : Cases) {
+    BOOST_TEST_CONTEXT(Case.What) {
+      auto Config = [](const std::string &StoppedFor) {
+        catalog Catalog;
+        wire::change_set Set =
+            put("model", "m",
+                R"({"versions":{"1":{},"2":{"state":"rolling","stopped_for":)" +
+                    StoppedFor + "}}}");
+        BOOST_REQUIRE(Catalog.applyChanges(Set, 1).ok());
+        return Catalog;
+      };
+      catalog Catalog = Config("{}");
+      rating_book Book;
+      std::mt19937_64 Random(5);
+      std::normal_distribution<double> Noise(0, 0.1);
+      auto Rate = [&](const char *Version, bool MayBeBad) {
+        wire::rating Rating;
+        Rating.set_template_("t" + std::to_string(Random() % 4));
+        Rating.set_account("a" + std::to_string(Random() % 4));
+        Rating.set_model("m");
+        Rating.set_version(Version);
+        bool Bad = MayBeBad &&
+                   (!Case.OneTemplate || Rating.template_() == "t0") &&
+                   (!Case.OneAccount || Rating.account() == "a0");
+        Rating.set_score(
+            std::clamp((Bad ? 0.4 : 0.85) + Noise(Random), 0.0, 1.0));
+        Book.add(Rating, Catalog);
+      };
+      for (int I = 0; I < 400; ++I)
+        Rate("1", false);
+      guard_report Report;
+      for (int I = 0; I < 200 && Report.Stops.empty() &&
+                      Report.Verdict == guard_verdict::Go;
+           ++I) {
+        Rate("2", true);
+        Report = Book.judge(Catalog)[1];
+      }
+      if (!Case.OneTemplate && !Case.OneAccount) {
+        BOOST_TEST((Report.Verdict == guard_verdict::Stop));
+        continue;
+      }
+      BOOST_TEST((Report.Verdict == guard_verdict::Go));
+      BOOST_REQUIRE(Report.Stops.size() == 1U);
+      BOOST_TEST(Report.Stops[0].Name == (Case.OneTemplate ? "t0" : "a0"));
+      Catalog = Config(Case.OneTemplate ? R"({"templates":["t0"]})"
+                                        : R"({"accounts":["a0"]})");
+      Report = Book.judge(Catalog)[1];
+      BOOST_TEST(Report.Stops.empty());
+      BOOST_TEST(Report.Evidence < 1);
+      BOOST_TEST((Report.Verdict == guard_verdict::Go));
+    }
+  }
+}
+
+// Whatever is published when, a node that asks again and again ends up with
+// every cell within a part of its error, and hears each at most once.
+BOOST_AUTO_TEST_CASE(tells_nodes_the_estimates_that_moved) {
+  catalog Catalog = smallCatalog();
+  rating_book Book;
+  estimates AtNode;
+  uint64_t Known = 0;
+  size_t Told = 0;
+  std::mt19937_64 Random(3);
+  std::normal_distribution<double> Score(0.7, 0.2);
+  auto Ask = [&](size_t Most) {
+    wire::estimate_table Table;
+    Book.fillNews(Known, Most, Table);
+    BOOST_TEST(size_t(Table.cells_size()) <= Most + 3);
+    loadCells(Table.cells(), AtNode);
+    Known = Table.index();
+    Told += size_t(Table.cells_size());
+    return Table.cells_size();
+  };
+  constexpr int Ratings = 20000;
+  for (int I = 0; I < Ratings; ++I) {
+    wire::rating Rating;
+    Rating.set_template_("t" + std::to_string(Random() % 5));
+    Rating.set_account("a" + std::to_string(Random() % 10));
+    Rating.set_model("m");
+    Rating.set_version(Random() % 2 ? "1" : "2");
+    Rating.set_score(std::clamp(Score(Random), 0.0, 1.0));
+    Rating.set_cost(1);
+    Book.add(Rating, Catalog);
+    if (I % 50 == 0)
+      Ask(10);
+  }
+  while (Ask(10) > 0)
+    BOOST_REQUIRE(Known <= Book.ratings());
+  BOOST_TEST(Known == Book.ratings());
+  BOOST_TEST(Told < size_t(Ratings) / 4);
+  BOOST_TEST(AtNode.cells().size() == Book.quality().cells().size());
+  for (const auto &[Key, Sums] : Book.quality().cells()) {
+    estimate There = AtNode.of(Key, 1);
+    estimate Here = Book.quality().of(Key, 1);
+    BOOST_TEST(std::abs(There.Quality - Here.Quality) < Here.Error);
+  }
+  BOOST_TEST_MESSAGE("cells told: " << Told << " for " << Ratings
+                                    << " ratings");
+}
+
+BOOST_AUTO_TEST_CASE(counts_a_batch_of_ratings_once) {
+  state_machine State;
+  std::string Batch = commandText([](wire::command &Command) {
+    Command.mutable_ratings()->set_reporter("e");
+    Command.mutable_ratings()->set_sequence(1);
+    Command.mutable_ratings()->add_ratings()->set_model("m");
+  });
+  State.apply(1, Batch);
+  State.apply(2, Batch);
+  BOOST_TEST(State.ratings().ratings() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
