--- a/tests/system/paths_test.cpp
+++ b/tests/system/paths_test.cpp
@@ -250,14 +250,15 @@
           BOOST_TEST(Answer->Body.ends_with("data: [DONE]\n\n"));
       }
       BOOST_TEST_MESSAGE(Case.What << ": served " << Served << " of 12");
-      for (auto &[Name, Node] : World.Entries)
+      for (auto &Item : World.Entries) {
+        std::string Entry = Item.second->Address.text();
         World.until("it serves as before", [&] {
-          std::string Entry = Node->Address.text();
-          return World.call(Entry, booking("path-" + std::to_string(++Booking)))
-                         .Status == 200 &&
+          std::string Key = "path-" + std::to_string(++Booking);
+          return World.call(Entry, booking(Key)).Status == 200 &&
                  World.call(Entry, {.Body = chatBody("plan", "x")}).Status ==
                      200;
         });
+      }
     }
   }
 }
