A hole on a path ends in a reset, as TCP has it

Cause: 'paths' was red in the sanitized build ('not within 30 s: it serves as before'). The proxy swallowed bytes and then forwarded again in the middle of a connection, so that what followed was read as the rest of a swallowed message. TCP never does that: a hole ends in what was sent or in a reset. The test now resets the connections when the fault ends, as the test of lost bookings does; what it checks is the same.

No functional change.

--- a/tests/system/paths_test.cpp
+++ b/tests/system/paths_test.cpp
@@ -227,8 +227,12 @@
                std::all_of(Streams.begin(), Streams.end(),
                            [](const auto &A) { return A->Done; });
       });
-      for (const char *Name : {"a", "led"})
+      // TCP loses no bytes in the middle: a hole ends in a reset, or what came
+      // after it would be read as the rest of a message that was swallowed.
+      for (const char *Name : {"a", "led"}) {
+        World.Sidecars[Name]->Path->set(proxy_fault::Cut);
         World.Sidecars[Name]->Path->set(proxy_fault::None);
+      }
       json Counts = World.engineCounts(Service);
       int Served = 0;
       for (const auto &[Key, Answer] : Bookings) {
