--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -16,7 +16,7 @@
 constexpr double GuardSeconds = 0.5;
 // Cells of estimates in one grant, at some 60 bytes each: a node that keeps up
 // gets 3 KB a second at most, under its bound of 4 KB; one that has none yet
-// gets more until it has caught up.
+// gets more with its first grant.
 constexpr size_t CellsOfGrant = 50;
 constexpr size_t CellsOfFirstGrants = 400;
 
