News only when the load has moved, and subsets that fit the number of entries

Cause: news was the largest part of an entry's control traffic (9.9 KB/s of 4 computed at the design size with what surrounds each message), told each 1.5 s though nothing had changed; and an entry linked to ten upstreams of a version whether it was one of two entries or of 410. Change: isNews() decides at the sidecar; entries ask each 10 s, and each 1.5 s where they have work and hear nothing, so that a frozen sidecar with work is found in 3.5 s as before. chooseSubset() is pure and sees the number of entries.

--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -71,7 +71,9 @@
       Server(Loop, limitsOf(Options),
              [this](const exchange &Exchange) { handle(Exchange); }),
       Timer(Loop, [this] { tick(); }) {
-  Control.OnConfig = [this] { Pool.configure(Control.config()); };
+  Control.OnConfig = [this] {
+    Pool.configure(Control.config(), EntryCount.value());
+  };
   Control.OnGrant = [this](const wire::grant &Grant) { onGrant(Grant); };
   Control.OnRenew = [this](wire::renew &Renew) {
     Renew.set_estimates_index(EstimatesIndex);
@@ -90,6 +92,8 @@
 }
 
 void entry_task::onGrant(const wire::grant &Grant) {
+  if (EntryCount.update(Control.entries(), steadySeconds()))
+    Pool.configure(Control.config(), EntryCount.value());
   if (!Grant.has_estimates())
     return;
   Allowances.clear();
--- a/entry/entry_task.h
+++ b/entry/entry_task.h
@@ -9,6 +9,7 @@
 #define OLIVEVALVE_ENTRY_ENTRY_TASK_H
 
 #include "entry/request_task.h"
+#include "policy/subset.h"
 
 namespace olivevalve {
 
@@ -70,6 +71,7 @@
   std::mt19937_64 Random;
   control_client Control;
   bill_outbox Outbox;
+  steady_entry_count EntryCount;
   upstream_pool Pool;
   rater Rater;
   sessions Sessions;
--- a/entry/upstream_pool.cpp
+++ b/entry/upstream_pool.cpp
@@ -4,24 +4,25 @@
 #include "base/clock.h"
 #include "base/digest.h"
 #include "base/log.h"
+#include "policy/subset.h"
 #include <algorithm>
-#include <cmath>
 
 namespace olivevalve {
 
 namespace {
 
 constexpr double TickSeconds = 0.5;
-// A sidecar speaks each 1.5 s; silent this long it is taken for lost.
-constexpr double SilentSeconds = 3.5;
-// News is asked for again well before a sidecar forgets the entry.
-constexpr double HelloSeconds = 5;
+// A sidecar that has nothing new is asked so often; well before it forgets the
+// entry. An attempt finds a lost sidecar sooner, in 1.5 s.
+constexpr double HelloSeconds = 10;
+// Silent for this long, an asking and its answer included, it is taken for
+// lost.
+constexpr double SilentSeconds = 11.5;
+// The same while it has work of this entry.
+constexpr double BusyHelloSeconds = 1.5;
+constexpr double BusySilentSeconds = 3.5;
 // A new entry waits so long for upstreams that do not answer, no longer.
 constexpr double AcquaintSeconds = 3;
-// Upstreams linked for each version or service: enough for even load at a
-// dozen requests a second, few enough for the bound on control traffic.
-constexpr size_t SubsetSize = 8;
-
 bool serves(const upstream_spec &Spec, const upstream_need &Need) {
   if (Need.Version.Model.empty())
     return Spec.Service == Need.Service;
@@ -41,43 +42,28 @@
   Timer.startRepeating(TickSeconds);
 }
 
-// For each version and service the first few in the order of a hash of entry
-// and upstream, the own data hall first with two places kept for others.
-std::set<std::string> upstream_pool::wanted(const catalog &Config) const {
-  struct ranked {
-    uint64_t Hash;
-    const upstream_spec *Spec;
-  };
-  std::map<std::string, std::vector<ranked>> Groups;
-  uint64_t Seed = checksum(Options.Node);
+// For each version and service a part of its upstreams.
+std::set<std::string> upstream_pool::wanted(const catalog &Config,
+                                            size_t Entries) const {
+  std::map<std::string, std::vector<subset_replica>> Groups;
   Config.forEach<upstream_spec>([&](const upstream_spec &Spec) {
-    ranked Ranked{checksum(Spec.Name, Seed), &Spec};
+    subset_replica Replica{Spec.Name, Spec.DataHall == Options.DataHall};
     if (!Spec.Service.empty())
-      Groups["service " + Spec.Service].push_back(Ranked);
+      Groups["service " + Spec.Service].push_back(Replica);
     for (const version_name &Version : Spec.Versions)
-      Groups[Version.text()].push_back(Ranked);
+      Groups[Version.text()].push_back(Replica);
   });
   std::set<std::string> Names;
-  for (auto &[Group, All] : Groups) {
-    std::sort(All.begin(), All.end(),
-              [](const ranked &A, const ranked &B) { return A.Hash < B.Hash; });
-    size_t Own = 0;
-    size_t Other = 0;
-    for (const ranked &Ranked : All) {
-      bool SameHall = Ranked.Spec->DataHall == Options.DataHall;
-      size_t &Taken = SameHall ? Own : Other;
-      size_t Most = SameHall ? SubsetSize - 2 : SubsetSize;
-      if (Taken >= Most || Own + Other >= SubsetSize + 2)
-        continue;
-      ++Taken;
-      Names.insert(Ranked.Spec->Name);
-    }
-  }
+  subset_question Question{.EntryHash = checksum(Options.Node),
+                           .Entries = Entries};
+  for (auto &[Group, Replicas] : Groups)
+    for (std::string &Name : chooseSubset(std::move(Replicas), Question))
+      Names.insert(std::move(Name));
   return Names;
 }
 
-void upstream_pool::configure(const catalog &Config) {
-  std::set<std::string> Names = wanted(Config);
+void upstream_pool::configure(const catalog &Config, size_t Entries) {
+  std::set<std::string> Names = wanted(Config, Entries);
   for (auto It = Members.begin(); It != Members.end();) {
     const upstream_spec *Spec = Config.upstream(It->first);
     bool Keep = Spec && Spec->Address == It->second.Address &&
@@ -217,8 +203,11 @@
 
 void upstream_pool::attemptStarted(const std::string &Upstream) {
   auto It = Members.find(Upstream);
-  if (It != Members.end())
-    It->second.OwnInFlight += 1;
+  if (It == Members.end())
+    return;
+  if (It->second.OwnInFlight == 0)
+    It->second.BusySince = steadySeconds();
+  It->second.OwnInFlight += 1;
 }
 
 void upstream_pool::attemptEnded(const std::string &Upstream) {
@@ -245,13 +234,17 @@
   Hello.mutable_hello();
   std::vector<std::string> Silent;
   for (auto &[Name, Member] : Members) {
-    bool Heard = Now - Member.HeardAt < SilentSeconds;
-    bool HadWork = Member.OwnInFlight > 0;
-    if (!Heard && HadWork)
+    bool Busy = Member.OwnInFlight > 0;
+    double Quiet = Now - (Busy ? std::max(Member.HeardAt, Member.BusySince)
+                               : Member.HeardAt);
+    if (Busy && Quiet >= BusySilentSeconds)
       Silent.push_back(Name);
-    bool Due = !Heard || std::fmod(Now, HelloSeconds) < TickSeconds;
-    if (Due)
-      Member.Link->send(Hello);
+    bool Due = Now >= Member.NextHello || Quiet >= SilentSeconds ||
+               (Busy && Quiet >= BusyHelloSeconds);
+    if (!Due)
+      continue;
+    Member.NextHello = Now + HelloSeconds;
+    Member.Link->send(Hello);
   }
   for (const std::string &Name : Silent)
     OnLost(Name);
--- a/entry/upstream_pool.h
+++ b/entry/upstream_pool.h
@@ -51,8 +51,9 @@
                 pool_options Options, message_handler OnMessage,
                 lost_handler OnLost);
 
-  /// Follows the configuration: opens and closes links.
-  void configure(const catalog &Config);
+  /// Follows the configuration, shared with so many entries: opens and closes
+  /// links.
+  void configure(const catalog &Config, size_t Entries);
   /// Name of the upstream to use, or empty if there is none. Suspect ones are
   /// used only when there is no sound one.
   std::string choose(const upstream_need &Need, const catalog &Config,
@@ -79,12 +80,14 @@
     std::unique_ptr<client_link> Link;
     wire::news News;
     double HeardAt = 0;
+    double NextHello = 0;
+    double BusySince = 0; ///< When it got work after it had none.
     double OwnAtReport = 0;
     double OwnInFlight = 0;
     circuit_breaker Breaker;
   };
 
-  std::set<std::string> wanted(const catalog &Config) const;
+  std::set<std::string> wanted(const catalog &Config, size_t Entries) const;
   void open(const std::string &Name, const std::string &Address);
   void receive(const std::string &Name, const wire::envelope &Message);
   void onNews(const std::string &Name, const wire::news &News);
--- a/policy/replica_choice.cpp
+++ b/policy/replica_choice.cpp
@@ -24,8 +24,21 @@
 // the same stale news do not all run to the same.
 constexpr size_t Compared = 3;
 
+// Load is news when it has moved by this part of the slots. Measured with
+// `bench`, see docs/decisions/0007.
+constexpr uint32_t NewsPart = 2;
+
+uint32_t distance(uint32_t A, uint32_t B) { return A > B ? A - B : B - A; }
+
 } // namespace
 
+bool isNews(told_load Told, told_load Now, uint32_t Slots) {
+  uint32_t Step = std::max(1U, Slots / NewsPart);
+  return distance(Told.Running, Now.Running) >= Step ||
+         distance(Told.Queued, Now.Queued) >= Step ||
+         (Told.Queued == 0) != (Now.Queued == 0);
+}
+
 void circuit_breaker::succeeded() {
   Failures = 0;
   OpenUntil = 0;
--- a/policy/replica_choice.h
+++ b/policy/replica_choice.h
@@ -47,6 +47,16 @@
 /// Expected waiting work per slot; lower is better.
 double expectedLoad(const replica_news &News);
 
+/// Load of an upstream as it was told to entries.
+struct told_load {
+  uint32_t Running = 0;
+  uint32_t Queued = 0;
+};
+
+/// True if \p Now differs from what was \p Told so much that it changes the
+/// choices of entries.
+bool isNews(told_load Told, told_load Now, uint32_t Slots);
+
 /// The place in \p Replicas to use; none if it is empty.
 std::optional<size_t> chooseReplica(const std::vector<replica_news> &Replicas,
                                     std::mt19937_64 &Random);
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -13,12 +13,11 @@
 namespace {
 
 constexpr double TickSeconds = 0.1;
-// Entries are told so often how loaded the upstream is; answers tell it too.
-// `bench`: 1.5 s in place of 1 s changes waits by less than runs differ, and
-// news is the largest part of an entry's control traffic.
-constexpr double NewsSeconds = 1.5;
+// The load is looked at so often, and told to entries when it has moved;
+// answers tell it too, and entries ask for it every ten seconds.
+constexpr double LookSeconds = 1.5;
 // An entry that did not ask for news this long gets none.
-constexpr double EntryForgetSeconds = 12;
+constexpr double EntryForgetSeconds = 25;
 // An entry that lives settles at once; what it has not settled after this was
 // lost on the way, and the entry hands its own copy in.
 constexpr double UnsettledSeconds = 60;
@@ -459,9 +458,9 @@
 }
 
 void sidecar_task::sendNews() {
-  NextNews = steadySeconds() + NewsSeconds;
   wire::envelope Message;
   *Message.mutable_news() = makeNews();
+  Told = {Message.news().running(), Message.news().queued()};
   for (const auto &[Peer, Since] : Entries)
     Server.send(Peer, Message);
 }
@@ -498,9 +497,14 @@
     return Now > Entry.second + EntryForgetSeconds;
   });
   settleForLostEntries(Now);
-  if (Now < NextNews)
+  if (Now < NextLook)
     return;
-  sendNews();
+  NextLook = Now + LookSeconds;
+  bool LeaseMoved = Control.hasLease() != ToldLease;
+  ToldLease = Control.hasLease();
+  told_load Load{uint32_t(Running), uint32_t(Queue.size())};
+  if (LeaseMoved || isNews(Told, Load, uint32_t(slots())))
+    sendNews();
   readEngineLoad();
   Metrics.gauge("sidecar_running", double(Running));
   Metrics.gauge("sidecar_queued", double(Queue.size()));
--- a/sidecar/sidecar_task.h
+++ b/sidecar/sidecar_task.h
@@ -13,6 +13,7 @@
 #include "lease/control_client.h"
 #include "lease/outbox.h"
 #include "net/http_client.h"
+#include "policy/replica_choice.h"
 #include "policy/work_queue.h"
 #include "sidecar/attempt_table.h"
 #include "sidecar/engine.h"
@@ -122,7 +123,9 @@
   engine_load EngineLoad;
   bool LoadPending = false;
   bool Stopping = false;
-  double NextNews = 0;
+  double NextLook = 0;
+  told_load Told;         ///< The load that entries were last sent.
+  bool ToldLease = false; ///< Whether it held a lease at the last look.
   timer Timer;
 };
 
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -58,6 +58,7 @@
   double P95WaitMs = 0;
   double P99WaitMs = 0;
   double PrefixHits = 0; ///< Share of requests that found their prefix warm.
+  double NewsShare = 0;  ///< Share of looks at the load that were told.
 };
 std::vector<replica_row> benchReplicas(decision_signature &Signature);
 
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -29,12 +29,13 @@
                 Row.Scenario.c_str(), Row.Policy.c_str(), Row.MedianExposed,
                 Row.WorstExposed, 100 * Row.StoppedShare, 100 * Row.InPartShare,
                 Row.MedianSettled);
-  std::printf("\n%-32s %-20s %9s %9s %9s %9s\n", "REPLICAS", "POLICY",
-              "MEAN ms", "P95 ms", "P99 ms", "WARM");
+  std::printf("\n%-32s %-20s %9s %9s %9s %9s %9s\n", "REPLICAS", "POLICY",
+              "MEAN ms", "P95 ms", "P99 ms", "WARM", "NEWS");
   for (const replica_row &Row : Replicas)
-    std::printf("%-32s %-20s %9.1f %9.1f %9.1f %8.0f%%\n", Row.Scenario.c_str(),
-                Row.Policy.c_str(), Row.MeanWaitMs, Row.P95WaitMs,
-                Row.P99WaitMs, 100 * Row.PrefixHits);
+    std::printf("%-32s %-20s %9.1f %9.1f %9.1f %8.0f%% %8.0f%%\n",
+                Row.Scenario.c_str(), Row.Policy.c_str(), Row.MeanWaitMs,
+                Row.P95WaitMs, Row.P99WaitMs, 100 * Row.PrefixHits,
+                100 * Row.NewsShare);
 }
 
 json toJson(const std::vector<choice_row> &Choice,
@@ -64,7 +65,8 @@
                                {"mean_wait_ms", Row.MeanWaitMs},
                                {"p95_wait_ms", Row.P95WaitMs},
                                {"p99_wait_ms", Row.P99WaitMs},
-                               {"prefix_hits", Row.PrefixHits}});
+                               {"prefix_hits", Row.PrefixHits},
+                               {"news_share", Row.NewsShare}});
   return Out;
 }
 
--- a/tests/bench/replicas.cpp
+++ b/tests/bench/replicas.cpp
@@ -15,7 +15,8 @@
 
 constexpr int Entries = 8;
 constexpr int Requests = 60000;
-constexpr double NewsEvery = 1.5; ///< Seconds between reports of a replica.
+constexpr double NewsEvery = 1.5; ///< Seconds between a replica's looks.
+constexpr double TellEvery = 10;  ///< It tells at least so often.
 constexpr int Prefixes = 60;
 constexpr size_t WarmPrefixes = 12;  ///< That a replica keeps.
 constexpr double PrefixSaving = 0.3; ///< Of the service time, when warm.
@@ -50,7 +51,9 @@
     double OwnAtReport = 0;
   };
   std::array<view, Entries> Views{};
-  double ReportedAt = 0;
+  double LookedAt = 0;
+  double ToldAt = -TellEvery;
+  told_load Told;
 
   void tell(int Entry, double Now) {
     view &View = Views[size_t(Entry)];
@@ -144,7 +147,7 @@
     for (size_t I = 0; I < Slow; ++I)
       Replicas[I].Speed = 0.5;
     for (size_t I = 0; I < Replicas.size(); ++I)
-      Replicas[I].ReportedAt = -NewsEvery * double(I) / double(Pool.Replicas);
+      Replicas[I].LookedAt = -NewsEvery * double(I) / double(Pool.Replicas);
   }
 
   replica_row run(const std::string &Policy, const picker &Pick,
@@ -176,6 +179,7 @@
     Row.P95WaitMs = At(0.95);
     Row.P99WaitMs = At(0.99);
     Row.PrefixHits = double(Hits) / Requests;
+    Row.NewsShare = Told / Looks;
     return Row;
   }
 
@@ -231,12 +235,21 @@
   }
 
   void report(double Now) {
-    for (bench_replica &R : Replicas)
-      if (Now >= R.ReportedAt + NewsEvery) {
-        R.ReportedAt = Now;
-        for (int Entry = 0; Entry < Entries; ++Entry)
-          R.tell(Entry, Now);
-      }
+    for (bench_replica &R : Replicas) {
+      if (Now < R.LookedAt + NewsEvery)
+        continue;
+      R.LookedAt = Now;
+      ++Looks;
+      told_load Load{uint32_t(R.Running), uint32_t(R.Waiting.size())};
+      if (Now < R.ToldAt + TellEvery &&
+          !isNews(R.Told, Load, uint32_t(Pool.Slots)))
+        continue;
+      R.ToldAt = Now;
+      R.Told = Load;
+      ++Told;
+      for (int Entry = 0; Entry < Entries; ++Entry)
+        R.tell(Entry, Now);
+    }
   }
 
   const bench_pool &Pool;
@@ -247,6 +260,8 @@
   std::map<size_t, std::deque<int>> QueuedEntries;
   std::vector<double> Waits;
   int Hits = 0;
+  double Looks = 0;
+  double Told = 0;
 };
 
 } // namespace
--- a/tests/unit/decisions_test.cpp
+++ b/tests/unit/decisions_test.cpp
@@ -1,13 +1,17 @@
 //===- decisions_test.cpp - The decisions ---------------------------------===//
 
+#include "base/digest.h"
 #include "boost/test/unit_test.hpp"
 #include "entry/answer_text.h"
 #include "entry/chat_request.h"
 #include "policy/limits.h"
 #include "policy/replica_choice.h"
+#include "policy/subset.h"
 #include "policy/version_choice.h"
 #include "policy/work_queue.h"
+#include <map>
 #include <random>
+#include <set>
 
 using namespace olivevalve;
 
@@ -49,6 +53,53 @@
   BOOST_TEST(Breaker.allows(10.1));
 }
 
+BOOST_AUTO_TEST_CASE(every_replica_is_known_to_several_entries) {
+  struct fleet {
+    size_t Entries;
+    size_t Replicas;
+    size_t MostLinks;
+  };
+  // The last is one version at the design size.
+  for (fleet Fleet : {fleet{3, 18, 18}, fleet{4, 9, 9}, fleet{40, 120, 24},
+                      fleet{410, 66, 6}}) {
+    std::map<std::string, int> Known;
+    for (size_t E = 0; E < Fleet.Entries; ++E) {
+      std::vector<subset_replica> Replicas;
+      for (size_t R = 0; R < Fleet.Replicas; ++R)
+        Replicas.push_back({"r" + std::to_string(R), R % 3 == E % 3});
+      auto Names = chooseSubset(
+          Replicas, {.EntryHash = checksum("entry-" + std::to_string(E)),
+                     .Entries = Fleet.Entries});
+      BOOST_TEST(Names.size() <= Fleet.MostLinks);
+      BOOST_TEST(std::set(Names.begin(), Names.end()).size() == Names.size());
+      for (const std::string &Name : Names)
+        ++Known[Name];
+    }
+    BOOST_TEST(Known.size() == Fleet.Replicas);
+    for (const auto &[Name, Entries] : Known)
+      BOOST_TEST(Entries >= 2);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(fewer_entries_count_only_when_it_stays_so) {
+  steady_entry_count Count;
+  BOOST_TEST(Count.update(410, 1));
+  BOOST_TEST(!Count.update(3, 2)); // A new leader, that knows three so far.
+  BOOST_TEST(!Count.update(410, 4));
+  BOOST_TEST(!Count.update(300, 5));
+  BOOST_TEST(!Count.update(300, 34));
+  BOOST_TEST(Count.update(300, 35));
+  BOOST_TEST(Count.value() == 300);
+}
+
+BOOST_AUTO_TEST_CASE(load_is_news_when_it_has_moved_far) {
+  BOOST_TEST(!isNews({4, 0}, {11, 0}, 16));
+  BOOST_TEST(isNews({4, 0}, {12, 0}, 16));
+  BOOST_TEST(isNews({16, 0}, {16, 1}, 16));
+  BOOST_TEST(isNews({16, 3}, {16, 0}, 16));
+  BOOST_TEST(!isNews({16, 3}, {16, 5}, 16));
+}
+
 BOOST_AUTO_TEST_CASE(a_rolling_version_runs_only_within_its_allowance) {
   std::mt19937_64 Random(1);
   estimates None;
