Placement: control assigns versions, sidecars order them from engines

Cause: versions were listed by hand for each upstream; nothing loaded them, a roll-out needed engines that held the version already, and a lost upstream's versions came back nowhere. Change: upstreams with 'room' are managed. nextPlacement() is pure; control takes one step a second as a change of a 'placement' document; the sidecar gives fenced orders under a lease and says what is loaded; entries choose by that and the sidecar refuses the rest (not_loaded). The weight store is met by a bound on loads under way. Tests: leader killed between a new version and its loading, version withdrawn, engine started anew, late order, upstream lost and back. Ruled out: assignments in the upstream's own document, which an operator's file would empty.

--- a/base/error.h
+++ b/base/error.h
@@ -47,7 +47,8 @@
   AnswerTooLarge = 26,
   DeadlineUnknown = 27,
   EntryFull = 28,
-  Last = EntryFull
+  NotLoaded = 29,
+  Last = NotLoaded
 };
 
 /// What is known about whether the work of a refused request ran.
--- a/catalog/catalog.cpp
+++ b/catalog/catalog.cpp
@@ -39,6 +39,11 @@
     return absl::OkStatus();
   }
 
+  // Operators may delete what is placed; control then takes it away by itself.
+  absl::Status checkOne(const object_key &, const placement_spec &) {
+    return absl::OkStatus();
+  }
+
   absl::Status checkOne(const object_key &Key, const template_spec &Spec) {
     if (Catalog.model(Spec.Name))
       return badReference(Key, "has the name of a model; names must differ");
@@ -65,6 +70,9 @@
     if (!Spec.Service.empty() &&
         !Catalog.objects().contains({"service", Spec.Service}))
       return badReference(Key, "service: no service " + Spec.Service);
+    for (const std::string &Model : Spec.Models)
+      if (!Catalog.model(Model))
+        return badReference(Key, "models: no model " + Model);
     return known(Key, "versions", Spec.Versions);
   }
 
@@ -119,6 +127,15 @@
   return find<upstream_spec>("upstream", Name);
 }
 
+const std::vector<version_name> &
+catalog::versionsOf(const upstream_spec &Spec) const {
+  static const std::vector<version_name> None;
+  if (!Spec.managed())
+    return Spec.Versions;
+  const auto *Placement = find<placement_spec>("placement", Spec.Name);
+  return Placement ? Placement->Versions : None;
+}
+
 const node_spec *catalog::node(const std::string &Name) const {
   return find<node_spec>("node", Name);
 }
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -43,6 +43,8 @@
   const account_spec *account(const std::string &Name) const;
   const upstream_spec *upstream(const std::string &Name) const;
   const node_spec *node(const std::string &Name) const;
+  /// The versions that an upstream serves, or has been assigned.
+  const std::vector<version_name> &versionsOf(const upstream_spec &Spec) const;
   const version_spec *version(const version_name &Name) const;
   /// The client account that owns the key, or null.
   const account_spec *accountByKeyDigest(const std::string &Digest) const;
--- a/catalog/document.cpp
+++ b/catalog/document.cpp
@@ -146,8 +146,15 @@
   for (const version_name &Name : Upstream.Versions)
     if (Name.Version.empty())
       Reader.fault("versions", "must be written model@version");
-  if (Upstream.Service.empty() == Upstream.Versions.empty())
-    Reader.fault("versions", "either versions or service must be given");
+  Reader.integer("room", Upstream.Room, {0, 64});
+  Reader.texts("models", Upstream.Models);
+  if (Upstream.managed() == Upstream.Models.empty())
+    Reader.fault("models", "must be given together with room, and not empty");
+  bool IsEngine = !Upstream.Versions.empty() || Upstream.managed();
+  if (Upstream.Service.empty() != IsEngine)
+    Reader.fault("versions", "either versions, room or service must be given");
+  if (Upstream.managed() && !Upstream.Versions.empty())
+    Reader.fault("versions", "must not be given with room: control decides");
   Reader.integer("slots", Upstream.Slots, {1, 4096});
   Reader.flag("leaving", Upstream.Leaving);
   return Upstream;
@@ -175,6 +182,15 @@
   return Node;
 }
 
+placement_spec readPlacement(object_reader &Reader) {
+  placement_spec Placement;
+  readVersionNames(Reader, "versions", Placement.Versions);
+  for (const version_name &Name : Placement.Versions)
+    if (Name.Version.empty())
+      Reader.fault("versions", "must be written model@version");
+  return Placement;
+}
+
 document readKind(size_t Kind, object_reader &Reader, fault_list &Faults) {
   switch (Kind) {
   case 0:
@@ -187,8 +203,10 @@
     return readUpstream(Reader);
   case 4:
     return readService(Reader);
-  default:
+  case 5:
     return readNode(Reader);
+  default:
+    return readPlacement(Reader);
   }
 }
 
@@ -249,7 +267,7 @@
   if (Place == KindNames.end())
     return makeError(error_kind::BadConfiguration,
                      Source + ": kind must be one of model, template, account, "
-                              "upstream, service, node");
+                              "upstream, service, node, placement");
   if (!isName(Name))
     return makeError(error_kind::BadConfiguration,
                      Source + ": name must be 1 to 64 letters, digits, - _ .");
--- a/catalog/document.h
+++ b/catalog/document.h
@@ -121,8 +121,13 @@
   std::string Address; ///< Of its sidecar, "IP:port".
   std::string DataHall;
   std::string Service; ///< Name of a plain service, or empty for an engine.
-  std::vector<version_name> Versions;
-  int64_t Slots = 16; ///< Requests the engine runs at once.
+  std::vector<version_name> Versions; ///< That it serves, unless managed.
+  /// Versions that the engine can hold at once. 0: they are none of our care;
+  /// else control decides which they are and the sidecar orders them.
+  int64_t Room = 0;
+  std::vector<std::string> Models; ///< Whose versions it may be given.
+  int64_t Slots = 16;              ///< Requests the engine runs at once.
+  bool managed() const { return Room > 0; }
   bool Leaving = false;
 };
 
@@ -141,12 +146,20 @@
   bool Draining = false; ///< Not ready, so that the balancer passes it by.
 };
 
-using document = std::variant<model_spec, template_spec, account_spec,
-                              upstream_spec, service_spec, node_spec>;
+/// What control has assigned to a managed upstream. Written by control itself,
+/// so that an operator's file of upstreams does not undo it.
+struct placement_spec {
+  std::string Name; ///< Of the upstream.
+  std::vector<version_name> Versions;
+};
+
+using document =
+    std::variant<model_spec, template_spec, account_spec, upstream_spec,
+                 service_spec, node_spec, placement_spec>;
 
 /// The kinds in the order of the alternatives of document.
-constexpr std::array<std::string_view, 6> KindNames = {
-    "model", "template", "account", "upstream", "service", "node"};
+constexpr std::array<std::string_view, 7> KindNames = {
+    "model", "template", "account", "upstream", "service", "node", "placement"};
 
 /// Reads the document of \p Kind; an error lists every faulty field.
 absl::StatusOr<document> parseDocument(std::string_view Kind,
--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -14,6 +14,7 @@
 
 constexpr double TickSeconds = 0.05;
 constexpr double GuardSeconds = 0.5;
+constexpr double PlacementSeconds = 1;
 // Cells of estimates in one grant, at some 60 bytes each: a node that keeps up
 // gets 3 KB a second at most, under its bound of 4 KB; one that has none yet
 // gets more with its first grant.
@@ -55,6 +56,7 @@
 control_task::control_task(link_context &Context, struct ev_loop *Loop,
                            metrics &Metrics, control_options NewOptions)
     : Loop(Loop), Metrics(Metrics), Options(std::move(NewOptions)),
+      Placer(Options.LoadsAtOnce),
       Server(Context, Loop,
              [this](const std::string &Peer, const wire::envelope &Message) {
                receive(Peer, Message);
@@ -231,6 +233,7 @@
   LedTerm = Core.term();
   Nodes.reset(steadySeconds());
   GuardPending.clear();
+  PlacementPending = false;
   logLine(log_level::Info, "leads control", {{"term", int64_t(LedTerm)}});
 }
 
@@ -243,6 +246,8 @@
   Nodes.poll(Now);
   if (leads(Now) && Now >= NextGuard)
     guardVersions(Now);
+  if (leads(Now) && Now >= NextPlacement)
+    place(Now);
   Metrics.gauge("log_bytes", double(Log->storage().logBytes()));
   Metrics.gauge("log_syncs", double(Log->storage().syncs()));
   Metrics.gauge("commit_index", double(Core.commitIndex()));
@@ -265,6 +270,22 @@
   }
 }
 
+// One step at a time, each from what is true when it is taken: a leader that
+// is lost halfway leaves nothing that the next one has to know.
+void control_task::place(double Now) {
+  NextPlacement = Now + PlacementSeconds;
+  if (PlacementPending || !Nodes.settled(Now))
+    return;
+  auto Step = Placer.next(Log->state().config(), Nodes, Now);
+  if (!Step)
+    return;
+  wire::command Command;
+  *Command.mutable_change() = std::move(*Step);
+  PlacementPending = true;
+  Log->propose(std::move(Command),
+               [this](const apply_result *) { PlacementPending = false; });
+}
+
 // The last version that takes new work of its model is never stopped: a poor
 // answer is an operator's decision, no answer at all is not the guard's.
 bool control_task::isLastOfItsModel(const version_name &Name) const {
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "control/node_table.h"
 #include "control/operator_api.h"
+#include "control/placer.h"
 #include "control/replicated_log.h"
 
 namespace olivevalve {
@@ -22,6 +23,7 @@
   std::string Address;         ///< For nodes and other control VMs.
   std::string OperatorAddress; ///< HTTP.
   std::vector<std::string> OperatorKeyDigests;
+  size_t LoadsAtOnce = 2; ///< Versions that the weight store gives out at once.
   replicated_log_options Log;
 };
 
@@ -59,6 +61,7 @@
   void noteLeadership();
   void tick();
   void guardVersions(double Now);
+  void place(double Now);
   bool isLastOfItsModel(const version_name &Name) const;
   void setVersionState(const guard_report &Report, version_state State);
   void stopScopes(const guard_report &Report);
@@ -69,6 +72,7 @@
   struct ev_loop *Loop;
   metrics &Metrics;
   control_options Options;
+  placer Placer;
   server_link Server;
   std::unique_ptr<replicated_log> Log;
   std::unique_ptr<operator_api> Api;
@@ -77,6 +81,8 @@
   std::map<std::string, bool> GuardPending;
   std::vector<guard_report> Reports;
   double NextGuard = 0;
+  double NextPlacement = 0;
+  bool PlacementPending = false;
   timer Timer;
 };
 
--- a/control/node_table.cpp
+++ b/control/node_table.cpp
@@ -36,6 +36,9 @@
   Node.OpenRequests = Renew.open_requests();
   if (Renew.has_upstream_news())
     Node.News = Renew.upstream_news();
+  Node.VersionLoads.clear();
+  for (const wire::version_load &Load : Renew.version_loads())
+    Node.VersionLoads[Load.version()] = Load.in_flight();
   Node.Demand.clear();
   for (const wire::account_demand &Demand : Renew.demand())
     Node.Demand[Demand.account()] = Demand.requests_per_second();
--- a/control/node_table.h
+++ b/control/node_table.h
@@ -27,8 +27,10 @@
   double LeaseEnd = 0; ///< Never before the node's own view of it.
   double LastSeen = 0;
   bool Stopping = false;
-  uint32_t OpenRequests = 0;            ///< Entries.
-  wire::news News;                      ///< Sidecars.
+  uint32_t OpenRequests = 0; ///< Entries.
+  wire::news News;           ///< Sidecars.
+  /// Managed upstreams: requests by version.
+  std::map<std::string, uint32_t> VersionLoads;
   std::map<std::string, double> Demand; ///< Entries: requests per second.
 };
 
@@ -57,6 +59,8 @@
   /// when this leader cannot know yet.
   bool holdsLease(uint64_t Incarnation, double Now) const;
   uint32_t entries(double Now) const;
+  /// False while nodes may hold leases that this leader has not heard of.
+  bool settled(double Now) const { return Now >= Barrier; }
   /// \p Peer's share of the limits of the accounts it reported demand for.
   std::vector<wire::account_share> sharesOf(const std::string &Peer,
                                             double Now) const;
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -241,6 +241,7 @@
       Item["running"] = Node.News.running();
       Item["queued"] = Node.News.queued();
       Item["slots"] = Node.News.slots();
+      Item["loaded"] = Node.News.versions();
       Item["cache_in_use"] = Node.News.engine_load();
     }
     List.push_back(std::move(Item));
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -99,6 +99,7 @@
   int64_t Id = 0;
   int64_t Voters = int64_t(std::max<size_t>(1, Members.size()));
   int64_t SnapshotBytes = int64_t(Control.Log.SnapshotBytes);
+  int64_t LoadsAtOnce = int64_t(Control.LoadsAtOnce);
   Reader.integer("id", Id, {1, 1e6}, presence::Required);
   Addresses.read(Reader, "operator_address", Control.OperatorAddress,
                  presence::Required);
@@ -107,10 +108,12 @@
   Reader.integer("voters", Voters, {1, 9});
   Reader.number("replace_after_seconds", Control.Log.SilentSeconds, {5, 86400});
   Reader.integer("snapshot_bytes", SnapshotBytes, {1024, 1 << 30});
+  Reader.integer("loads_at_once", LoadsAtOnce, {1, 1000});
   Control.Id = Control.Log.Id = uint64_t(Id);
   Control.Log.Peers = Members;
   Control.Log.TargetVoters = size_t(Voters);
   Control.Log.SnapshotBytes = uint64_t(SnapshotBytes);
+  Control.LoadsAtOnce = size_t(LoadsAtOnce);
   for (const control_peer &Member : Members)
     if (Member.Id == Control.Id)
       Control.Address = Member.Address;
--- a/entry/upstream_pool.cpp
+++ b/entry/upstream_pool.cpp
@@ -23,13 +23,6 @@
 constexpr double BusySilentSeconds = 3.5;
 // A new entry waits so long for upstreams that do not answer, no longer.
 constexpr double AcquaintSeconds = 3;
-bool serves(const upstream_spec &Spec, const upstream_need &Need) {
-  if (Need.Version.Model.empty())
-    return Spec.Service == Need.Service;
-  return std::find(Spec.Versions.begin(), Spec.Versions.end(), Need.Version) !=
-         Spec.Versions.end();
-}
-
 } // namespace
 
 upstream_pool::upstream_pool(link_context &Context, struct ev_loop *Loop,
@@ -50,7 +43,7 @@
     subset_replica Replica{Spec.Name, Spec.DataHall == Options.DataHall};
     if (!Spec.Service.empty())
       Groups["service " + Spec.Service].push_back(Replica);
-    for (const version_name &Version : Spec.Versions)
+    for (const version_name &Version : Config.versionsOf(Spec))
       Groups[Version.text()].push_back(Replica);
   });
   std::set<std::string> Names;
@@ -121,6 +114,9 @@
   member &Member = Members[Name];
   uint64_t Before = Member.News.incarnation();
   Member.News = News;
+  Member.Loaded.clear();
+  for (const std::string &Text : News.versions())
+    Member.Loaded.insert(parseVersionName(Text));
   Member.OwnAtReport = Member.OwnInFlight;
   if (Before != 0 && Before != News.incarnation())
     OnLost(Name);
@@ -136,11 +132,22 @@
   It->second.OwnAtReport = It->second.OwnInFlight;
 }
 
+// A managed upstream serves what its sidecar says is loaded.
+bool upstream_pool::serves(const member &Member, const upstream_spec &Spec,
+                           const upstream_need &Need) {
+  if (Need.Version.Model.empty())
+    return Spec.Service == Need.Service;
+  if (Spec.managed())
+    return Member.Loaded.contains(Need.Version);
+  return std::find(Spec.Versions.begin(), Spec.Versions.end(), Need.Version) !=
+         Spec.Versions.end();
+}
+
 bool upstream_pool::usable(const member &Member, const upstream_spec &Spec,
                            const upstream_need &Need, trust Trust, double Now) {
   bool Alive =
       Member.News.incarnation() != 0 && Now - Member.HeardAt < SilentSeconds;
-  return Alive && serves(Spec, Need) && !Spec.Leaving &&
+  return Alive && serves(Member, Spec, Need) && !Spec.Leaving &&
          !Member.News.stopping() && Member.News.has_lease() &&
          (Trust == trust::Suspect || Member.Breaker.allows(Now));
 }
--- a/entry/upstream_pool.h
+++ b/entry/upstream_pool.h
@@ -79,6 +79,7 @@
     std::string Address;
     std::unique_ptr<client_link> Link;
     wire::news News;
+    std::set<version_name> Loaded; ///< As in News; managed upstreams.
     double HeardAt = 0;
     double NextHello = 0;
     double BusySince = 0; ///< When it got work after it had none.
@@ -93,6 +94,8 @@
   void onNews(const std::string &Name, const wire::news &News);
   std::string chooseAmong(const upstream_need &Need, const catalog &Config,
                           trust Trust, std::mt19937_64 &Random);
+  static bool serves(const member &Member, const upstream_spec &Spec,
+                     const upstream_need &Need);
   static bool usable(const member &Member, const upstream_spec &Spec,
                      const upstream_need &Need, trust Trust, double Now);
   void tick();
--- a/sidecar/admission.cpp
+++ b/sidecar/admission.cpp
@@ -10,7 +10,8 @@
 
 absl::Status admitModel(const wire::attempt &Attempt,
                         const account_spec &Account,
-                        const upstream_spec &Upstream, const catalog &Config) {
+                        const upstream_spec &Upstream,
+                        const admission_state &State, const catalog &Config) {
   version_name Name{Attempt.model(), Attempt.version()};
   if (!allowsVersion(Account, Name))
     return makeError(error_kind::ModelNotAllowed,
@@ -19,9 +20,12 @@
   if (!Version || !takesNewWork(Version->State))
     return makeError(error_kind::VersionWithdrawn,
                      Name.text() + " takes no new work");
-  const auto &Served = Upstream.Versions;
-  if (std::find(Served.begin(), Served.end(), Name) == Served.end())
-    return makeError(error_kind::NoUpstream,
+  const auto &Served = Config.versionsOf(Upstream);
+  bool Serves = std::find(Served.begin(), Served.end(), Name) != Served.end();
+  if (Upstream.managed())
+    Serves = Serves && State.Loaded && State.Loaded->contains(Name);
+  if (!Serves)
+    return makeError(error_kind::NotLoaded,
                      Upstream.Name + " does not serve " + Name.text());
   return absl::OkStatus();
 }
@@ -61,7 +65,7 @@
   if (!Account)
     return makeError(error_kind::Unauthorized, "no such client account");
   if (Upstream->Service.empty())
-    return admitModel(Attempt, *Account, *Upstream, Config);
+    return admitModel(Attempt, *Account, *Upstream, State, Config);
   return admitService(Attempt, *Account, *Upstream, Config);
 }
 
--- a/sidecar/admission.h
+++ b/sidecar/admission.h
@@ -11,6 +11,7 @@
 #include "absl/status/status.h"
 #include "catalog/catalog.h"
 #include "wire/wire.pb.h"
+#include <set>
 
 namespace olivevalve {
 
@@ -20,6 +21,8 @@
   uint64_t Incarnation = 0;
   bool HasLease = false;
   bool Stopping = false;
+  /// What the engine holds; needed for managed upstreams only.
+  const std::set<version_name> *Loaded = nullptr;
 };
 
 /// OK, or the error kind that the entry is told.
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -50,7 +50,8 @@
                .Role = "sidecar",
                .DataHall = Options.DataHall,
                .Control = Options.Control}),
-      Outbox(Control, Loop, BillHoldSeconds), Http(Loop), Queue(QueueLength),
+      Outbox(Control, Loop, BillHoldSeconds), Http(Loop),
+      Loader(Http, Options.EngineUrl), Queue(QueueLength),
       Timer(Loop, [this] { tick(); }) {
   Control.OnRenew = [this](wire::renew &Renew) {
     wire::news &News = *Renew.mutable_upstream_news();
@@ -58,8 +59,10 @@
     News.set_upstream(Options.Upstream);
     News.set_engine_load(EngineLoad.CacheInUse);
     News.set_engine_load_age(steadySeconds() - EngineLoad.At);
+    fillVersionLoads(Renew);
   };
   Control.OnConfig = [this] { sendNews(); };
+  Loader.OnChanged = [this] { sendNews(); };
   Timer.startRepeating(TickSeconds);
 }
 
@@ -73,12 +76,56 @@
   return Upstream && Upstream->Service.empty();
 }
 
+bool sidecar_task::managed() const {
+  const upstream_spec *Upstream = Control.config().upstream(Options.Upstream);
+  return Upstream && Upstream->managed();
+}
+
+// What control places by.
+void sidecar_task::fillVersionLoads(wire::renew &Renew) const {
+  if (!managed())
+    return;
+  std::map<version_name, uint32_t> InFlight;
+  for (const auto &[Ticket, Work] : Attempts)
+    ++InFlight[{Work.Attempt.model(), Work.Attempt.version()}];
+  for (const auto &[Version, Count] : InFlight) {
+    wire::version_load *Load = Renew.add_version_loads();
+    Load->set_version(Version.text());
+    Load->set_in_flight(Count);
+  }
+}
+
+// Orders to the engine are given only under a lease: a sidecar that was cut off
+// may hold an assignment that is long over.
+void sidecar_task::orderVersions() {
+  const catalog &Config = Control.config();
+  const upstream_spec *Upstream = Config.upstream(Options.Upstream);
+  if (!Upstream || !Upstream->managed() || !Control.hasLease())
+    return;
+  auto Placement = Config.objects().find({"placement", Options.Upstream});
+  load_wish Wish{.Room = size_t(Upstream->Room)};
+  if (Placement != Config.objects().end())
+    Wish.Index = Placement->second.Index;
+  for (const version_name &Name : Config.versionsOf(*Upstream)) {
+    const version_spec *Spec = Config.version(Name);
+    if (!Spec)
+      continue;
+    Wish.Versions[Name] =
+        Spec->EngineModel.empty() ? Name.text() : Spec->EngineModel;
+  }
+  std::set<version_name> InUse;
+  for (const auto &[Ticket, Work] : Attempts)
+    InUse.insert({Work.Attempt.model(), Work.Attempt.version()});
+  Loader.work(Wish, InUse);
+}
+
 absl::Status sidecar_task::check(const wire::attempt &Attempt) const {
   return admit(Attempt,
                {.Upstream = Options.Upstream,
                 .Incarnation = Incarnation,
                 .HasLease = Control.hasLease(),
-                .Stopping = Stopping},
+                .Stopping = Stopping,
+                .Loaded = &Loader.loaded()},
                Control.config());
 }
 
@@ -454,6 +501,9 @@
   News.set_running(uint32_t(Running));
   News.set_queued(uint32_t(Queue.size()));
   News.set_slots(uint32_t(slots()));
+  if (managed())
+    for (const version_name &Version : Loader.loaded())
+      News.add_versions(Version.text());
   return News;
 }
 
@@ -505,6 +555,7 @@
   told_load Load{uint32_t(Running), uint32_t(Queue.size())};
   if (LeaseMoved || isNews(Told, Load, uint32_t(slots())))
     sendNews();
+  orderVersions();
   readEngineLoad();
   Metrics.gauge("sidecar_running", double(Running));
   Metrics.gauge("sidecar_queued", double(Queue.size()));
--- a/sidecar/sidecar_task.h
+++ b/sidecar/sidecar_task.h
@@ -17,6 +17,7 @@
 #include "policy/work_queue.h"
 #include "sidecar/attempt_table.h"
 #include "sidecar/engine.h"
+#include "sidecar/version_loader.h"
 
 namespace olivevalve {
 
@@ -102,6 +103,9 @@
   void tick();
   int64_t slots() const;
   bool isEngine() const;
+  bool managed() const;
+  void fillVersionLoads(wire::renew &Renew) const;
+  void orderVersions();
   absl::Status check(const wire::attempt &Attempt) const;
 
   metrics &Metrics;
@@ -112,6 +116,7 @@
   bill_outbox Outbox;
   size_t OutcomesPending = 0;
   http_client Http;
+  version_loader Loader;
   work_queue Queue;
   attempt_table Table;
   std::map<uint64_t, running_attempt> Attempts; ///< By ticket.
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -62,6 +62,16 @@
 };
 std::vector<replica_row> benchReplicas(decision_signature &Signature);
 
+/// Demand that finds no copy of its version with a slot left.
+struct placement_row {
+  std::string Scenario;
+  std::string Policy;
+  double Unserved = 0;  ///< Share of demand.
+  double Loads = 0;     ///< In an hour.
+  double MostLoads = 0; ///< At once.
+};
+std::vector<placement_row> benchPlacement(decision_signature &Signature);
+
 /// Estimates on their way to one node that asks each second.
 struct news_row {
   std::string Scenario;
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -70,6 +70,26 @@
   return Out;
 }
 
+void printPlacement(const std::vector<placement_row> &Placement) {
+  std::printf("\n%-32s %-20s %9s %9s %9s\n", "PLACEMENT", "POLICY", "UNSERVED",
+              "LOADS", "AT ONCE");
+  for (const placement_row &Row : Placement)
+    std::printf("%-32s %-20s %8.2f%% %9.0f %9.0f\n", Row.Scenario.c_str(),
+                Row.Policy.c_str(), 100 * Row.Unserved, Row.Loads,
+                Row.MostLoads);
+}
+
+json toJson(const std::vector<placement_row> &Placement) {
+  json Rows = json::array();
+  for (const placement_row &Row : Placement)
+    Rows.push_back({{"scenario", Row.Scenario},
+                    {"policy", Row.Policy},
+                    {"unserved", Row.Unserved},
+                    {"loads", Row.Loads},
+                    {"most_loads", Row.MostLoads}});
+  return Rows;
+}
+
 void printNews(const std::vector<news_row> &News) {
   std::printf("\n%-32s %12s %12s %9s %9s\n", "NEWS OF ESTIMATES", "BYTES/s",
               "WHOLE TABLE", "BEHIND", "OFF (SE)");
@@ -92,13 +112,16 @@
   auto Replicas = benchReplicas(Signature);
   auto Rollout = benchRollout(Signature);
   auto Choice = benchChoice(Signature);
+  auto Placement = benchPlacement(Signature);
   if (Json) {
     json Out = toJson(Choice, Rollout, Replicas);
+    Out["placement"] = toJson(Placement);
     Out["bench"] = Signature.value();
     std::printf("%s\n", Out.dump(2).c_str());
     return 0;
   }
   printText(Choice, Rollout, Replicas);
+  printPlacement(Placement);
   printNews(benchNews());
   std::printf("\nBench: %llu\n", (unsigned long long)Signature.value());
   return 0;
--- a/tests/stand_in.cpp
+++ b/tests/stand_in.cpp
@@ -39,10 +39,12 @@
     : Loop(Loop), Options(std::move(NewOptions)),
       Server(Loop, {.MaxBodyBytes = 64 << 20, .MaxConnections = 10000},
              [this](const exchange &Exchange) { handle(Exchange); }),
-      Prepare(Loop, [this] {
-        for (auto It : std::exchange(Dead, {}))
-          Generations.erase(It);
-      }) {}
+      Prepare(Loop,
+              [this] {
+                for (auto It : std::exchange(Dead, {}))
+                  Generations.erase(It);
+              }),
+      Loading(Loop, [this] { loadNext(); }) {}
 
 void stand_in::handle(const exchange &Exchange) {
   const std::string &Path = Exchange->path();
@@ -58,6 +60,8 @@
               {"kv_cache_usage",
                std::min(1.0, double(Generations.size()) / 64)}})
             .dump());
+  if (Path == "/models")
+    return models(Exchange);
   if (Path == "/stand-in")
     return control(Exchange);
   serve(Exchange);
@@ -77,6 +81,10 @@
     return Exchange->reply(400, Json, "{\"error\":\"bad body\"}");
   std::string Prompt = promptOf(Body);
   std::string Model = Body.value("model", "");
+  if (Managed && !Loaded.contains(Model)) {
+    ++Unheld;
+    return Exchange->reply(404, Json, "{\"error\":\"no such model here\"}");
+  }
   ++Started;
   ++Runs[Model];
   auto Fails = Failing.find(Model);
@@ -217,6 +225,32 @@
   Raw->Timer.startOnce(Wait);
 }
 
+// The versions held: GET tells them, PUT orders others under a fence.
+void stand_in::models(const exchange &Exchange) {
+  json Body = json::parse(Exchange->body(), nullptr, false);
+  if (Exchange->method() == "PUT") {
+    bool Stale = Body["fence"].get<uint64_t>() < Fence;
+    StaleOrders += Stale ? 1 : 0;
+    if (Stale)
+      return Exchange->reply(
+          409, Json, json({{"fence", Fence}, {"loaded", Loaded}}).dump());
+    Managed = true;
+    Fence = Body["fence"];
+    Wanted = Body["models"].get<std::set<std::string>>();
+    std::erase_if(Loaded,
+                  [&](const auto &Name) { return !Wanted.contains(Name); });
+    Loading.startOnce(Options.LoadSeconds);
+  }
+  Exchange->reply(200, Json,
+                  json({{"fence", Fence}, {"loaded", Loaded}}).dump());
+}
+
+void stand_in::loadNext() {
+  for (const std::string &Name : Wanted)
+    if (Loaded.insert(Name).second)
+      return Loading.startOnce(Options.LoadSeconds);
+}
+
 // GET tells the counts; PUT sets qualities, failing models, ratings on or off.
 void stand_in::control(const exchange &Exchange) {
   json Body = json::parse(Exchange->body(), nullptr, false);
@@ -232,6 +266,12 @@
         Failing.erase(Model);
     }
     RatingsOff = Body.value("ratings_off", RatingsOff);
+    // As an engine that has started anew.
+    if (Body.value("forget_models", false)) {
+      Fence = 0;
+      Wanted.clear();
+      Loaded.clear();
+    }
   }
   Exchange->reply(200, Json,
                   json({{"started", Started},
@@ -240,6 +280,10 @@
                         {"rated", Rated},
                         {"taken", Taken},
                         {"running", Generations.size()},
+                        {"fence", Fence},
+                        {"loaded", Loaded},
+                        {"stale_orders", StaleOrders},
+                        {"unheld", Unheld},
                         {"runs", Runs}})
                       .dump());
 }
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -17,6 +17,7 @@
 #include "net/http_server.h"
 #include <list>
 #include <memory>
+#include <set>
 
 namespace olivevalve {
 
@@ -25,6 +26,7 @@
   double FirstTokenSeconds = 0.005;
   double GapSeconds = 0.001;
   int Tokens = 8;
+  double LoadSeconds = 0.3; ///< To load one version, one after another.
 };
 
 class stand_in {
@@ -58,6 +60,8 @@
   void rate(const exchange &Exchange);
   void serve(const exchange &Exchange);
   void control(const exchange &Exchange);
+  void models(const exchange &Exchange);
+  void loadNext();
   void drop(generation &Generation);
   double quality(const std::string &Model, const std::string &Prompt) const;
   json usageOf(const generation &Generation) const;
@@ -77,6 +81,14 @@
   uint64_t Rated = 0;
   uint64_t Taken = 0; ///< Chunks of streams that the sidecar has read.
   bool RatingsOff = false;
+  /// Set by the first order of versions: only these are served then.
+  bool Managed = false;
+  uint64_t Fence = 0;
+  uint64_t StaleOrders = 0; ///< With a fence below one that was taken.
+  uint64_t Unheld = 0;      ///< Requests for a version that is not loaded.
+  std::set<std::string> Wanted;
+  std::set<std::string> Loaded;
+  timer Loading;
 };
 
 } // namespace olivevalve
--- /dev/null
+++ b/tests/system/placement_test.cpp
@@ -0,0 +1,167 @@
+//===- placement_test.cpp - Versions loaded by order of control -----------===//
+
+#include "boost/test/unit_test.hpp"
+#include "tests/world.h"
+
+using namespace olivevalve;
+
+namespace {
+
+constexpr const char *Names[] = {"p1", "p2", "p3", "p4"};
+
+json rollingModel(const std::string &State1, const std::string &State3) {
+  json Model = modelWith(State1, "active");
+  if (!State3.empty())
+    Model["versions"]["3"] = {{"state", State3}};
+  return Model;
+}
+
+/// Four managed upstreams with room for two versions each, in two data halls.
+class placed_world : public world {
+public:
+  placed_world() {
+    startControl(3);
+    for (const char *Name : Names)
+      startSidecar(Name, hallOf(Name));
+    startEntry("entry-1");
+    json Account = usualAccount();
+    json Upstreams;
+    for (const char *Name : Names)
+      Upstreams[Name] = {{"address", Sidecars[Name]->Path->address()},
+                         {"data_hall", hallOf(Name)},
+                         {"room", 2},
+                         {"models", {"olive-llm"}},
+                         {"slots", 64}};
+    BOOST_REQUIRE(
+        apply({{"models", {{"olive-llm", rollingModel("active", "")}}},
+               {"templates", {{"plan", {{"candidates", {"olive-llm"}}}}}},
+               {"accounts", {{"dispatch", Account}}},
+               {"upstreams", Upstreams}},
+              30)
+            .value("in_force", false));
+    untilReady(Entries["entry-1"]->Health);
+  }
+
+  static std::string hallOf(const std::string &Name) {
+    return Name < "p3" ? "charguia" : "lac";
+  }
+
+  /// Engines that hold the version, of those whose sidecar runs.
+  size_t holders(const std::string &Version) {
+    size_t Count = 0;
+    for (const char *Name : Names) {
+      if (!Sidecars[Name]->Process->running())
+        continue;
+      json Loaded = engineCounts(*Sidecars[Name])["loaded"];
+      Count += std::count(Loaded.begin(), Loaded.end(), Version);
+    }
+    return Count;
+  }
+
+  void untilHeld(const std::string &Version, size_t Least) {
+    until(
+        Version + " held by " + std::to_string(Least),
+        [&] { return holders(Version) >= Least; }, 60);
+  }
+
+  caller_answer askVersion(const std::string &Version) {
+    return ask(Entries["entry-1"]->Address.text(),
+               {.Body = chatBody("olive-llm@" + Version, "x")});
+  }
+
+  uint64_t sum(const std::string &Count) {
+    uint64_t Sum = 0;
+    for (const char *Name : Names)
+      Sum += engineCounts(*Sidecars[Name])[Count].get<uint64_t>();
+    return Sum;
+  }
+
+private:
+  json usualAccount() {
+    return {
+        {"key_digests",
+         {"8636848d98db4b818d5867459be7dc6a435aeaa35e63b1ad4b10a308d3d1ce54"}},
+        {"models", {"olive-llm"}}};
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(placement)
+
+// Roll in, roll out, and everything that can be lost on the way.
+BOOST_AUTO_TEST_CASE(loads_and_unloads_versions_whatever_is_lost) {
+  placed_world World;
+  World.untilHeld("olive-llm@1", 4);
+  World.untilHeld("olive-llm@2", 4);
+  for (const char *Version : {"1", "2"})
+    BOOST_TEST(World.askVersion(Version).Status == 200);
+
+  BOOST_TEST_MESSAGE("a new version, and the leader dies right after it");
+  World.putObject("model", "olive-llm", rollingModel("active", "rolling"));
+  World.leader().Process->kill();
+  World.untilHeld("olive-llm@3", 2);
+  BOOST_TEST(World.askVersion("3").Status == 200);
+  for (auto &Node : World.Control)
+    if (!Node->Process->running())
+      Node->Process->start();
+
+  BOOST_TEST_MESSAGE("an old version is withdrawn");
+  json Answer = World.putObject("model", "olive-llm",
+                                rollingModel("withdrawn", "active"), 40);
+  BOOST_TEST(Answer.value("in_force", false));
+  World.until(
+      "1 is unloaded", [&] { return World.holders("olive-llm@1") == 0; }, 60);
+  World.untilHeld("olive-llm@3", 4);
+
+  BOOST_TEST_MESSAGE("an engine starts anew and holds nothing");
+  World.steerEngine(*World.Sidecars["p1"]->Engine, {{"forget_models", true}});
+  World.untilHeld("olive-llm@3", 4);
+
+  BOOST_TEST_MESSAGE("an order that came late, from a sidecar long gone");
+  stand_in &Engine = *World.Sidecars["p2"]->Engine;
+  caller_answer Late = World.call(
+      Engine.address(), {.Method = "PUT",
+                         .Path = "/models",
+                         .Body = R"({"fence": 1, "models": ["olive-llm@1"]})"});
+  BOOST_TEST(Late.Status == 409);
+  BOOST_TEST(World.askVersion("3").Status == 200);
+  BOOST_TEST(World.sum("unheld") == 0U);
+}
+
+// Two upstreams are all that hold a version; with one lost, another takes it.
+BOOST_AUTO_TEST_CASE(makes_up_for_a_lost_upstream) {
+  placed_world World;
+  World.putObject("model", "olive-llm", rollingModel("active", "rolling"));
+  World.untilHeld("olive-llm@3", 2);
+  World.until("every version twice", [&] {
+    return World.holders("olive-llm@1") >= 2 &&
+           World.holders("olive-llm@2") >= 2;
+  });
+  std::string Lost;
+  for (const char *Name : Names) {
+    json Loaded = World.engineCounts(*World.Sidecars[Name])["loaded"];
+    if (std::count(Loaded.begin(), Loaded.end(), "olive-llm@3"))
+      Lost = Name;
+  }
+  World.Sidecars[Lost]->Process->kill();
+  World.untilHeld("olive-llm@3", 2);
+  BOOST_TEST(World.askVersion("3").Status == 200);
+
+  BOOST_TEST_MESSAGE("it comes back, and an operator's file does not undo what "
+                     "control has assigned");
+  World.Sidecars[Lost]->Process->start();
+  World.untilHeld("olive-llm@3", 2);
+  json Upstream = {{"address", World.Sidecars["p1"]->Path->address()},
+                   {"data_hall", "charguia"},
+                   {"room", 2},
+                   {"models", {"olive-llm"}},
+                   {"slots", 32}};
+  BOOST_TEST(
+      World.putObject("upstream", "p1", Upstream).value("in_force", false));
+  for (const char *Version : {"1", "2", "3"})
+    BOOST_TEST(World.askVersion(Version).Status == 200);
+  BOOST_TEST(World.sum("unheld") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/documents_test.cpp
+++ b/tests/unit/documents_test.cpp
@@ -32,7 +32,7 @@
       {"account", R"({"key_digests":["x"]})", "64 hexadecimal digits"},
       {"account", R"({"requests_per_second":"many"})", "must be a number"},
       {"upstream", R"({"address":"a:1","data_hall":"h"})",
-       "either versions or service"},
+       "either versions, room or service"},
       {"service", R"({"path_prefix":"/v1/x/"})", "not be '/' or under /v1/"},
       {"nonsense", R"({})", "kind must be one of"},
   };
--- a/tests/unit/input_test.cpp
+++ b/tests/unit/input_test.cpp
@@ -53,7 +53,8 @@
       R"({"models":["m"],"templates":{"t":{"priority":1}}})",
       R"({"address":"127.0.0.1:1","data_hall":"h","versions":["m@1"]})",
       R"({"path_prefix":"/x/","repeatable_methods":["GET"]})",
-      R"({"draining":true})"};
+      R"({"draining":true})",
+      R"({"versions":["m@1"]})"};
   std::string Chat = R"({"model":"m","messages":[{"content":"x"}]})";
   int Accepted = 0;
   for (int I = 0; I < 20000; ++I) {
