--- a/entry/entry_task.h
+++ b/entry/entry_task.h
@@ -76,6 +76,7 @@
   rater Rater;
   sessions Sessions;
   estimates Estimates;
+  prepared_choices Prepared;
   uint64_t EstimatesIndex = 0;
   std::map<version_name, double> Allowances;
   retry_budget Retries;
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -127,7 +127,8 @@
                            .Policy = Facts.Policy,
                            .Candidates = candidates(),
                            .MayCascade = MayCascade};
-  return chooseArm(Question, Context.Estimates, Context.Random);
+  return chooseArm(Question, Context.Estimates, Context.Prepared,
+                   Context.Random);
 }
 
 void request_task::chooseFreely() {
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -36,6 +36,7 @@
   bill_outbox &Outbox;
   metrics &Metrics;
   estimates &Estimates;
+  prepared_choices &Prepared;
   std::map<version_name, double> &Allowances; ///< Of rolling versions.
   retry_budget &Retries;
   std::mt19937_64 &Random;
--- a/policy/estimate.cpp
+++ b/policy/estimate.cpp
@@ -45,6 +45,7 @@
 }
 
 void estimates::add(const estimate_key &Key, double Score, double Cost) {
+  ++Change;
   Cells[Key].add(Score, Cost);
   if (!Key.Account.empty())
     Cells[{Key.Template, "", Key.Arm}].add(Score, Cost);
--- a/policy/estimate.h
+++ b/policy/estimate.h
@@ -56,13 +56,20 @@
   const std::map<estimate_key, estimate_sums> &cells() const { return Cells; }
   void set(const estimate_key &Key, const estimate_sums &Sums) {
     Cells[Key] = Sums;
+    ++Change;
   }
+  /// Another number after every change.
+  uint64_t change() const { return Change; }
   /// Arms seen for \p Template are forgotten when their version is gone.
-  void clear() { Cells.clear(); }
+  void clear() {
+    Cells.clear();
+    ++Change;
+  }
 
 private:
   const estimate_sums &cell(const estimate_key &Key) const;
   std::map<estimate_key, estimate_sums> Cells;
+  uint64_t Change = 1;
 };
 
 } // namespace olivevalve
--- a/policy/version_choice.cpp
+++ b/policy/version_choice.cpp
@@ -1,6 +1,7 @@
 //===- version_choice.cpp - Which version answers -------------------------===//
 
 #include "policy/version_choice.h"
+#include "base/digest.h"
 #include <algorithm>
 #include <cmath>
 
@@ -23,6 +24,10 @@
 // it is made up for by others.
 constexpr double EscalationMargin = 0.1;
 
+// Prepared choices held: cells of templates and client accounts, with and
+// without a cascade, while versions roll in and out; a kilobyte each.
+constexpr size_t MostPrepared = 2000;
+
 double uniform(std::mt19937_64 &Random) {
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
@@ -60,6 +65,29 @@
   return Arms;
 }
 
+// Leaves out arms that another one beats in quality, error and cost alike: no
+// mix is better for them, and what is left are a dozen of up to a hundred.
+void dropBeaten(std::vector<scored_arm> &Arms) {
+  std::stable_sort(Arms.begin(), Arms.end(), [](const auto &A, const auto &B) {
+    return A.Estimate.Cost < B.Estimate.Cost;
+  });
+  size_t Kept = 0;
+  for (size_t I = 0; I < Arms.size(); ++I) {
+    const estimate &E = Arms[I].Estimate;
+    bool Beaten = std::any_of(Arms.begin(), Arms.begin() + int64_t(Kept),
+                              [&](const auto &Other) {
+                                return Other.Estimate.Quality >= E.Quality &&
+                                       Other.Estimate.Error <= E.Error;
+                              });
+    if (Beaten)
+      continue;
+    if (Kept != I)
+      Arms[Kept] = std::move(Arms[I]);
+    ++Kept;
+  }
+  Arms.resize(Kept);
+}
+
 // The target lies on an edge between an arm below it and an arm above it; the
 // cheapest such edge is the best that mixing can do. If no arm reaches the
 // target, the best one is used alone.
@@ -112,18 +140,57 @@
   return Best;
 }
 
-choice_answer chooseCheapest(const choice_question &Question, double Explore,
-                             const estimates &Estimates,
-                             std::mt19937_64 &Random) {
-  std::vector<scored_arm> Arms = scoreArms(Question, Estimates);
+prepared_choice prepare(const choice_question &Question,
+                        const estimates &Estimates) {
+  prepared_choice Choice{.EstimatesChange = Estimates.change(),
+                         .Template = Question.Template,
+                         .Account = Question.Account};
+  for (const version_candidate &Candidate : Question.Candidates)
+    Choice.Candidates.push_back(Candidate.Name);
+  std::vector<scored_arm> All = scoreArms(Question, Estimates);
+  std::vector<scored_arm> Arms = All;
+  dropBeaten(Arms);
   mix Mix = cheapestMix(Arms, Question.QualityTarget);
   double MixCost = (1 - Mix.BetterShare) * Arms[Mix.Cheap].Estimate.Cost +
                    Mix.BetterShare * Arms[Mix.Better].Estimate.Cost;
-  if (uniform(Random) < Explore)
-    if (auto I = worthExploring(Arms, MixCost, Question.QualityTarget))
-      return {Arms[*I].Arm, true, false};
-  bool Better = uniform(Random) < Mix.BetterShare;
-  return {Arms[Better ? Mix.Better : Mix.Cheap].Arm, false, false};
+  Choice.Cheap = Arms[Mix.Cheap].Arm;
+  Choice.Better = Arms[Mix.Better].Arm;
+  Choice.BetterShare = Mix.BetterShare;
+  if (auto I = worthExploring(All, MixCost, Question.QualityTarget))
+    Choice.Explore = All[*I].Arm;
+  return Choice;
+}
+
+uint64_t hashOf(const choice_question &Question) {
+  uint64_t Hash = checksum(Question.Template, Question.MayCascade ? 1 : 0);
+  Hash = checksum(Question.Account, Hash);
+  Hash = checksum({reinterpret_cast<const char *>(&Question.QualityTarget),
+                   sizeof(Question.QualityTarget)},
+                  Hash);
+  for (const version_candidate &Candidate : Question.Candidates) {
+    Hash = checksum(Candidate.Name.Model, Hash);
+    Hash = checksum(Candidate.Name.Version, Hash + Candidate.Rolling);
+  }
+  return Hash;
+}
+
+// A hash may stand for two questions; an account must not get the other's arms.
+bool isFor(const prepared_choice &Choice, const choice_question &Question) {
+  return Choice.Template == Question.Template &&
+         Choice.Account == Question.Account &&
+         std::equal(Choice.Candidates.begin(), Choice.Candidates.end(),
+                    Question.Candidates.begin(), Question.Candidates.end(),
+                    [](const version_name &Name, const version_candidate &C) {
+                      return Name == C.Name;
+                    });
+}
+
+choice_answer chooseCheapest(const prepared_choice &Choice, double Explore,
+                             std::mt19937_64 &Random) {
+  if (uniform(Random) < Explore && Choice.Explore)
+    return {*Choice.Explore, true, false};
+  bool Better = uniform(Random) < Choice.BetterShare;
+  return {Better ? Choice.Better : Choice.Cheap, false, false};
 }
 
 choice_answer chooseSplit(const choice_question &Question,
@@ -155,6 +222,7 @@
 struct policy_visitor {
   const choice_question &Question;
   const estimates &Estimates;
+  prepared_choices &Prepared;
   std::mt19937_64 &Random;
 
   choice_answer operator()(const fixed_policy &) const {
@@ -164,7 +232,8 @@
     return chooseSplit(Question, Policy.Weights, Random);
   }
   choice_answer operator()(const cheapest_policy &Policy) const {
-    return chooseCheapest(Question, Policy.ExploreShare, Estimates, Random);
+    return chooseCheapest(Prepared.of(Question, Estimates), Policy.ExploreShare,
+                          Random);
   }
   choice_answer operator()(const cascade_policy &) const {
     return chooseCascade(Question);
@@ -179,22 +248,42 @@
   return Question.QualityTarget - EscalationMargin;
 }
 
+const prepared_choice &prepared_choices::of(const choice_question &Question,
+                                            const estimates &Estimates) {
+  uint64_t Hash = hashOf(Question);
+  auto It = Choices.find(Hash);
+  bool Good = It != Choices.end() &&
+              It->second.EstimatesChange == Estimates.change() &&
+              isFor(It->second, Question);
+  if (Good)
+    return It->second;
+  if (Choices.size() >= MostPrepared)
+    Choices.clear();
+  return Choices[Hash] = prepare(Question, Estimates);
+}
+
 std::optional<choice_answer> chooseArm(const choice_question &Question,
                                        const estimates &Estimates,
+                                       prepared_choices &Prepared,
                                        std::mt19937_64 &Random) {
-  if (Question.Candidates.empty())
-    return std::nullopt;
-  choice_question Settled = Question;
-  std::erase_if(Settled.Candidates, [](const auto &C) { return C.Rolling; });
-  for (const version_candidate &Candidate : Question.Candidates) {
+  const auto &All = Question.Candidates;
+  auto IsRolling = [](const auto &Candidate) { return Candidate.Rolling; };
+  size_t Rolling = size_t(std::count_if(All.begin(), All.end(), IsRolling));
+  for (const version_candidate &Candidate : All) {
     if (!Candidate.Rolling || Candidate.Allowance < 1)
       continue;
-    if (Settled.Candidates.empty() || uniform(Random) < RollingShare)
+    if (Rolling == All.size() || uniform(Random) < RollingShare)
       return choice_answer{{Candidate.Name, {}}, false, true};
   }
-  if (Settled.Candidates.empty())
+  if (Rolling == All.size())
     return std::nullopt;
-  return std::visit(policy_visitor{Settled, Estimates, Random}, Settled.Policy);
+  policy_visitor Visitor{Question, Estimates, Prepared, Random};
+  if (Rolling == 0)
+    return std::visit(Visitor, Question.Policy);
+  choice_question Settled = Question;
+  std::erase_if(Settled.Candidates, IsRolling);
+  return std::visit(policy_visitor{Settled, Estimates, Prepared, Random},
+                    Settled.Policy);
 }
 
 } // namespace olivevalve
--- a/tests/bench/bench.h
+++ b/tests/bench/bench.h
@@ -27,6 +27,20 @@
   uint64_t Value = 0;
 };
 
+/// Mean and spread of one figure over seeds.
+class seed_spread {
+public:
+  void add(double Value);
+  double mean() const { return Count > 0 ? Sum / Count : 0; }
+  /// Standard deviation between seeds.
+  double deviation() const;
+
+private:
+  double Count = 0;
+  double Sum = 0;
+  double Squares = 0;
+};
+
 /// Cost at the quality target.
 struct choice_row {
   std::string Workload;
@@ -37,6 +51,16 @@
   double CellsMet = 0;       ///< Share of cells within 0.005 of the target.
 };
 std::vector<choice_row> benchChoice(decision_signature &Signature);
+/// The same over seeds.
+struct choice_spread_row {
+  std::string Workload;
+  std::string Policy;
+  seed_spread Cost;
+  seed_spread OverBound; ///< Cost divided by that of perfect knowledge.
+  seed_spread WorstShortfall;
+  seed_spread CellsMet;
+};
+std::vector<choice_spread_row> benchChoiceSpread();
 
 /// Exposure to bad versions.
 struct rollout_row {
@@ -47,8 +71,18 @@
   double StoppedShare = 0;  ///< Of runs, whole.
   double InPartShare = 0;   ///< Of runs, for the bad part and no other.
   double MedianSettled = 0; ///< Requests of all until it took all traffic.
+  /// Bad answers given so far, mean over runs, every CurveStep requests.
+  std::vector<double> Curve;
 };
+constexpr int CurveStep = 250;
 std::vector<rollout_row> benchRollout(decision_signature &Signature);
+/// Roll-outs of good versions that were stopped, of so many.
+struct false_stop_row {
+  int Rollouts = 0;
+  int Stopped = 0;       ///< Whole.
+  int StoppedInPart = 0; ///< For a template or client account.
+};
+false_stop_row benchFalseStops();
 
 /// Waiting of requests under stale news.
 struct replica_row {
@@ -62,6 +96,31 @@
 };
 std::vector<replica_row> benchReplicas(decision_signature &Signature);
 
+/// Waits for a slot in milliseconds, over seeds.
+struct wait_quantiles {
+  seed_spread P50;
+  seed_spread P95;
+  seed_spread P99;
+  seed_spread NotRun; ///< Share that waited for too long.
+};
+
+/// Two classes of requests at one pool: priority 0, and the others.
+struct wait_row {
+  double Load = 0; ///< Of capacity.
+  std::string Policy;
+  wait_quantiles Urgent;
+  wait_quantiles Others;
+};
+std::vector<wait_row> benchWaits();
+
+/// What one decision costs, with 13 versions and 86 replicas.
+struct speed_row {
+  std::string Decision;
+  double Nanoseconds = 0;
+  double Allocations = 0;
+};
+std::vector<speed_row> benchSpeed();
+
 /// Demand that finds no copy of its version with a slot left.
 struct placement_row {
   std::string Scenario;
--- a/tests/bench/choice.cpp
+++ b/tests/bench/choice.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cmath>
 #include <functional>
+#include <map>
 #include <queue>
 
 namespace olivevalve {
@@ -164,15 +165,17 @@
 // The decision code of the daemons, fed with late, lost and noisy ratings.
 choice_row runOurs(const bench_workload &Workload,
                    const std::vector<bench_request> &List, bool MayCascade,
-                   bool RatingsStop, decision_signature &Signature) {
+                   bool RatingsStop, uint64_t Seed,
+                   decision_signature &Signature) {
   std::string Name = MayCascade ? "olivevalve" : "olivevalve, no cascade";
   choice_run Run(Workload, RatingsStop ? Name + ", ratings stop" : Name);
-  std::mt19937_64 Random(7);
+  std::mt19937_64 Random(Seed);
   std::uniform_real_distribution<double> Unit(0, 1);
   std::exponential_distribution<double> Delay(1 / MeanRatingDelay);
   std::priority_queue<late_rating, std::vector<late_rating>, std::greater<>>
       Late;
   estimates Estimates;
+  prepared_choices Prepared;
   for (int I = 0; I < Requests; ++I) {
     while (!Late.empty() && Late.top().At <= I) {
       Estimates.add(Late.top().Key, Late.top().Score, Late.top().Cost);
@@ -188,7 +191,7 @@
     for (const bench_version &Version : Workload.Versions)
       Question.Candidates.push_back(
           {.Name = Version.Name, .PriorCost = Version.Cost});
-    choice_answer Choice = *chooseArm(Question, Estimates, Random);
+    choice_answer Choice = *chooseArm(Question, Estimates, Prepared, Random);
     Signature.add(Choice.Arm.text());
     auto Rate = [&](const arm &Arm, double Score, double Cost, bool AtOnce) {
       if (RatingsStop && I > Requests / 2)
@@ -296,12 +299,55 @@
     Rows.push_back(runFixed(Workload, List, "fixed split",
                             [](int I) { return I % 2 ? 2 : 0; }));
     Rows.push_back(runCascade(Workload, List, 0.8));
-    Rows.push_back(runOurs(Workload, List, false, false, Signature));
-    Rows.push_back(runOurs(Workload, List, true, false, Signature));
-    Rows.push_back(runOurs(Workload, List, true, true, Signature));
+    Rows.push_back(runOurs(Workload, List, false, false, 7, Signature));
+    Rows.push_back(runOurs(Workload, List, true, false, 7, Signature));
+    Rows.push_back(runOurs(Workload, List, true, true, 7, Signature));
     Rows.push_back(runBound(Workload, List));
   }
   return Rows;
 }
 
+void seed_spread::add(double Value) {
+  Count += 1;
+  Sum += Value;
+  Squares += Value * Value;
+}
+
+double seed_spread::deviation() const {
+  if (Count < 2)
+    return 0;
+  double Variance = (Squares - Sum * Sum / Count) / (Count - 1);
+  return std::sqrt(std::max(0.0, Variance));
+}
+
+std::vector<choice_spread_row> benchChoiceSpread() {
+  constexpr uint64_t Seeds = 20;
+  constexpr uint64_t FirstSeed = 200;
+  std::vector<choice_spread_row> Rows;
+  for (const bench_workload &Workload : workloads()) {
+    std::map<std::string, choice_spread_row> ByPolicy;
+    for (uint64_t Seed = FirstSeed; Seed < FirstSeed + Seeds; ++Seed) {
+      auto List = makeRequests(Workload, Seed);
+      decision_signature None;
+      choice_row Bound = runBound(Workload, List);
+      auto Add = [&](const choice_row &Row) {
+        choice_spread_row &Out = ByPolicy[Row.Policy];
+        Out.Workload = Row.Workload;
+        Out.Policy = Row.Policy;
+        Out.Cost.add(Row.CostPerThousand);
+        Out.OverBound.add(Row.CostPerThousand / Bound.CostPerThousand);
+        Out.WorstShortfall.add(Row.WorstShortfall);
+        Out.CellsMet.add(Row.CellsMet);
+      };
+      Add(runFixed(Workload, List, "best always", [](int) { return 2; }));
+      Add(runCascade(Workload, List, 0.8));
+      Add(runOurs(Workload, List, true, false, Seed, None));
+      Add(Bound);
+    }
+    for (auto &[Policy, Row] : ByPolicy)
+      Rows.push_back(Row);
+  }
+  return Rows;
+}
+
 } // namespace olivevalve
--- a/tests/bench/main.cpp
+++ b/tests/bench/main.cpp
@@ -1,11 +1,16 @@
 //===- main.cpp - bench: measuring the decisions --------------------------===//
 //
-// usage: bench [-o json]
+// usage: bench [spread | -o json | -o svg]
+//
+// Without "spread": one table for each kind of decision, and the signature of
+// all. With it: over 20 seeds, false stops, waits of two classes, cost of a
+// decision.
 //
 //===----------------------------------------------------------------------===//
 
 #include "base/fields.h"
 #include "tests/bench/bench.h"
+#include "tests/bench/plot.h"
 #include <cstdio>
 #include <string_view>
 
@@ -99,13 +104,59 @@
                 Row.WorstOff);
 }
 
+std::string spreadText(const seed_spread &Spread, int Digits) {
+  char Text[64];
+  std::snprintf(Text, sizeof(Text), "%.*f +- %.*f", Digits, Spread.mean(),
+                Digits, Spread.deviation());
+  return Text;
+}
+
+void printSpread() {
+  std::printf("%-26s %-20s %18s %16s %18s %16s\n", "CHOICE, 20 SEEDS", "POLICY",
+              "COST/1000", "OVER BOUND", "SHORTFALL", "CELLS MET");
+  for (const choice_spread_row &Row : benchChoiceSpread())
+    std::printf("%-26s %-20s %18s %16s %18s %16s\n", Row.Workload.c_str(),
+                Row.Policy.c_str(), spreadText(Row.Cost, 0).c_str(),
+                spreadText(Row.OverBound, 2).c_str(),
+                spreadText(Row.WorstShortfall, 4).c_str(),
+                spreadText(Row.CellsMet, 2).c_str());
+  false_stop_row Stops = benchFalseStops();
+  std::printf("\nFALSE STOPS: %d whole and %d in part of %d clean roll-outs\n",
+              Stops.Stopped, Stops.StoppedInPart, Stops.Rollouts);
+  std::printf("\n%-6s %-18s %-8s %16s %16s %16s %16s\n", "LOAD",
+              "WAITS, 20 SEEDS", "CLASS", "P50 ms", "P95 ms", "P99 ms",
+              "NOT RUN");
+  auto Print = [](const wait_row &Row, const char *Class,
+                  const wait_quantiles &Waits) {
+    std::printf("%4.0f%%  %-18s %-8s %16s %16s %16s %16s\n", 100 * Row.Load,
+                Row.Policy.c_str(), Class, spreadText(Waits.P50, 0).c_str(),
+                spreadText(Waits.P95, 0).c_str(),
+                spreadText(Waits.P99, 0).c_str(),
+                spreadText(Waits.NotRun, 3).c_str());
+  };
+  for (const wait_row &Row : benchWaits()) {
+    Print(Row, "urgent", Row.Urgent);
+    Print(Row, "others", Row.Others);
+  }
+  std::printf("\n%-36s %12s %12s\n", "COST OF A DECISION", "ns", "ALLOCATIONS");
+  for (const speed_row &Row : benchSpeed())
+    std::printf("%-36s %12.0f %12.1f\n", Row.Decision.c_str(), Row.Nanoseconds,
+                Row.Allocations);
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
-  bool Json = Count == 3 && std::string_view(Values[1]) == "-o" &&
-              std::string_view(Values[2]) == "json";
-  if (Count != 1 && !Json) {
-    std::fprintf(stderr, "usage: bench [-o json]\n");
+  std::vector<std::string_view> Words(Values + 1, Values + Count);
+  if (Words == std::vector<std::string_view>{"spread"}) {
+    printSpread();
+    return 0;
+  }
+  bool HasFormat = Words.size() == 2 && Words[0] == "-o";
+  bool Json = HasFormat && Words[1] == "json";
+  bool Svg = HasFormat && Words[1] == "svg";
+  if (!Words.empty() && !Json && !Svg) {
+    std::fprintf(stderr, "usage: bench [spread | -o json | -o svg]\n");
     return 2;
   }
   decision_signature Signature;
@@ -113,6 +164,10 @@
   auto Rollout = benchRollout(Signature);
   auto Choice = benchChoice(Signature);
   auto Placement = benchPlacement(Signature);
+  if (Svg) {
+    std::fputs(plotSvg(Choice, Rollout).c_str(), stdout);
+    return 0;
+  }
   if (Json) {
     json Out = toJson(Choice, Rollout, Replicas);
     Out["placement"] = toJson(Placement);
--- a/tests/bench/rollout.cpp
+++ b/tests/bench/rollout.cpp
@@ -68,7 +68,9 @@
   int Exposed = 0; ///< Bad answers or failures given.
   int SettledAt = -1;
   bool Stopped = false;
-  bool InPart = false; ///< Ended for the bad part and no other.
+  bool InPart = false;    ///< Ended for the bad part and no other.
+  bool AnyPart = false;   ///< Ended for some part.
+  std::vector<int> Curve; ///< Exposed, every CurveStep requests.
 };
 
 /// Requests, answers and ratings that come late, in part and with noise.
@@ -100,6 +102,8 @@
         Look(*this, I);
       bool New = !Result.Stopped && UsesNew(*this, I);
       answer(New ? "2" : "1", I);
+      if (I % CurveStep == 0)
+        Result.Curve.push_back(Result.Exposed);
     }
     return Result;
   }
@@ -119,6 +123,7 @@
       (IsTemplate ? Stopped.Templates : Stopped.Accounts).push_back(Part.Name);
     }
     Config = makeCatalog(Settled ? "active" : "rolling", Stopped);
+    Result.AnyPart = true;
     Result.InPart = (Scenario.OneTemplate && Stopped.Accounts.empty() &&
                      Stopped.Templates == std::vector<std::string>{"t0"}) ||
                     (Scenario.OneAccount && Stopped.Templates.empty() &&
@@ -184,6 +189,7 @@
                    decision_signature &Signature) {
   rollout_run Run(Scenario, Seed);
   estimates None;
+  prepared_choices Prepared;
   auto UsesNew = [&](rollout_run &R, int) {
     choice_question Question{.Template = "t", .Policy = cheapest_policy{}};
     Question.Candidates = {{.Name = {"m", "1"}}, {.Name = {"m", "2"}}};
@@ -193,7 +199,7 @@
       return false;
     if (R.Settled)
       return true;
-    bool New = chooseArm(Question, None, R.Random)->Rolling;
+    bool New = chooseArm(Question, None, Prepared, R.Random)->Rolling;
     R.Allowance -= New ? 1 : 0;
     return New;
   };
@@ -258,6 +264,9 @@
     Row.StoppedShare += Result.Stopped ? 1.0 / double(Results.size()) : 0;
     if (Result.SettledAt >= 0)
       Settled.push_back(Result.SettledAt);
+    Row.Curve.resize(Result.Curve.size());
+    for (size_t I = 0; I < Result.Curve.size(); ++I)
+      Row.Curve[I] += Result.Curve[I] / double(Results.size());
   }
   Row.MedianExposed = quantile(Exposed, 0.5);
   Row.WorstExposed = quantile(Exposed, 1);
@@ -282,4 +291,17 @@
   return Rows;
 }
 
+false_stop_row benchFalseStops() {
+  constexpr int Clean = 1000;
+  constexpr uint64_t FirstSeed = 1000;
+  false_stop_row Row{.Rollouts = Clean};
+  decision_signature None;
+  for (int Run = 0; Run < Clean; ++Run) {
+    run_result Result = runOurs(Scenarios[0], FirstSeed + uint64_t(Run), None);
+    Row.Stopped += Result.Stopped ? 1 : 0;
+    Row.StoppedInPart += Result.AnyPart ? 1 : 0;
+  }
+  return Row;
+}
+
 } // namespace olivevalve
--- /dev/null
+++ b/tests/bench/speed.cpp
@@ -0,0 +1,102 @@
+//===- speed.cpp - What a decision costs ----------------------------------===//
+
+#include "policy/replica_choice.h"
+#include "policy/version_choice.h"
+#include "tests/bench/bench.h"
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <functional>
+#include <new>
+
+namespace {
+std::atomic<uint64_t> Allocations = 0;
+} // namespace
+
+// Counts every allocation of the program.
+void *operator new(size_t Size) {
+  ++Allocations;
+  if (void *Memory = std::malloc(Size))
+    return Memory;
+  throw std::bad_alloc();
+}
+void operator delete(void *Memory) noexcept { std::free(Memory); }
+void operator delete(void *Memory, size_t) noexcept { std::free(Memory); }
+
+namespace olivevalve {
+
+namespace {
+
+constexpr int Versions = 13;
+constexpr size_t Replicas = 86;
+constexpr int Templates = 6;
+constexpr int Accounts = 10;
+constexpr int Decisions = 20000;
+
+estimates ratedEstimates() {
+  estimates Estimates;
+  std::mt19937_64 Random(3);
+  std::uniform_real_distribution<double> Unit(0, 1);
+  for (int T = 0; T < Templates; ++T)
+    for (int A = 0; A < Accounts; ++A)
+      for (int V = 0; V < Versions; ++V)
+        for (int I = 0; I < 20; ++I)
+          Estimates.add({"t" + std::to_string(T),
+                         "a" + std::to_string(A),
+                         {{"m", std::to_string(V)}, {}}},
+                        0.5 + 0.03 * V + 0.1 * Unit(Random), 1 + V);
+  return Estimates;
+}
+
+speed_row measure(const std::string &Name,
+                  const std::function<void()> &Decide) {
+  for (int I = 0; I < 100; ++I)
+    Decide();
+  uint64_t Before = Allocations;
+  auto Start = std::chrono::steady_clock::now();
+  for (int I = 0; I < Decisions; ++I)
+    Decide();
+  std::chrono::duration<double, std::nano> Took =
+      std::chrono::steady_clock::now() - Start;
+  return {Name, Took.count() / Decisions,
+          double(Allocations - Before) / Decisions};
+}
+
+} // namespace
+
+std::vector<speed_row> benchSpeed() {
+  estimates Estimates = ratedEstimates();
+  std::mt19937_64 Random(9);
+  choice_question Question{.Template = "t1",
+                           .Account = "a1",
+                           .QualityTarget = 0.8,
+                           .Policy = cheapest_policy{}};
+  for (int V = 0; V < Versions; ++V)
+    Question.Candidates.push_back(
+        {.Name = {"m", std::to_string(V)}, .PriorCost = 1.0 + V});
+  std::vector<replica_news> News(Replicas);
+  for (size_t I = 0; I < Replicas; ++I)
+    News[I] = {.OwnInFlight = double(I % 3),
+               .ReportedRunning = double(I % 17),
+               .Age = 0.5,
+               .Slots = 32,
+               .PrefixScore = checksum(std::to_string(I))};
+  std::vector<speed_row> Rows;
+  prepared_choices Prepared;
+  auto Choose = [&] { chooseArm(Question, Estimates, Prepared, Random); };
+  // As after each news of ratings.
+  auto ChooseAnew = [&] {
+    Estimates.set({"", "", {{"m", "0"}, {}}}, {});
+    Choose();
+  };
+  Rows.push_back(measure("version of 13", Choose));
+  Rows.push_back(measure("version of 13, new estimates", ChooseAnew));
+  Question.MayCascade = true;
+  Rows.push_back(measure("version or cascade", Choose));
+  Rows.push_back(measure("version or cascade, new estimates", ChooseAnew));
+  Rows.push_back(
+      measure("replica of 86", [&] { chooseReplica(News, Random); }));
+  return Rows;
+}
+
+} // namespace olivevalve
--- a/tests/unit/decisions_test.cpp
+++ b/tests/unit/decisions_test.cpp
@@ -92,6 +92,34 @@
   BOOST_TEST(Count.value() == 300);
 }
 
+BOOST_AUTO_TEST_CASE(a_prepared_choice_lasts_until_the_estimates_change) {
+  std::mt19937_64 Random(1);
+  estimates Estimates;
+  prepared_choices Prepared;
+  choice_question Question{.Template = "t",
+                           .Account = "a",
+                           .Policy = cheapest_policy{.ExploreShare = 0}};
+  Question.Candidates = {{.Name = {"cheap", "1"}, .PriorCost = 1},
+                         {.Name = {"dear", "1"}, .PriorCost = 9}};
+  auto Chosen = [&] {
+    return chooseArm(Question, Estimates, Prepared, Random)->Arm.First.Model;
+  };
+  auto Rate = [&](const std::string &Model, double Score, double Cost) {
+    for (int I = 0; I < 2000; ++I)
+      Estimates.add({"t", "a", {{Model, "1"}, {}}}, Score, Cost);
+  };
+  Rate("dear", 0.95, 9);
+  Rate("cheap", 0.95, 1);
+  BOOST_TEST(Chosen() == "cheap");
+  Rate("cheap", 0.1, 1);
+  Rate("dear", 0.8, 9); // The best of two that both miss the target.
+  BOOST_TEST(Chosen() == "dear");
+  Question.Candidates.pop_back(); // Not allowed any more.
+  BOOST_TEST(Chosen() == "cheap");
+  Question.Account = "b";
+  BOOST_TEST(Chosen() == "cheap");
+}
+
 BOOST_AUTO_TEST_CASE(load_is_news_when_it_has_moved_far) {
   BOOST_TEST(!isNews({4, 0}, {11, 0}, 16));
   BOOST_TEST(isNews({4, 0}, {12, 0}, 16));
@@ -103,20 +131,22 @@
 BOOST_AUTO_TEST_CASE(a_rolling_version_runs_only_within_its_allowance) {
   std::mt19937_64 Random(1);
   estimates None;
+  prepared_choices Prepared;
   choice_question Question{.Policy = cheapest_policy{}};
   Question.Candidates = {{.Name = {"m", "1"}},
                          {.Name = {"m", "2"}, .Rolling = true}};
   for (int I = 0; I < 200; ++I)
-    BOOST_TEST(chooseArm(Question, None, Random)->Arm.First.Version == "1");
+    BOOST_TEST(chooseArm(Question, None, Prepared, Random)->Arm.First.Version ==
+               "1");
   Question.Candidates[1].Allowance = 5;
   int New = 0;
   for (int I = 0; I < 200; ++I)
-    New += chooseArm(Question, None, Random)->Rolling ? 1 : 0;
+    New += chooseArm(Question, None, Prepared, Random)->Rolling ? 1 : 0;
   BOOST_TEST(New > 20);
   BOOST_TEST(New < 90);
   Question.Candidates.erase(Question.Candidates.begin());
   Question.Candidates[0].Allowance = 0;
-  BOOST_TEST(!chooseArm(Question, None, Random));
+  BOOST_TEST(!chooseArm(Question, None, Prepared, Random));
 }
 
 BOOST_AUTO_TEST_CASE(the_text_of_an_answer_wherever_it_is_cut) {
