Where nothing is known the first listed version begins, as before

Cause: leaving out beaten arms before the mix is formed also changed what is used while no arm reaches the target: of arms that nothing is known of, the cheapest (often a cascade) in place of the first listed. Change: the arm used alone is sought among all. Test: the_first_listed_version_begins_where_nothing_is_known.

--- a/policy/version_choice.cpp
+++ b/policy/version_choice.cpp
@@ -89,9 +89,9 @@
 }
 
 // The target lies on an edge between an arm below it and an arm above it; the
-// cheapest such edge is the best that mixing can do. If no arm reaches the
-// target, the best one is used alone.
-mix cheapestMix(const std::vector<scored_arm> &Arms, double Target) {
+// cheapest such edge is the best that mixing can do. None if no arm reaches it.
+std::optional<mix> cheapestMix(const std::vector<scored_arm> &Arms,
+                               double Target) {
   mix Best;
   double BestCost = INFINITY;
   auto QualityOf = [&](size_t I) { return Arms[I].Estimate.Quality; };
@@ -117,11 +117,20 @@
         Best = {Low, High, Share};
       }
     }
-  if (!std::isinf(BestCost))
-    return Best;
-  for (size_t I = 0; I < Arms.size(); ++I)
-    if (QualityOf(I) > QualityOf(Best.Cheap))
-      Best = {I, I, 0};
+  if (std::isinf(BestCost))
+    return std::nullopt;
+  return Best;
+}
+
+// For a target that no arm reaches. Of arms that nothing is known of the first
+// listed counts, a version alone: with the cheapest, a cascade, the first
+// ratings taught less, and 90 in place of 100% of Laurentien's cells met their
+// target.
+size_t bestAlone(const std::vector<scored_arm> &Arms) {
+  size_t Best = 0;
+  for (size_t I = 1; I < Arms.size(); ++I)
+    if (Arms[I].Estimate.Quality > Arms[Best].Estimate.Quality)
+      Best = I;
   return Best;
 }
 
@@ -150,12 +159,15 @@
   std::vector<scored_arm> All = scoreArms(Question, Estimates);
   std::vector<scored_arm> Arms = All;
   dropBeaten(Arms);
-  mix Mix = cheapestMix(Arms, Question.QualityTarget);
-  double MixCost = (1 - Mix.BetterShare) * Arms[Mix.Cheap].Estimate.Cost +
-                   Mix.BetterShare * Arms[Mix.Better].Estimate.Cost;
-  Choice.Cheap = Arms[Mix.Cheap].Arm;
-  Choice.Better = Arms[Mix.Better].Arm;
-  Choice.BetterShare = Mix.BetterShare;
+  auto Mix = cheapestMix(Arms, Question.QualityTarget);
+  const scored_arm &Alone = All[bestAlone(All)];
+  const scored_arm &Cheap = Mix ? Arms[Mix->Cheap] : Alone;
+  const scored_arm &Better = Mix ? Arms[Mix->Better] : Alone;
+  Choice.BetterShare = Mix ? Mix->BetterShare : 0;
+  Choice.Cheap = Cheap.Arm;
+  Choice.Better = Better.Arm;
+  double MixCost = (1 - Choice.BetterShare) * Cheap.Estimate.Cost +
+                   Choice.BetterShare * Better.Estimate.Cost;
   if (auto I = worthExploring(All, MixCost, Question.QualityTarget))
     Choice.Explore = All[*I].Arm;
   return Choice;
--- a/tests/bench/choice.cpp
+++ b/tests/bench/choice.cpp
@@ -303,6 +303,11 @@
     Rows.push_back(runOurs(Workload, List, true, false, 7, Signature));
     Rows.push_back(runOurs(Workload, List, true, true, 7, Signature));
     Rows.push_back(runBound(Workload, List));
+    // One seed did not show a change of the first choices: three more are in
+    // the signature.
+    for (uint64_t Seed : {21, 22, 23})
+      runOurs(Workload, makeRequests(Workload, Seed), true, false, Seed,
+              Signature);
   }
   return Rows;
 }
--- a/tests/unit/decisions_test.cpp
+++ b/tests/unit/decisions_test.cpp
@@ -92,6 +92,26 @@
   BOOST_TEST(Count.value() == 300);
 }
 
+// Of arms that nothing is known of, a cascade would be cheaper than the first
+// version alone, but its ratings say less.
+BOOST_AUTO_TEST_CASE(the_first_listed_version_begins_where_nothing_is_known) {
+  std::mt19937_64 Random(1);
+  estimates None;
+  prepared_choices Prepared;
+  choice_question Question{.Template = "t",
+                           .Account = "a",
+                           .QualityTarget = 0.9,
+                           .Policy = cheapest_policy{.ExploreShare = 0}};
+  Question.Candidates = {{.Name = {"middle", "1"}, .PriorCost = 4},
+                         {.Name = {"cheap", "1"}, .PriorCost = 1},
+                         {.Name = {"dear", "1"}, .PriorCost = 9}};
+  for (bool MayCascade : {false, true}) {
+    Question.MayCascade = MayCascade;
+    arm Arm = chooseArm(Question, None, Prepared, Random)->Arm;
+    BOOST_TEST(Arm.text() == "middle@1");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_prepared_choice_lasts_until_the_estimates_change) {
   std::mt19937_64 Random(1);
   estimates Estimates;
