The plot of the bench without fields that nothing reads

Cause: scripts/lint of a clean clone was red: clang-tidy names two private fields that the panel never used. No functional change.

--- a/tests/bench/plot.cpp
+++ b/tests/bench/plot.cpp
@@ -29,7 +29,7 @@
 class panel {
 public:
   panel(double Left, double Top, range X, range Y, const std::string &Title)
-      : Left(Left), Top(Top), X(X), Y(Y) {
+      : X(X), Y(Y) {
     absl::StrAppendFormat(
         &Svg,
         "<g transform=\"translate(%.0f %.0f)\"><text x=\"0\" y=\"-8\" "
@@ -76,8 +76,6 @@
   std::string text() const { return Svg + "</g>\n"; }
 
 private:
-  double Left;
-  double Top;
   range X;
   range Y;
   std::string Svg;
