--- a/tests/bench/bench.h
+++ b/bench/bench.h
@@ -6,8 +6,8 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OLIVEVALVE_TESTS_BENCH_BENCH_H
-#define OLIVEVALVE_TESTS_BENCH_BENCH_H
+#ifndef OLIVEVALVE_BENCH_BENCH_H
+#define OLIVEVALVE_BENCH_BENCH_H
 
 #include "base/digest.h"
 #include <cstdint>
@@ -143,4 +143,4 @@
 
 } // namespace olivevalve
 
-#endif // OLIVEVALVE_TESTS_BENCH_BENCH_H
+#endif // OLIVEVALVE_BENCH_BENCH_H
--- a/tests/bench/choice.cpp
+++ b/bench/choice.cpp
@@ -1,7 +1,7 @@
 //===- choice.cpp - Cost at the quality target ----------------------------===//
 
+#include "bench/bench.h"
 #include "policy/version_choice.h"
-#include "tests/bench/bench.h"
 #include <algorithm>
 #include <array>
 #include <cmath>
--- a/tests/bench/main.cpp
+++ b/bench/main.cpp
@@ -9,8 +9,8 @@
 //===----------------------------------------------------------------------===//
 
 #include "base/fields.h"
-#include "tests/bench/bench.h"
-#include "tests/bench/plot.h"
+#include "bench/bench.h"
+#include "bench/plot.h"
 #include <cstdio>
 #include <string_view>
 
--- a/tests/bench/news.cpp
+++ b/bench/news.cpp
@@ -1,7 +1,7 @@
 //===- news.cpp - Estimates on their way to a node ------------------------===//
 
+#include "bench/bench.h"
 #include "ledger/ratings.h"
-#include "tests/bench/bench.h"
 #include <algorithm>
 #include <cmath>
 #include <random>
--- a/tests/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -1,7 +1,7 @@
 //===- placement.cpp - Demand that finds no copy --------------------------===//
 
 #include "policy/placement.h"
-#include "tests/bench/bench.h"
+#include "bench/bench.h"
 #include <algorithm>
 #include <cmath>
 #include <functional>
--- a/tests/bench/plot.cpp
+++ b/bench/plot.cpp
@@ -1,6 +1,6 @@
 //===- plot.cpp - The bench as a picture ----------------------------------===//
 
-#include "tests/bench/plot.h"
+#include "bench/plot.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include <algorithm>
--- a/tests/bench/plot.h
+++ b/bench/plot.h
@@ -4,10 +4,10 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OLIVEVALVE_TESTS_BENCH_PLOT_H
-#define OLIVEVALVE_TESTS_BENCH_PLOT_H
+#ifndef OLIVEVALVE_BENCH_PLOT_H
+#define OLIVEVALVE_BENCH_PLOT_H
 
-#include "tests/bench/bench.h"
+#include "bench/bench.h"
 
 namespace olivevalve {
 
@@ -16,4 +16,4 @@
 
 } // namespace olivevalve
 
-#endif // OLIVEVALVE_TESTS_BENCH_PLOT_H
+#endif // OLIVEVALVE_BENCH_PLOT_H
--- a/tests/bench/pool_run.cpp
+++ b/bench/pool_run.cpp
@@ -1,6 +1,6 @@
 //===- pool_run.cpp - Arrivals and ends at one pool -----------------------===//
 
-#include "tests/bench/pool_run.h"
+#include "bench/pool_run.h"
 #include <algorithm>
 
 namespace olivevalve {
--- a/tests/bench/pool_run.h
+++ b/bench/pool_run.h
@@ -5,12 +5,12 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OLIVEVALVE_TESTS_BENCH_POOL_RUN_H
-#define OLIVEVALVE_TESTS_BENCH_POOL_RUN_H
+#ifndef OLIVEVALVE_BENCH_POOL_RUN_H
+#define OLIVEVALVE_BENCH_POOL_RUN_H
 
+#include "bench/bench.h"
 #include "policy/replica_choice.h"
 #include "policy/work_queue.h"
-#include "tests/bench/bench.h"
 #include <array>
 #include <deque>
 #include <functional>
@@ -129,4 +129,4 @@
 
 } // namespace olivevalve
 
-#endif // OLIVEVALVE_TESTS_BENCH_POOL_RUN_H
+#endif // OLIVEVALVE_BENCH_POOL_RUN_H
--- a/tests/bench/replicas.cpp
+++ b/bench/replicas.cpp
@@ -1,6 +1,6 @@
 //===- replicas.cpp - Waiting of requests under stale news ----------------===//
 
-#include "tests/bench/pool_run.h"
+#include "bench/pool_run.h"
 #include <array>
 #include <numeric>
 
--- a/tests/bench/rollout.cpp
+++ b/bench/rollout.cpp
@@ -1,9 +1,9 @@
 //===- rollout.cpp - Exposure to bad versions -----------------------------===//
 
 #include "base/fields.h"
+#include "bench/bench.h"
 #include "ledger/ratings.h"
 #include "policy/version_choice.h"
-#include "tests/bench/bench.h"
 #include <algorithm>
 #include <functional>
 #include <queue>
--- a/tests/bench/speed.cpp
+++ b/bench/speed.cpp
@@ -1,8 +1,8 @@
 //===- speed.cpp - What a decision costs ----------------------------------===//
 
+#include "bench/bench.h"
 #include "policy/replica_choice.h"
 #include "policy/version_choice.h"
-#include "tests/bench/bench.h"
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
