--- a/completion/olivevalvectl.bash
+++ b/completion/olivevalvectl.bash
@@ -7,7 +7,7 @@
     -f | --file | -k | --key-file) COMPREPLY=($(compgen -f -- "$word")) ;;
     -o | --output) COMPREPLY=($(compgen -W "table json" -- "$word")) ;;
     version) COMPREPLY=($(compgen -W "roll-out pause resume activate withdraw" -- "$word")) ;;
-    get | set | delete) COMPREPLY=($(compgen -W "model template account upstream service node" -- "$word")) ;;
+    get | set | delete) COMPREPLY=($(compgen -W "model template account upstream service node placement" -- "$word")) ;;
     *) COMPREPLY=($(compgen -W "$commands $options" -- "$word")) ;;
   esac
 }
