The bench compiles with sanitizers too

Cause: scripts/test of a clean clone stopped in the sanitized build: with the sanitizers the counting operator delete is inlined and g++ takes its free() for a mismatch. Change: the counting operators are never inlined. No functional change.

--- a/bench/speed.cpp
+++ b/bench/speed.cpp
@@ -13,15 +13,20 @@
 std::atomic<uint64_t> Allocations = 0;
 } // namespace
 
-// Counts every allocation of the program.
-void *operator new(size_t Size) {
+// Counts every allocation of the program. Never inlined: the compiler would see
+// free() on what it takes for the library's own memory.
+[[gnu::noinline]] void *operator new(size_t Size) {
   ++Allocations;
   if (void *Memory = std::malloc(Size))
     return Memory;
   throw std::bad_alloc();
 }
-void operator delete(void *Memory) noexcept { std::free(Memory); }
-void operator delete(void *Memory, size_t) noexcept { std::free(Memory); }
+[[gnu::noinline]] void operator delete(void *Memory) noexcept {
+  std::free(Memory);
+}
+[[gnu::noinline]] void operator delete(void *Memory, size_t) noexcept {
+  std::free(Memory);
+}
 
 namespace olivevalve {
 
