A request that has to wait looks for a free upstream among the others only

Cause: a_request_does_not_wait_while_another_upstream_is_free was red in the sanitized run of a clean clone (5 checks; one request waited 10 s). The second choice could fall on the busy upstream again, as it compares the preferred with three at random: of two, the free one is not among the three in 1 of 8, and the request then stayed. Not the machine: earlier runs were green by luck. Before: red there.

--- a/bench/pool_run.cpp
+++ b/bench/pool_run.cpp
@@ -88,11 +88,14 @@
     R.Views[Input.Entry].Own += 1;
     R.tell(Input.Entry, Input.Now);
     R.Views[Input.Entry].Queued += 1;
-    size_t Again = Pick(Input);
-    bool Free = seemsFree(newsOf(Input)[Again]);
+    std::vector<replica_news> News = newsOf(Input);
+    News.erase(News.begin() + int64_t(Choice));
+    size_t Again = *chooseReplica(News, Random);
+    bool Free = seemsFree(News[Again]);
+    Again += Again >= Choice ? 1 : 0;
     R.Views[Input.Entry].Own -= 1;
     R.tell(Input.Entry, Input.Now);
-    if (Again == Choice || !Free)
+    if (!Free)
       return Choice;
     ++Moved;
     Choice = Again;
--- a/entry/upstream_pool.cpp
+++ b/entry/upstream_pool.cpp
@@ -169,8 +169,10 @@
                                       const std::string &Present,
                                       const catalog &Config,
                                       std::mt19937_64 &Random) {
-  std::string Other = chooseAmong(Need, Config, trust::Sound, Random);
-  if (Other.empty() || Other == Present)
+  upstream_need Elsewhere = Need;
+  Elsewhere.Excluded.insert(Present);
+  std::string Other = chooseAmong(Elsewhere, Config, trust::Sound, Random);
+  if (Other.empty())
     return {};
   const upstream_spec &Spec = *Config.upstream(Other);
   bool Free = seemsFree(newsOf(Members[Other], Spec, 0, steadySeconds()));
