--- a/base/log.cpp
+++ b/base/log.cpp
@@ -27,7 +27,7 @@
   Threshold = Level;
   namespace expr = boost::log::expressions;
   boost::log::add_console_log(
-      std::clog, boost::log::keywords::format = expr::stream << expr::smessage,
+      std::cout, boost::log::keywords::format = expr::stream << expr::smessage,
       boost::log::keywords::auto_flush = true);
 }
 
--- a/base/log.h
+++ b/base/log.h
@@ -1,6 +1,6 @@
 //===- log.h - Structured logs ----------------------------------*- C++ -*-===//
 //
-// One JSON object a line on standard error through Boost.Log. The level can
+// One JSON object a line on standard output through Boost.Log. The level can
 // change while the process runs. Secrets are never passed to these functions.
 //
 //===----------------------------------------------------------------------===//
--- a/consensus/raft_core.cpp
+++ b/consensus/raft_core.cpp
@@ -42,6 +42,7 @@
   wire::member *Self = First.add_members();
   Self->set_id(Options.Id);
   Self->set_address(Options.Address);
+  Self->set_operator_address(Options.OperatorAddress);
   Self->set_disk(Options.Disk);
   Self->set_voter(true);
   append(First.SerializeAsString(), true);
@@ -424,6 +425,8 @@
 void raft_core::onAnnounce(const wire::raft &Message, double Now) {
   wire::raft Reply = make(wire::raft::ANNOUNCE_REPLY, Message.from());
   Reply.set_address(Options.Address);
+  if (const wire::member *Known = member(Leader))
+    Reply.set_leader_address(Known->address());
   Late.push_back(std::move(Reply));
   bool Ready = isLeader() && membersSettled() && Commit >= FirstOwnIndex;
   const wire::member *Present = member(Message.from());
@@ -441,6 +444,7 @@
   wire::member *Joining = Next.add_members();
   Joining->set_id(Message.from());
   Joining->set_address(Message.address());
+  Joining->set_operator_address(Message.operator_address());
   Joining->set_disk(Message.disk());
   proposeMembers(Next);
   Peers[Message.from()] = {.Next = firstIndex(), .LastHeard = Now};
--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -31,6 +31,7 @@
   uint64_t Id = 0;
   uint64_t Disk = 0;
   std::string Address;
+  std::string OperatorAddress; ///< Told to the other members.
   double Heartbeat = 0.15;
   double ElectionMin = 1.0;
   double ElectionMax = 1.8;
--- a/consensus/storage.cpp
+++ b/consensus/storage.cpp
@@ -84,7 +84,9 @@
 }
 
 std::string packEntry(const wire::log_entry &Entry) {
-  return packRecord(std::string(1, EntryRecord) + Entry.SerializeAsString());
+  std::string Body(1, EntryRecord);
+  Entry.AppendToString(&Body);
+  return packRecord(Body);
 }
 
 std::string readAll(const std::string &Path) {
--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -15,6 +15,9 @@
 constexpr double TickSeconds = 0.05;
 constexpr double GuardSeconds = 0.5;
 constexpr double PlacementSeconds = 1;
+// A bad version is to get nothing new within seconds: gateways tell what they
+// saw twice a second, and it is judged as often.
+constexpr double RolloutSeconds = 0.25;
 // Cells of estimates in one grant, at some 60 bytes each: a node that keeps up
 // gets 3 KB a second at most, under its bound of 4 KB; one that has none yet
 // gets more with its first grant.
@@ -72,6 +75,8 @@
     return Log->step(Message.raft());
   case wire::envelope::kRenew:
     return onRenew(Peer, Message.renew());
+  case wire::envelope::kWatch:
+    return onWatch(Peer, Message.watch());
   case wire::envelope::kClaim:
     return onClaim(Peer, Message.claim());
   case wire::envelope::kFinish:
@@ -93,7 +98,7 @@
 
 void control_task::redirect(const std::string &Peer) {
   uint64_t Leader = Log->core().leader();
-  if (Leader == Options.Id)
+  if (Leader == Log->core().id())
     return; // Elected, but not sure yet: the node asks again.
   wire::envelope Message;
   Message.mutable_redirect()->set_leader(Leader);
@@ -208,6 +213,45 @@
 void control_task::onApplied(uint64_t Index, const apply_result &Result) {
   if (Result.ConfigIndex == Index && Log->core().isLeader())
     pushConfig();
+  // Gateways ask one control VM at a time, so each that is asked tells its own.
+  bool News = Log->state().routing().version() != TellsRouting ||
+              Log->state().rollouts().revision() != TellsRollouts;
+  TellsRouting = Log->state().routing().version();
+  TellsRollouts = Log->state().rollouts().revision();
+  if (News)
+    pushNotices();
+}
+
+void control_task::onWatch(const std::string &Peer, const wire::watch &Watch) {
+  double Now = steadySeconds();
+  Gateways.watched(Peer, Watch, Now);
+  sendNotice(Peer, *Gateways.find(Peer));
+}
+
+// Only what is newer than the gateway holds; members and leader always, so
+// that the gateway knows whom to ask next.
+void control_task::sendNotice(const std::string &Peer,
+                              const gateway_record &Gateway) {
+  const state_machine &State = Log->state();
+  const raft_core &Core = Log->core();
+  wire::envelope Message;
+  wire::notice *Notice = Message.mutable_notice();
+  Notice->set_routing_version(State.routing().version());
+  if (State.routing().version() > Gateway.RoutingVersion)
+    Notice->set_routing_document(State.routing().document());
+  Notice->set_rollouts_revision(State.rollouts().revision());
+  if (State.rollouts().revision() > Gateway.RolloutsRevision)
+    for (const auto &[Service, Rollout] : State.rollouts().all())
+      *Notice->add_rollouts() = Rollout;
+  *Notice->mutable_members() = Core.members().members();
+  bool Sure = !Core.isLeader() || leads(steadySeconds());
+  Notice->set_leader(Sure ? Core.leader() : 0);
+  Server.send(Peer, Message);
+}
+
+void control_task::pushNotices() {
+  for (const auto &[Peer, Gateway] : Gateways.gateways())
+    sendNotice(Peer, Gateway);
 }
 
 // Tells every node at once, not only at its next renewal. Such a grant
@@ -248,6 +292,8 @@
     guardVersions(Now);
   if (leads(Now) && Now >= NextPlacement)
     place(Now);
+  if (leads(Now) && Now >= NextRollouts)
+    driveRollouts(Now);
   Metrics.gauge("log_bytes", double(Log->storage().logBytes()));
   Metrics.gauge("log_syncs", double(Log->storage().syncs()));
   Metrics.gauge("commit_index", double(Core.commitIndex()));
@@ -270,6 +316,23 @@
   }
 }
 
+void control_task::driveRollouts(double Now) {
+  NextRollouts = Now + RolloutSeconds;
+  Gateways.forgetSilent(Now);
+  for (wire::rollout_step &Step :
+       Rollouts.steps(Log->state().rollouts(), Gateways, Now, wallSeconds())) {
+    logLine(log_level::Warning, "roll-out of a service moves on",
+            {{"service", Step.service()},
+             {"version", Step.target_version()},
+             {"from", wire::rollout_stage_Name(Step.from())},
+             {"to", wire::rollout_stage_Name(Step.to())},
+             {"reason", Step.reason()}});
+    wire::command Command;
+    *Command.mutable_rollout_step() = std::move(Step);
+    Log->propose(std::move(Command), [](const apply_result *) {});
+  }
+}
+
 // One step at a time, each from what is true when it is taken: a leader that
 // is lost halfway leaves nothing that the next one has to know.
 void control_task::place(double Now) {
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -11,15 +11,16 @@
 
 #include "base/fields.h"
 #include "base/metrics.h"
+#include "control/gateway_table.h"
 #include "control/node_table.h"
 #include "control/operator_api.h"
 #include "control/placer.h"
 #include "control/replicated_log.h"
+#include "control/rollout_driver.h"
 
 namespace olivevalve {
 
 struct control_options {
-  uint64_t Id = 0;
   std::string Address;         ///< For nodes and other control VMs.
   std::string OperatorAddress; ///< HTTP.
   std::vector<std::string> OperatorKeyDigests;
@@ -34,6 +35,9 @@
         control_options Options);
 
   bool ready() const { return Log->core().leader() != 0; }
+  void setPeers(std::vector<control_peer> Peers) {
+    Log->setPeers(std::move(Peers));
+  }
   /// Stops taking operators' requests; true once those running have ended.
   void drain() { Api->drain(); }
   bool drained() const { return Api->idle(); }
@@ -58,9 +62,13 @@
                        const apply_result *Result);
   void onApplied(uint64_t Index, const apply_result &Result);
   void pushConfig();
+  void onWatch(const std::string &Peer, const wire::watch &Watch);
+  void sendNotice(const std::string &Peer, const gateway_record &Gateway);
+  void pushNotices();
   void noteLeadership();
   void tick();
   void guardVersions(double Now);
+  void driveRollouts(double Now);
   void place(double Now);
   bool isLastOfItsModel(const version_name &Name) const;
   void setVersionState(const guard_report &Report, version_state State);
@@ -77,11 +85,16 @@
   std::unique_ptr<replicated_log> Log;
   std::unique_ptr<operator_api> Api;
   node_table Nodes;
+  gateway_table Gateways;
+  rollout_driver Rollouts;
   uint64_t LedTerm = 0;
   std::map<std::string, bool> GuardPending;
   std::vector<guard_report> Reports;
   double NextGuard = 0;
   double NextPlacement = 0;
+  double NextRollouts = 0;
+  uint64_t TellsRouting = 0;  ///< Version that gateways were told last.
+  uint64_t TellsRollouts = 0; ///< Revision that gateways were told last.
   bool PlacementPending = false;
   timer Timer;
 };
--- /dev/null
+++ b/control/gateway_table.cpp
@@ -0,0 +1,63 @@
+//===- gateway_table.cpp - What gateways hold and have seen ---------------===//
+
+#include "control/gateway_table.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// Gateways ask twice a second; one silent for so long has left or has gone to
+// another control VM.
+constexpr double SilentSeconds = 10;
+
+} // namespace
+
+void gateway_table::watched(const std::string &Peer, const wire::watch &Watch,
+                            double Now) {
+  gateway_record &Gateway = Gateways[Peer];
+  Gateway = {.Node = Watch.node(),
+             .DataHall = Watch.data_hall(),
+             .Incarnation = Watch.incarnation(),
+             .RoutingVersion = Watch.routing_version(),
+             .RolloutsRevision = Watch.rollouts_revision(),
+             .LastSeen = Now};
+  for (const wire::version_tally &Tally : Watch.tallies())
+    Tallies[{Tally.service(), Tally.version()}][Watch.incarnation()] = {
+        .Answers = Tally.answers(),
+        .Failures = Tally.failures(),
+        .Seconds = Tally.seconds()};
+}
+
+void gateway_table::forgetSilent(double Now) {
+  std::erase_if(Gateways, [&](const auto &Each) {
+    return Each.second.LastSeen + SilentSeconds < Now;
+  });
+}
+
+const gateway_record *gateway_table::find(const std::string &Peer) const {
+  auto It = Gateways.find(Peer);
+  return It == Gateways.end() ? nullptr : &It->second;
+}
+
+version_tally gateway_table::answersOf(std::string_view Service,
+                                       std::string_view Version) const {
+  version_tally Sum;
+  for (const auto &[Key, ByGateway] : Tallies)
+    if (Key.first == Service && Key.second == Version)
+      for (const auto &[Incarnation, Tally] : ByGateway)
+        Sum += Tally;
+  return Sum;
+}
+
+version_tally gateway_table::answersOfOthers(std::string_view Service,
+                                             std::string_view Version) const {
+  version_tally Sum;
+  for (const auto &[Key, ByGateway] : Tallies)
+    if (Key.first == Service && Key.second != Version)
+      for (const auto &[Incarnation, Tally] : ByGateway)
+        Sum += Tally;
+  return Sum;
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/control/gateway_table.h
@@ -0,0 +1,55 @@
+//===- gateway_table.h - What gateways hold and have seen -------*- C++ -*-===//
+//
+// One control VM's view of the gateways that ask it: which routing version and
+// roll-outs each holds, and the answers it counted by software version. Pure:
+// times are passed in.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_CONTROL_GATEWAY_TABLE_H
+#define OLIVEVALVE_CONTROL_GATEWAY_TABLE_H
+
+#include "policy/service_guard.h"
+#include "wire/wire.pb.h"
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace olivevalve {
+
+struct gateway_record {
+  std::string Node;
+  std::string DataHall;
+  uint64_t Incarnation = 0;
+  uint64_t RoutingVersion = 0;
+  uint64_t RolloutsRevision = 0;
+  double LastSeen = 0;
+};
+
+class gateway_table {
+public:
+  void watched(const std::string &Peer, const wire::watch &Watch, double Now);
+  /// Drops gateways that have long said nothing; what they counted stays.
+  void forgetSilent(double Now);
+  const gateway_record *find(const std::string &Peer) const;
+  const std::map<std::string, gateway_record> &gateways() const {
+    return Gateways;
+  }
+  /// Answers of one version of a service, summed over all gateways' starts.
+  version_tally answersOf(std::string_view Service,
+                          std::string_view Version) const;
+  /// The same of all other versions together.
+  version_tally answersOfOthers(std::string_view Service,
+                                std::string_view Version) const;
+
+private:
+  std::map<std::string, gateway_record> Gateways;
+  using version_key = std::pair<std::string, std::string>;
+  /// Each start of a gateway counts from zero and tells its sums.
+  std::map<version_key, std::map<uint64_t, version_tally>> Tallies;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_CONTROL_GATEWAY_TABLE_H
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -74,9 +74,9 @@
 } // namespace
 
 operator_api::operator_api(control_task &Control, struct ev_loop *Loop)
-    : Control(Control), Server(Loop, Limits, [this](const exchange &Exchange) {
-        handle(Exchange);
-      }) {}
+    : Control(Control), Routing(*Control.Log),
+      Server(Loop, Limits,
+             [this](const exchange &Exchange) { handle(Exchange); }) {}
 
 bool operator_api::allowed(const http_exchange &Exchange) const {
   const auto &Digests = Control.Options.OperatorKeyDigests;
@@ -107,6 +107,8 @@
   if (!allowed(*Exchange))
     return refuse(*Exchange, error_kind::Unauthorized,
                   "an operator's key is required as 'Authorization: Bearer'");
+  if (Routing.handle(Exchange))
+    return;
   if (Exchange->oversized())
     return refuse(*Exchange, error_kind::BodyTooLarge,
                   "the body is larger than 16 MiB");
--- a/control/operator_api.h
+++ b/control/operator_api.h
@@ -9,6 +9,7 @@
 #define OLIVEVALVE_CONTROL_OPERATOR_API_H
 
 #include "base/fields.h"
+#include "control/routing_api.h"
 #include "net/http_server.h"
 
 namespace olivevalve {
@@ -37,6 +38,7 @@
   void waitInForce(const exchange &Exchange, uint64_t Index, bool Repeated);
 
   control_task &Control;
+  routing_api Routing;
   http_server Server;
 };
 
--- a/control/replicated_log.cpp
+++ b/control/replicated_log.cpp
@@ -2,6 +2,7 @@
 
 #include "control/replicated_log.h"
 #include "base/clock.h"
+#include "base/digest.h"
 #include "base/error.h"
 #include "base/log.h"
 #include <algorithm>
@@ -17,6 +18,11 @@
 
 } // namespace
 
+uint64_t controlIdOf(const std::string &Address) {
+  // Numbers of listed control VMs are small; these are not.
+  return checksum(Address) | (uint64_t(1) << 63);
+}
+
 absl::StatusOr<std::unique_ptr<replicated_log>>
 replicated_log::open(link_context &Context, struct ev_loop *Loop,
                      replicated_log_options Options) {
@@ -36,9 +42,8 @@
   Core.Seed = randomIncarnation();
   Core.TargetVoters = Log->Options.TargetVoters;
   Core.SilentSeconds = Log->Options.SilentSeconds;
-  for (const control_peer &Peer : Log->Options.Peers)
-    if (Peer.Id == Core.Id)
-      Core.Address = Peer.Address;
+  Core.Address = Log->Options.Address;
+  Core.OperatorAddress = Log->Options.OperatorAddress;
   Log->Core =
       std::make_unique<raft_core>(Core, std::move(Durable), steadySeconds());
   Log->Timer.startRepeating(TickSeconds);
@@ -67,57 +72,76 @@
 // a VM that lost its disk must never start a second one.
 void replicated_log::announce(double Now) {
   NextAnnounce = Now + AnnounceSeconds;
-  for (const control_peer &Peer : Options.Peers) {
-    if (Peer.Id == Options.Id)
-      continue;
-    wire::envelope Message;
-    wire::raft *Announce = Message.mutable_raft();
-    Announce->set_purpose(wire::raft::ANNOUNCE);
-    Announce->set_from(Options.Id);
-    Announce->set_to(Peer.Id);
-    Announce->set_disk(Storage->disk());
-    for (const control_peer &Self : Options.Peers)
-      if (Self.Id == Options.Id)
-        Announce->set_address(Self.Address);
-    if (client_link *Link = linkTo(Peer.Id))
-      Link->send(Message);
+  for (const control_peer &Peer : Options.Peers)
+    if (Peer.Id != Options.Id)
+      announceTo(Peer.Id);
+  if (!JoinAddress.empty() && JoinAddress != Options.Address) {
+    uint64_t Leader = controlIdOf(JoinAddress);
+    Strangers[Leader] = JoinAddress;
+    announceTo(Leader);
   }
-  if (!Core->group().empty())
+  if (!mayStartGroup(Now))
     return;
-  bool Lowest = true;
-  bool AllEmpty = true;
+  logLine(log_level::Info, "starting a new control group");
+  Core->bootstrap(hexOf(randomIncarnation()), Now);
+}
+
+void replicated_log::announceTo(uint64_t Id) {
+  wire::envelope Message;
+  wire::raft *Announce = Message.mutable_raft();
+  Announce->set_purpose(wire::raft::ANNOUNCE);
+  Announce->set_from(Options.Id);
+  Announce->set_to(Id);
+  Announce->set_disk(Storage->disk());
+  Announce->set_address(Options.Address);
+  Announce->set_operator_address(Options.OperatorAddress);
+  if (client_link *Link = linkTo(Id))
+    Link->send(Message);
+}
+
+bool replicated_log::mayStartGroup(double Now) const {
+  if (!Options.MayBootstrap || !Core->group().empty())
+    return false;
+  bool Listed = false;
   for (const control_peer &Peer : Options.Peers) {
-    if (Peer.Id == Options.Id)
+    if (Peer.Id == Options.Id) {
+      Listed = true;
       continue;
-    Lowest = Lowest && Options.Id < Peer.Id;
+    }
     auto Said = EmptyPeers.find(Peer.Id);
-    AllEmpty = AllEmpty && Said != EmptyPeers.end() &&
-               Now < Said->second + EmptyFreshSeconds;
+    bool Empty =
+        Said != EmptyPeers.end() && Now < Said->second + EmptyFreshSeconds;
+    if (Peer.Id < Options.Id || !Empty)
+      return false;
   }
-  if (!Lowest || !AllEmpty)
-    return;
-  logLine(log_level::Info, "starting a new control group");
-  Core->bootstrap(hexOf(randomIncarnation()), Now);
+  return Listed;
 }
 
 void replicated_log::onAnnounceReply(const wire::raft &Message) {
-  if (Message.group().empty())
+  if (Message.group().empty()) {
     EmptyPeers[Message.from()] = steadySeconds();
-  else
-    EmptyPeers.erase(Message.from());
+    return;
+  }
+  EmptyPeers.erase(Message.from());
+  JoinAddress = Message.leader_address();
 }
 
-client_link *replicated_log::linkTo(uint64_t Id) {
-  auto It = Links.find(Id);
-  if (It != Links.end())
-    return It->second.get();
-  std::string Address;
+std::string replicated_log::addressOf(uint64_t Id) const {
   for (const wire::member &Member : Core->members().members())
     if (Member.id() == Id)
-      Address = Member.address();
+      return Member.address();
   for (const control_peer &Peer : Options.Peers)
     if (Peer.Id == Id)
-      Address = Peer.Address;
+      return Peer.Address;
+  auto It = Strangers.find(Id);
+  return It == Strangers.end() ? "" : It->second;
+}
+
+client_link *replicated_log::linkTo(uint64_t Id) {
+  auto It = Links.find(Id);
+  if (It != Links.end())
+    return It->second.get();
+  std::string Address = addressOf(Id);
   if (Address.empty())
     return nullptr;
   std::string Name = "control/" + hexOf(Storage->disk());
@@ -133,6 +157,8 @@
       onAnnounceReply(Message);
     return;
   }
+  if (Message.purpose() == wire::raft::ANNOUNCE)
+    Strangers[Message.from()] = Message.address();
   Core->step(Message, steadySeconds());
 }
 
--- a/control/replicated_log.h
+++ b/control/replicated_log.h
@@ -24,10 +24,19 @@
   std::string Address;
 };
 
+/// The number of a control VM that is known by its address alone.
+uint64_t controlIdOf(const std::string &Address);
+
 struct replicated_log_options {
   uint64_t Id = 0;
+  std::string Address; ///< Where nodes and other control VMs connect.
+  std::string OperatorAddress;
   std::string Folder;
-  std::vector<control_peer> Peers; ///< All control VMs, this one included.
+  /// All control VMs, this one included; or some that this one may ask when it
+  /// joins, this one included or not.
+  std::vector<control_peer> Peers;
+  /// False: this VM joins a group and never starts one.
+  bool MayBootstrap = true;
   size_t TargetVoters = 3;
   double SilentSeconds = 30;
   uint64_t SnapshotBytes = 8 << 20; ///< Log size that calls for a snapshot.
@@ -49,6 +58,10 @@
   const raft_core &core() const { return *Core; }
   const raft_storage &storage() const { return *Storage; }
   bool removeMember(uint64_t Id) { return Core->removeMember(Id); }
+  /// VMs to ask from now on when this one has to join.
+  void setPeers(std::vector<control_peer> Peers) {
+    Options.Peers = std::move(Peers);
+  }
 
   std::function<void(uint64_t Index, const apply_result &)> OnApplied;
   std::function<void()> OnStorageFailed;
@@ -63,6 +76,9 @@
   void apply(const wire::log_entry &Entry);
   void snapshotIfDue();
   void announce(double Now);
+  void announceTo(uint64_t Id);
+  bool mayStartGroup(double Now) const;
+  std::string addressOf(uint64_t Id) const;
   void onAnnounceReply(const wire::raft &Message);
   client_link *linkTo(uint64_t Id);
   void dropHandlers();
@@ -79,7 +95,9 @@
     result_handler Handler;
   };
   std::map<uint64_t, waiter> Waiters;
-  std::map<uint64_t, double> EmptyPeers; ///< Said to have no group, when.
+  std::map<uint64_t, double> EmptyPeers;     ///< Said to have no group, when.
+  std::map<uint64_t, std::string> Strangers; ///< Addresses of VMs that join.
+  std::string JoinAddress; ///< Of the leader, as another member says.
   double NextAnnounce = 0;
   bool Failed = false;
   bool HadLeadership = false;
--- /dev/null
+++ b/control/routing_api.cpp
@@ -0,0 +1,173 @@
+//===- routing_api.cpp - Operators' calls for routes and roll-outs --------===//
+
+#include "control/routing_api.h"
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/fields.h"
+#include "base/log.h"
+#include "catalog/routing.h"
+
+namespace olivevalve {
+
+namespace {
+
+constexpr const char *Json = "application/json";
+constexpr const char *RoutingPath = "/v1/routing";
+constexpr const char *RolloutsPath = "/v1/rollouts";
+// Orders of more than a day are a slip of the unit.
+constexpr double MaxRolloutSeconds = 86400;
+
+void refuse(http_exchange &Exchange, error_kind Kind,
+            std::string_view Message) {
+  Exchange.reply(answerFor(Kind).HttpStatus, Json, errorBody(Kind, Message));
+}
+
+std::string_view stateName(wire::rollout_stage Stage) {
+  switch (Stage) {
+  case wire::COMPLETED:
+    return "completed";
+  case wire::REVERTED:
+    return "reverted";
+  default:
+    return "running";
+  }
+}
+
+absl::StatusOr<wire::rollout> readOrder(const std::string &Body) {
+  auto Value = parseJson(Body, "request");
+  if (!Value.ok())
+    return Value.status();
+  fault_list Faults;
+  object_reader Reader(*Value, "", Faults);
+  std::string Service;
+  std::string Target;
+  double Duration = 0;
+  Reader.text("service", Service, presence::Required);
+  Reader.text("target_version", Target, presence::Required);
+  Reader.number("duration_s", Duration, {1e-3, MaxRolloutSeconds},
+                presence::Required);
+  if (!Faults.empty())
+    return makeError(error_kind::BadRequest, Faults.text());
+  wire::rollout Order;
+  Order.set_service(Service);
+  Order.set_target_version(Target);
+  Order.set_duration_seconds(Duration);
+  return Order;
+}
+
+} // namespace
+
+bool routing_api::handle(const exchange &Exchange) {
+  const std::string &Path = Exchange->path();
+  const std::string &Method = Exchange->method();
+  std::string RolloutPrefix = std::string(RolloutsPath) + "/";
+  bool OfRouting = Path == RoutingPath;
+  bool OfRollouts = Path == RolloutsPath || Path.starts_with(RolloutPrefix);
+  if (!OfRouting && !OfRollouts)
+    return false;
+  if (Exchange->oversized())
+    refuse(*Exchange, error_kind::BodyTooLarge, "the body is too large");
+  else if (!Log.core().hasLeaderLease(steadySeconds()))
+    sendToLeader(Exchange);
+  else if (OfRouting && Method == "POST")
+    replaceRouting(Exchange);
+  else if (OfRouting && Method == "GET")
+    readRoutingBack(Exchange);
+  else if (Path == RolloutsPath && Method == "POST")
+    beginRollout(Exchange);
+  else if (Path != RolloutsPath && Method == "GET")
+    readRollout(Exchange, Path.substr(RolloutPrefix.size()));
+  else
+    refuse(*Exchange, error_kind::NotFound, Method + " is not known here");
+  return true;
+}
+
+// A leader that is not sure of its lead sends nobody to itself.
+void routing_api::sendToLeader(const exchange &Exchange) {
+  const raft_core &Core = Log.core();
+  for (const wire::member &Member : Core.members().members())
+    if (Member.id() == Core.leader() && Member.id() != Core.id() &&
+        !Member.operator_address().empty())
+      return Exchange->reply(
+          307, Json, errorBody(error_kind::NotLeader, "ask the leader"),
+          {{"Location",
+            "http://" + Member.operator_address() + Exchange->path()}});
+  refuse(*Exchange, error_kind::NotLeader, "no leader is known now");
+}
+
+void routing_api::propose(const exchange &Exchange, wire::command Command) {
+  std::weak_ptr<http_exchange> Weak = Exchange;
+  double Since = steadySeconds();
+  bool Leads = Log.propose(
+      std::move(Command), [Weak, Since](const apply_result *Result) {
+        auto Exchange = Weak.lock();
+        if (!Exchange)
+          return;
+        logLine(log_level::Info, "operator's order answered",
+                {{"path", Exchange->path()},
+                 {"seconds", steadySeconds() - Since},
+                 {"outcome", !Result               ? "leadership lost"
+                             : Result->Status.ok() ? "committed"
+                                                   : "refused"}});
+        if (!Result)
+          return refuse(*Exchange, error_kind::NoQuorum,
+                        "leadership was lost; send it again");
+        if (!Result->Status.ok())
+          return refuse(*Exchange, kindOf(Result->Status),
+                        messageOf(Result->Status));
+        Exchange->reply(200, Json, "{}\n");
+      });
+  if (!Leads)
+    refuse(*Exchange, error_kind::NotLeader, "this control VM does not lead");
+}
+
+void routing_api::replaceRouting(const exchange &Exchange) {
+  auto Config = readRouting(Exchange->body());
+  if (!Config.ok()) {
+    logLine(log_level::Warning, "routing configuration refused",
+            {{"reason", messageOf(Config.status())}});
+    return refuse(*Exchange, error_kind::BadRequest,
+                  messageOf(Config.status()));
+  }
+  logLine(log_level::Info, "routing configuration proposed",
+          {{"version", int64_t(Config->Version)},
+           {"held", int64_t(Log.state().routing().version())}});
+  wire::command Command;
+  wire::routing_change *Change = Command.mutable_routing();
+  Change->set_version(Config->Version);
+  // What is held already need not travel again.
+  if (Config->Version > Log.state().routing().version())
+    Change->set_document(Exchange->body());
+  propose(Exchange, std::move(Command));
+}
+
+void routing_api::readRoutingBack(const exchange &Exchange) {
+  const wire::routing_change &Routing = Log.state().routing();
+  if (Routing.version() == 0)
+    return refuse(*Exchange, error_kind::NoQuorum,
+                  "no routing configuration is known yet");
+  Exchange->reply(200, Json, Routing.document());
+}
+
+void routing_api::beginRollout(const exchange &Exchange) {
+  auto Order = readOrder(Exchange->body());
+  if (!Order.ok())
+    return refuse(*Exchange, error_kind::BadRequest, messageOf(Order.status()));
+  wire::command Command;
+  *Command.mutable_begin_rollout() = *std::move(Order);
+  propose(Exchange, std::move(Command));
+}
+
+void routing_api::readRollout(const exchange &Exchange,
+                              const std::string &Service) {
+  const wire::rollout *Rollout = Log.state().rollouts().find(Service);
+  if (!Rollout)
+    return refuse(*Exchange, error_kind::NotFound,
+                  "service '" + Service + "' has had no roll-out");
+  json Body = {{"state", stateName(Rollout->stage())},
+               {"target_version", Rollout->target_version()},
+               {"reason", Rollout->reason()}};
+  Exchange->reply(200, Json, Body.dump() + "\n");
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/control/routing_api.h
@@ -0,0 +1,40 @@
+//===- routing_api.h - Operators' calls for routes and roll-outs -*- C++
+//-*-===//
+//
+// Whole routing configurations by highest version, and roll-outs of services'
+// software. Only the leader answers; the others send the caller there.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_CONTROL_ROUTING_API_H
+#define OLIVEVALVE_CONTROL_ROUTING_API_H
+
+#include "absl/status/status.h"
+#include "control/replicated_log.h"
+#include "net/http_server.h"
+#include <memory>
+
+namespace olivevalve {
+
+class routing_api {
+public:
+  explicit routing_api(replicated_log &Log) : Log(Log) {}
+
+  /// Takes the exchange if its path is one of these calls.
+  bool handle(const std::shared_ptr<http_exchange> &Exchange);
+
+private:
+  using exchange = std::shared_ptr<http_exchange>;
+  void sendToLeader(const exchange &Exchange);
+  void replaceRouting(const exchange &Exchange);
+  void readRoutingBack(const exchange &Exchange);
+  void beginRollout(const exchange &Exchange);
+  void readRollout(const exchange &Exchange, const std::string &Service);
+  void propose(const exchange &Exchange, wire::command Command);
+
+  replicated_log &Log;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_CONTROL_ROUTING_API_H
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -4,6 +4,7 @@
 #include "daemon/node.h"
 #include <csignal>
 #include <cstdio>
+#include <cstring>
 #include <curl/curl.h>
 #include <popt.h>
 
@@ -13,29 +14,44 @@
 
 constexpr int ExitUsage = 2;
 
+// A file that changes without a signal is noticed within this.
+constexpr double SettingsPollSeconds = 2;
+
 struct arguments {
   std::string Settings;
   bool Check = false;
 };
 
+/// The file named by the environment variable \p Name, or null.
+char *fileFromEnvironment(const char *Name) {
+  const char *Path = Name ? std::getenv(Name) : nullptr;
+  return Path && *Path ? strdup(Path) : nullptr;
+}
+
 // Exits with a message when the command line is wrong.
 arguments readArguments(int Count, const char **Values) {
   char *Path = nullptr;
+  char *Variable = nullptr;
   int Check = 0;
   const poptOption Table[] = {
       {"settings", 's', POPT_ARG_STRING, &Path, 0, "Settings file", "FILE"},
       {"check", 0, POPT_ARG_STRING, &Path, 'c',
        "Only check FILE and say what is wrong", "FILE"},
+      {"settings-env", 0, POPT_ARG_STRING, &Variable, 0,
+       "Environment variable that holds the path of the settings file", "NAME"},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext Options = poptGetContext("olivevalved", Count, Values, Table, 0);
   int Code = 0;
   while ((Code = poptGetNextOpt(Options)) > 0)
     Check = Code == 'c' ? 1 : Check;
+  if (!Path)
+    Path = fileFromEnvironment(Variable);
+  std::free(Variable);
   if (Code < -1 || !Path || poptPeekArg(Options)) {
     std::fprintf(stderr, "olivevalved: %s\n",
                  Code < -1 ? poptStrerror(Code)
                            : "usage: olivevalved --settings FILE | "
-                             "--check FILE");
+                             "--settings-env NAME | --check FILE");
     poptFreeContext(Options);
     std::exit(ExitUsage);
   }
@@ -51,6 +67,51 @@
   return ExitUsage;
 }
 
+/// Reads the settings file again when it is told to or the file has changed.
+class settings_watch {
+public:
+  settings_watch(struct ev_loop *Loop, node &Node, std::string NewPath)
+      : Loop(Loop), Node(Node), Path(std::move(NewPath)) {
+    ev_stat_init(
+        &File,
+        [](struct ev_loop *, ev_stat *W, int) {
+          static_cast<settings_watch *>(W->data)->reload();
+        },
+        Path.c_str(), SettingsPollSeconds);
+    ev_signal_init(
+        &Hangup,
+        [](struct ev_loop *, ev_signal *W, int) {
+          static_cast<settings_watch *>(W->data)->reload();
+        },
+        SIGHUP);
+    File.data = Hangup.data = this;
+    ev_stat_start(Loop, &File);
+    ev_signal_start(Loop, &Hangup);
+  }
+  ~settings_watch() {
+    ev_stat_stop(Loop, &File);
+    ev_signal_stop(Loop, &Hangup);
+  }
+  settings_watch(const settings_watch &) = delete;
+  settings_watch &operator=(const settings_watch &) = delete;
+
+private:
+  // A file that is not good changes nothing: the process runs on.
+  void reload() {
+    auto Settings = loadSettings(Path);
+    if (Settings.ok())
+      return Node.reload(*Settings);
+    logLine(log_level::Error, "settings not reloaded",
+            {{"error", messageOf(Settings.status())}});
+  }
+
+  struct ev_loop *Loop;
+  node &Node;
+  std::string Path;
+  ev_stat File{};
+  ev_signal Hangup{};
+};
+
 void onSignal(struct ev_loop *, ev_signal *Watcher, int) {
   static_cast<node *>(Watcher->data)->stop();
 }
@@ -82,6 +143,7 @@
     node Node(Loop, *Settings, *std::move(Keys));
     if (absl::Status Status = Node.start(); !Status.ok())
       return fail(Status);
+    settings_watch Watch(Loop, Node, Arguments.Settings);
     ev_signal Term{};
     ev_signal Int{};
     ev_signal_init(&Term, onSignal, SIGTERM);
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -53,11 +53,18 @@
         std::make_unique<entry_task>(Context, Loop, Metrics, *Settings.Entry);
     Status = Bind(Entry->bind(), "entry.address", Settings.Entry->Address);
   }
+  if (Status.ok() && Settings.Gateway) {
+    Gateway = std::make_unique<gateway_task>(Context, Loop, Metrics,
+                                             *Settings.Gateway);
+    Status =
+        Bind(Gateway->bind(), "gateway.address", Settings.Gateway->Address);
+  }
   if (!Status.ok())
     return Status;
   logLine(log_level::Info, "started",
           {{"health", Health.address()},
            {"entry", Entry ? Entry->address() : ""},
+           {"gateway", Gateway ? Gateway->address() : ""},
            {"sidecar", Sidecar ? Sidecar->address() : ""},
            {"control", Control ? Control->address() : ""},
            {"operators", Control ? Control->operatorAddress() : ""}});
@@ -66,7 +73,8 @@
 
 bool node::ready() const {
   return !Stopping && (!Control || Control->ready()) &&
-         (!Sidecar || Sidecar->ready()) && (!Entry || Entry->ready());
+         (!Sidecar || Sidecar->ready()) && (!Entry || Entry->ready()) &&
+         (!Gateway || Gateway->ready());
 }
 
 void node::handleHealth(const std::shared_ptr<http_exchange> &Exchange) {
@@ -115,16 +123,33 @@
   Stopping = true;
   logLine(log_level::Info, "draining");
   double Now = steadySeconds();
-  RefuseAt = Entry ? Now + Settings.UnreadySeconds : Now;
+  if (Gateway)
+    Gateway->beginStop();
+  RefuseAt = Entry || Gateway ? Now + Settings.UnreadySeconds : Now;
   DrainUntil = RefuseAt + Settings.DrainSeconds;
   DrainTimer.startRepeating(DrainPollSeconds);
   checkDrain();
 }
 
+// Only what other VMs decide changes while a process runs; its own addresses
+// and folder are fixed until its next start.
+void node::reload(const settings &Changed) {
+  setLogLevel(Changed.LogLevel);
+  if (Gateway && Changed.Gateway)
+    Gateway->setSeeds(Changed.Gateway->ControlSeeds);
+  if (Control && Changed.Control)
+    Control->setPeers(Changed.Control->Log.Peers);
+  Settings.DrainSeconds = Changed.DrainSeconds;
+  Settings.UnreadySeconds = Changed.UnreadySeconds;
+  logLine(log_level::Info, "settings reloaded");
+}
+
 void node::beginDrain() {
   Refusing = true;
   if (Entry)
     Entry->drain();
+  if (Gateway)
+    Gateway->drain();
   if (Sidecar)
     Sidecar->drain();
   if (Control)
@@ -139,9 +164,9 @@
   if (!Refusing)
     return;
   bool Over = Now >= DrainUntil;
-  bool Done = (!Entry || Entry->drained()) &&
-              (!Sidecar || Sidecar->drained()) &&
-              (!Control || Control->drained());
+  bool Done =
+      (!Entry || Entry->drained()) && (!Gateway || Gateway->drained()) &&
+      (!Sidecar || Sidecar->drained()) && (!Control || Control->drained());
   if (!Done && !Over)
     return;
   if (Over)
@@ -155,6 +180,8 @@
     Entry->leave();
   if (Sidecar)
     Sidecar->leave();
+  if (Gateway)
+    Gateway->leave();
   logLine(log_level::Info, "stopped");
   EndTimer.startOnce(EndSeconds);
 }
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -21,6 +21,8 @@
   absl::Status start();
   /// The first call begins a planned stop, the second ends at once.
   void stop();
+  /// Takes over what a changed settings file may change while running.
+  void reload(const settings &Changed);
   /// What the process should exit with.
   int exitCode() const { return ExitCode; }
 
@@ -40,6 +42,7 @@
   std::unique_ptr<control_task> Control;
   std::unique_ptr<sidecar_task> Sidecar;
   std::unique_ptr<entry_task> Entry;
+  std::unique_ptr<gateway_task> Gateway;
   http_server Health;
   timer DrainTimer;
   timer EndTimer;
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr size_t KeyCharacters = 40;
+// Of all gateways together: retries for each request, and some beside.
+constexpr double UsualRetryRatio = 0.2;
+constexpr double UsualRetrySlack = 20;
 
 bool isAddress(const std::string &Text) {
   size_t Colon = Text.rfind(':');
@@ -93,35 +96,98 @@
   return Sidecar;
 }
 
-control_options readControl(object_reader &Reader, address_reader &Addresses,
-                            const std::vector<control_peer> &Members) {
-  control_options Control;
+// Some control VMs by where operators call them; all listen for nodes and for
+// each other at one port.
+std::vector<control_peer> readSeeds(object_reader &Reader) {
+  std::vector<control_peer> Seeds;
+  std::vector<std::string> Addresses;
+  int64_t Port = 0;
+  Reader.texts("operator_addresses", Addresses);
+  Reader.integer("port", Port, {1, 65535}, presence::Required);
+  if (Addresses.empty())
+    Reader.fault("operator_addresses", "must list at least one control VM");
+  for (const std::string &Address : Addresses) {
+    if (!isAddress(Address)) {
+      Reader.fault("operator_addresses",
+                   "holds '" + Address + "', must hold IP:port");
+      continue;
+    }
+    std::string Inner =
+        absl::StrCat(Address.substr(0, Address.rfind(':') + 1), Port);
+    Seeds.push_back({controlIdOf(Inner), Inner});
+  }
+  return Seeds;
+}
+
+// A listed control VM has a number and stands in control_members; one that is
+// known by its address alone finds the others through seeds.
+void readPlace(object_reader &Reader, address_reader &Addresses,
+               const std::vector<control_peer> &Members, bool BySeeds,
+               control_options &Control) {
   int64_t Id = 0;
+  int64_t Losses = 1;
   int64_t Voters = int64_t(std::max<size_t>(1, Members.size()));
+  if (BySeeds) {
+    Addresses.read(Reader, "address", Control.Address, presence::Required);
+    Reader.integer("tolerated_losses", Losses, {0, 4});
+    Reader.flag("may_start_group", Control.Log.MayBootstrap);
+    Control.Log.Id = controlIdOf(Control.Address);
+    Control.Log.TargetVoters = size_t(2 * Losses + 1);
+    return;
+  }
+  Reader.integer("id", Id, {1, 1e6}, presence::Required);
+  Reader.integer("voters", Voters, {1, 9});
+  Control.Log.Id = uint64_t(Id);
+  Control.Log.TargetVoters = size_t(Voters);
+  for (const control_peer &Member : Members)
+    if (Member.Id == Control.Log.Id)
+      Control.Address = Member.Address;
+  if (Control.Address.empty())
+    Reader.fault("id", "is not in control_members");
+}
+
+control_options readControl(object_reader &Reader, address_reader &Addresses,
+                            const std::vector<control_peer> &Members,
+                            bool BySeeds) {
+  control_options Control;
   int64_t SnapshotBytes = int64_t(Control.Log.SnapshotBytes);
   int64_t LoadsAtOnce = int64_t(Control.LoadsAtOnce);
-  Reader.integer("id", Id, {1, 1e6}, presence::Required);
+  readPlace(Reader, Addresses, Members, BySeeds, Control);
   Addresses.read(Reader, "operator_address", Control.OperatorAddress,
                  presence::Required);
   Reader.texts("operator_key_digests", Control.OperatorKeyDigests);
   Reader.text("data_folder", Control.Log.Folder, presence::Required);
-  Reader.integer("voters", Voters, {1, 9});
-  Reader.number("replace_after_seconds", Control.Log.SilentSeconds, {5, 86400});
+  Reader.number("replace_after_seconds", Control.Log.SilentSeconds, {1, 86400});
   Reader.integer("snapshot_bytes", SnapshotBytes, {1024, 1 << 30});
   Reader.integer("loads_at_once", LoadsAtOnce, {1, 1000});
-  Control.Id = Control.Log.Id = uint64_t(Id);
+  Control.Log.Address = Control.Address;
+  Control.Log.OperatorAddress = Control.OperatorAddress;
   Control.Log.Peers = Members;
-  Control.Log.TargetVoters = size_t(Voters);
   Control.Log.SnapshotBytes = uint64_t(SnapshotBytes);
   Control.LoadsAtOnce = size_t(LoadsAtOnce);
-  for (const control_peer &Member : Members)
-    if (Member.Id == Control.Id)
-      Control.Address = Member.Address;
-  if (Control.Address.empty())
-    Reader.fault("id", "is not in control_members");
   return Control;
 }
 
+gateway_options readGateway(object_reader &Reader, address_reader &Addresses) {
+  gateway_options Gateway;
+  int64_t Connections = int64_t(Gateway.MaxConnections);
+  double RetryRatio = UsualRetryRatio;
+  double RetrySlack = UsualRetrySlack;
+  Addresses.read(Reader, "address", Gateway.Address, presence::Required);
+  Reader.text("upstream_list", Gateway.UpstreamListAddress, presence::Required);
+  if (!Gateway.UpstreamListAddress.empty() &&
+      !isAddress(Gateway.UpstreamListAddress))
+    Reader.fault("upstream_list", "must be IP:port");
+  Reader.number("list_seconds", Gateway.ListSeconds, {0.1, 60});
+  Reader.number("retry_ratio", RetryRatio, {0, 10});
+  Reader.number("retry_slack", RetrySlack, {0, 1e6});
+  Gateway.RetryBounds = retry_bounds::partOf(RetryRatio, RetrySlack);
+  Reader.number("session_seconds", Gateway.SessionSeconds, {0.1, 86400});
+  Reader.integer("max_connections", Connections, {1, 60000});
+  Gateway.MaxConnections = size_t(Connections);
+  return Gateway;
+}
+
 absl::StatusOr<std::string> readKey(const std::string &Path) {
   auto Text = readFile(Path);
   if (!Text.ok())
@@ -140,12 +206,16 @@
 std::string settings::roles() const {
   std::string Text;
   auto Add = [&](bool Has, std::string_view Name) {
-    if (Has)
-      Text += (Text.empty() ? "" : "+") + std::string(Name);
+    if (!Has)
+      return;
+    if (!Text.empty())
+      Text += '+';
+    Text += Name;
   };
   Add(Control.has_value(), "control");
   Add(Entry.has_value(), "entry");
   Add(Sidecar.has_value(), "sidecar");
+  Add(Gateway.has_value(), "gateway");
   return Text;
 }
 
@@ -169,7 +239,13 @@
   Settings.LogLevel = log_level(Level);
   Reader.number("drain_seconds", Settings.DrainSeconds, {1, 86400});
   Reader.number("unready_seconds", Settings.UnreadySeconds, {0, 600});
-  std::vector<control_peer> Members = readMembers(Reader, Faults);
+  bool BySeeds = Reader.has("control_seeds");
+  std::vector<control_peer> Members;
+  if (BySeeds)
+    Reader.object("control_seeds",
+                  [&](object_reader &Seeds) { Members = readSeeds(Seeds); });
+  else
+    Members = readMembers(Reader, Faults);
   Reader.object("keys", [&](object_reader &Keys) {
     key_files Files;
     Keys.text("public_file", Files.Public, presence::Required);
@@ -183,11 +259,18 @@
     Settings.Sidecar = readSidecar(Sidecar, Addresses);
   });
   Reader.object("control", [&](object_reader &Control) {
-    Settings.Control = readControl(Control, Addresses, Members);
+    Settings.Control = readControl(Control, Addresses, Members, BySeeds);
+  });
+  Reader.object("gateway", [&](object_reader &Gateway) {
+    Settings.Gateway = readGateway(Gateway, Addresses);
   });
   Reader.finish();
-  if (!Settings.Entry && !Settings.Sidecar && !Settings.Control)
-    Faults.add("document", "must have a role: entry, sidecar or control");
+  if (Settings.roles().empty())
+    Faults.add("document",
+               "must have a role: entry, sidecar, gateway or control");
+  if (BySeeds && (Settings.Entry || Settings.Sidecar))
+    Faults.add("control_seeds",
+               "entries and sidecars need control_members instead");
   if (!Faults.empty())
     return makeError(error_kind::BadConfiguration,
                      Faults.textOf(Path, field_lines(*Text)));
@@ -204,6 +287,12 @@
     Settings.Sidecar->DataHall = Settings.DataHall;
     Settings.Sidecar->Control = Control;
   }
+  if (Settings.Gateway) {
+    Settings.Gateway->Node = Settings.Node;
+    Settings.Gateway->DataHall = Settings.DataHall;
+    for (const control_peer &Member : Members)
+      Settings.Gateway->ControlSeeds.push_back(Member.Address);
+  }
   return Settings;
 }
 
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "control/control_task.h"
 #include "entry/entry_task.h"
+#include "gateway/gateway_task.h"
 #include "sidecar/sidecar_task.h"
 #include <optional>
 
@@ -31,6 +32,7 @@
   std::optional<entry_options> Entry;
   std::optional<sidecar_options> Sidecar;
   std::optional<control_options> Control;
+  std::optional<gateway_options> Gateway;
 
   std::string roles() const;
 };
--- /dev/null
+++ b/gateway/forwarding.cpp
@@ -0,0 +1,444 @@
+//===- forwarding.cpp - One request on its way ----------------------------===//
+
+#include "gateway/forwarding.h"
+#include "base/clock.h"
+#include "base/digest.h"
+#include "base/log.h"
+#include "policy/model_choice.h"
+#include "policy/upstream_choice.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// Callers that name no deadline wait as long as their route allows.
+constexpr double NoDeadline = 1e9;
+// With less time left an answer would not arrive any more.
+constexpr double LeastSeconds = 0.02;
+// An upstream silent for so many targets, or pauses between events, is taken
+// for dead where the request may run elsewhere; not under the floor, as a full
+// upstream is slow before it is dead.
+constexpr double SilentTargets = 2;
+constexpr double SilentGaps = 1.5;
+constexpr double LeastPatience = 0.5;
+// A caller that does not read holds back its upstream from here on.
+constexpr size_t MostUnsent = 256 << 10;
+// Answers that are not events are held whole up to this.
+constexpr size_t MostHeldAnswer = 16 << 20;
+// When to come back after a refusal: another upstream or entry is usually free
+// within a fraction of a second.
+constexpr std::string_view RetryAfterSeconds = "0.3";
+constexpr std::string_view AnyModel = "*";
+
+uint64_t affinityKeyOf(const platform::model_request &Request) {
+  // The last part is the request's own.
+  uint64_t Key = 1;
+  for (size_t I = 0; I + 1 < Request.Parts.size(); ++I)
+    Key = checksum({reinterpret_cast<const char *>(&Request.Parts[I].Id),
+                    sizeof(Request.Parts[I].Id)},
+                   Key);
+  return Key;
+}
+
+std::string_view pathOf(std::string_view Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+std::string_view troubleOf(broken_at Where) {
+  switch (Where) {
+  case broken_at::Connecting:
+    return "no connection";
+  case broken_at::Reused:
+    return "resting connection closed";
+  case broken_at::Waiting:
+    return "closed before the answer";
+  case broken_at::Answering:
+    return "closed in the answer";
+  case broken_at::Garbled:
+    return "not an answer";
+  }
+  return "";
+}
+
+} // namespace
+
+forwarding::forwarding(gateway_state &State, connection_source &Connections,
+                       caller_connection &NewCaller, http_head NewHead,
+                       std::string NewBody, end_handler OnOver)
+    : State(State), Connections(Connections), Caller(&NewCaller),
+      Head(std::move(NewHead)), Body(std::move(NewBody)),
+      OnOver(std::move(OnOver)), Facts(platform::readCaller(Head)),
+      Routing(State.Routing), BegunAt(steadySeconds()), EndsAt(BegunAt),
+      Timer(State.Loop, [this] { onTimer(); }) {}
+
+forwarding::~forwarding() { leaveUpstream(); }
+
+void forwarding::start() {
+  if (!Routing)
+    return giveUp(error_kind::NoLease, "no routing configuration is known yet");
+  const std::string *Host = Head.find("Host");
+  Route = Host ? Routing->route(*Host, pathOf(Head.Target)) : nullptr;
+  if (!Route)
+    return giveUp(error_kind::NotFound, "no route for this host and path");
+  if (!authorise())
+    return giveUp(error_kind::Unauthorized, "the key is missing or not known");
+  double Deadline = Facts.DeadlineSeconds.value_or(NoDeadline);
+  EndsAt = BegunAt + std::min(Deadline, Route->TimeoutSeconds);
+  Service = pickService();
+  State.Budgets.try_emplace(Service, State.RetryBounds)
+      .first->second.requestSeen();
+  if (Facts.Model)
+    AffinityKey = affinityKeyOf(*Facts.Model);
+  attempt();
+}
+
+bool forwarding::authorise() {
+  if (!Routing->needsKeys())
+    return true;
+  Account = Facts.Key.empty() ? nullptr : Routing->accountOfKey(Facts.Key);
+  return Account || Route->Public;
+}
+
+// By weight, drawn anew for each request, but the same for a session.
+const std::string &forwarding::pickService() {
+  const std::vector<service_share> &Shares = Route->Services;
+  uint64_t Sum = 0;
+  for (const service_share &Share : Shares)
+    Sum += Share.Weight;
+  uint64_t Draw =
+      (Facts.Session.empty() ? State.Random() : checksum(Facts.Session)) % Sum;
+  for (const service_share &Share : Shares) {
+    if (Draw < Share.Weight)
+      return Share.Service;
+    Draw -= Share.Weight;
+  }
+  return Shares.back().Service;
+}
+
+std::shared_ptr<upstream> forwarding::choose() {
+  double Now = steadySeconds();
+  const std::string &Settled = State.Upstreams.settledVersion(Service);
+  const session_pin *Pin = Facts.Session.empty()
+                               ? nullptr
+                               : State.Pins.find(Service, Facts.Session, Now);
+  uint64_t Draw =
+      checksum(Facts.Session.empty() ? Facts.AttemptId : Facts.Session);
+  const std::string &Wanted = State.Versions.versionFor(
+      Service, Settled, Pin ? Pin->Version : std::string(), Draw);
+  std::string_view Barred = State.Versions.barred(Service);
+  std::vector<std::shared_ptr<upstream>> Fit;
+  std::vector<std::shared_ptr<upstream>> Others;
+  for (const auto &Each : State.Upstreams.ofService(Service)) {
+    if (!Each->takesNew() || Tried.contains(Each->Listed.Id) ||
+        Each->Listed.Version == Barred)
+      continue;
+    (Each->Listed.Version == Wanted ? Fit : Others).push_back(Each);
+  }
+  // The session's memory is where it was served last.
+  if (Pin && Route->Sticky)
+    for (const auto &Each : Fit)
+      if (Each->Listed.Id == Pin->Upstream && !Each->suspect(Now) &&
+          Each->load(Now) < Each->Listed.Slots)
+        return Each;
+  return chooseAmong(Fit.empty() ? Others : Fit, Now);
+}
+
+std::shared_ptr<upstream>
+forwarding::chooseAmong(const std::vector<std::shared_ptr<upstream>> &Fit,
+                        double Now) {
+  std::vector<upstream_view> Views;
+  Views.reserve(Fit.size());
+  for (const auto &Each : Fit)
+    Views.push_back({.Id = Each->Listed.Id,
+                     .Load = Each->load(Now),
+                     .Slots = double(Each->Listed.Slots),
+                     .SameHall = Each->Listed.DataHall == State.DataHall,
+                     .Suspect = Each->suspect(Now)});
+  bool ByMemory = Route->Sticky && Facts.Model && Facts.Model->Parts.size() > 1;
+  auto Place = ByMemory ? chooseByAffinity(Views, AffinityKey)
+                        : chooseLeastLoaded(Views, State.Random);
+  return Place ? Fit[*Place] : nullptr;
+}
+
+void forwarding::chooseModelFor(const upstream &Chosen, double Now) {
+  bool IsOurs =
+      Facts.Model && Facts.Model->Model == AnyModel && !Route->Sizes.empty();
+  // A stream goes on with the model that began it.
+  if (!IsOurs || HeadSent)
+    return;
+  double Slots = std::max(1.0, double(Chosen.Listed.Slots));
+  Model =
+      Route->Sizes[chooseModel(Route->Sizes.size(), Chosen.load(Now) / Slots)];
+}
+
+void forwarding::attempt() {
+  double Now = steadySeconds();
+  if (left(Now) < LeastSeconds)
+    return onTimer();
+  Upstream = choose();
+  if (!Upstream)
+    return again(false, LastTrouble.empty() ? "no upstream" : LastTrouble);
+  Connection = Connections.acquire(Upstream);
+  Tried.insert(Upstream->Listed.Id);
+  if (!Connection) {
+    Upstream = nullptr;
+    return again(false, "too many connections");
+  }
+  ++Attempts;
+  ++Upstream->InFlight;
+  chooseModelFor(*Upstream, Now);
+  if (!Facts.Session.empty())
+    State.Pins.touch(Service, Facts.Session, Upstream->Listed.Version,
+                     Upstream->Listed.Id, Now);
+  platform::upstream_request Sent{.Instance = Upstream->Listed.Id,
+                                  .DeadlineSeconds = left(Now)};
+  if (Account)
+    Sent.Account = Account->Name;
+  Sent.Model = Model;
+  Sent.LastEvent = Events.lastId();
+  Sent.Priority =
+      Account && Account->Priority ? *Account->Priority : Route->Priority;
+  Sent.TellPriority = Facts.Model.has_value();
+  SentAt = HeardAt = Now;
+  NotRunAnswer = AnswerIsEvents = false;
+  Events.restart();
+  std::string Bytes = platform::writeRequestHead(Head, Sent, Body.size());
+  Bytes.append(Body);
+  armTimer();
+  Connection->send(*this, Bytes, Facts.AttemptId, Head.Method == "HEAD");
+}
+
+void forwarding::armTimer() {
+  double Now = steadySeconds();
+  double At = EndsAt;
+  bool MayMove = Route->repeatable() && Attempts < Route->MaxAttempts;
+  if (MayMove && Connection) {
+    double Silence = HeadSent ? SilentGaps * Route->GapSeconds
+                              : SilentTargets * Route->TargetSeconds;
+    At = std::min(At, HeardAt + std::max(Silence, LeastPatience));
+  }
+  Timer.startOnce(std::max(0.0, At - Now));
+}
+
+void forwarding::onTimer() {
+  auto Keep = shared_from_this();
+  double Now = steadySeconds();
+  if (left(Now) < LeastSeconds) {
+    leaveUpstream();
+    if (HeadSent)
+      return over("time over in the answer", 0);
+    return giveUp(MayHaveRun || Attempts > 0 ? error_kind::DeadlineUnknown
+                                             : error_kind::NoUpstream,
+                  "the time for this request is over");
+  }
+  // Bytes have come since the timer was set.
+  double Silence = HeadSent ? SilentGaps * Route->GapSeconds
+                            : SilentTargets * Route->TargetSeconds;
+  if (!Connection || Now < HeardAt + std::max(Silence, LeastPatience) - 1e-3)
+    return armTimer();
+  Upstream->failed(Now);
+  countAnswer(true);
+  leaveUpstream();
+  again(true, "silent upstream");
+}
+
+void forwarding::leaveUpstream() {
+  if (!Upstream)
+    return;
+  if (Connection)
+    Connection->drop();
+  Connection = nullptr;
+  --Upstream->InFlight;
+  Upstream = nullptr;
+}
+
+bool forwarding::mayTryAgain(bool WasRun) const {
+  return Attempts < Route->MaxAttempts && (!WasRun || Route->repeatable()) &&
+         (!MayHaveRun || Route->repeatable()) &&
+         left(steadySeconds()) > LeastSeconds;
+}
+
+// The attempt in hand is over without an answer that could be given.
+void forwarding::again(bool WasRun, std::string_view Why) {
+  MayHaveRun = MayHaveRun || WasRun;
+  LastTrouble = Why;
+  bool Can = mayTryAgain(WasRun) && Why != std::string_view("no upstream");
+  if (Can && (Attempts == 0 || State.Budgets.at(Service).take()))
+    return attempt();
+  if (HeadSent)
+    return over(Why, 0);
+  if (Answer.Status != 0)
+    return deliver();
+  giveUp(MayHaveRun ? error_kind::OutcomeUnknown : error_kind::NoUpstream, Why);
+}
+
+void forwarding::onAnswerHead(const http_head &AnswerHead,
+                              const platform::answer_facts &AnswerFacts) {
+  double Now = steadySeconds();
+  HeardAt = Now;
+  if (AnswerFacts.Load)
+    Upstream->heardLoad(*AnswerFacts.Load, Now);
+  NotRunAnswer = AnswerFacts.NotRun;
+  bool Good = AnswerHead.Status >= 200 && AnswerHead.Status < 300;
+  AnswerIsEvents = streaming() && Good;
+  if (HeadSent)
+    return;
+  Answer = {.Status = AnswerHead.Status, .Reason = AnswerHead.Reason};
+  for (const head_line &Line : AnswerHead.Lines)
+    if (!sameHeader(Line.Name, "Content-Length") &&
+        !platform::belongsToConnection(AnswerHead, Line.Name))
+      Answer.Lines.push_back(Line);
+}
+
+void forwarding::onAnswerBytes(std::string_view Bytes) {
+  HeardAt = steadySeconds();
+  if (AnswerIsEvents)
+    return passOn(Events.take(Bytes));
+  if (Answer.Body.size() + Bytes.size() <= MostHeldAnswer)
+    Answer.Body.append(Bytes);
+}
+
+void forwarding::passOn(std::string_view Bytes) {
+  if (Bytes.empty() || !Caller)
+    return;
+  if (!HeadSent) {
+    HeadSent = true;
+    Caller->begin(Answer.Status, Answer.Reason, Answer.Lines);
+    countAnswer(false);
+    State.Metrics->record(measure::TimeToFirstToken, Route->Name,
+                          HeardAt - BegunAt);
+  }
+  EventBytes += Bytes.size();
+  Caller->write(Bytes);
+  if (Connection && Caller && Caller->unsent() > MostUnsent)
+    Connection->setReading(false);
+}
+
+void forwarding::onCallerDrained() {
+  if (Connection)
+    Connection->setReading(true);
+}
+
+void forwarding::onAnswerEnd() {
+  auto Keep = shared_from_this();
+  Connection = nullptr; // Free again, or closed.
+  Upstream->answered();
+  if (AnswerIsEvents) {
+    passOn(Events.takeRest());
+    if (!HeadSent)
+      return deliver();
+    leaveUpstream();
+    Caller->finish();
+    return over("served", Answer.Status);
+  }
+  if (NotRunAnswer) {
+    leaveUpstream();
+    return again(false, "refused by the upstream");
+  }
+  bool Failed = Answer.Status >= 500;
+  countAnswer(Failed);
+  MayHaveRun = true;
+  if (Failed && Route->repeatable()) {
+    leaveUpstream();
+    return again(true, "failed at the upstream");
+  }
+  if (HeadSent) {
+    leaveUpstream();
+    return over("refused while going on", 0);
+  }
+  deliver();
+}
+
+void forwarding::onBroken(broken_at Where) {
+  auto Keep = shared_from_this();
+  Connection = nullptr;
+  bool Sent = Where != broken_at::Connecting;
+  // A resting connection may be closed by an upstream that is well.
+  if (Where != broken_at::Reused)
+    Upstream->failed(steadySeconds());
+  if (Sent && Where != broken_at::Reused)
+    countAnswer(true);
+  if (Where == broken_at::Reused)
+    Tried.erase(Upstream->Listed.Id);
+  // The head of a broken answer is none.
+  if (!HeadSent)
+    Answer = {};
+  leaveUpstream();
+  if (!Sent)
+    --Attempts; // It reached no upstream.
+  again(Sent, troubleOf(Where));
+}
+
+void forwarding::countAnswer(bool Failed) {
+  if (!Upstream)
+    return;
+  State.Versions.count(Service, Upstream->Listed.Version, Failed,
+                       steadySeconds() - SentAt);
+}
+
+/// The answer that is held, as the upstream gave it.
+void forwarding::deliver() {
+  leaveUpstream();
+  if (Caller)
+    Caller->reply(Answer.Status, Answer.Reason, Answer.Lines, Answer.Body);
+  over(Answer.Status < 400 ? "served" : "answered by the upstream",
+       Answer.Status);
+}
+
+void forwarding::giveUp(error_kind Kind, std::string_view Why) {
+  leaveUpstream();
+  const error_answer &Told = answerFor(Kind);
+  std::vector<head_line> Lines = {
+      {"Content-Type", "application/json"},
+      {"X-Olivevalve-Outcome", std::string(nameOf(Told.Outcome))}};
+  if (Told.HttpStatus == 503)
+    Lines.push_back({"Retry-After", std::string(RetryAfterSeconds)});
+  if (Caller)
+    Caller->reply(Told.HttpStatus, Told.Code, Lines, errorBody(Kind, Why));
+  over(Why, Told.HttpStatus);
+}
+
+void forwarding::onCallerGone() {
+  auto Keep = shared_from_this();
+  Caller = nullptr;
+  leaveUpstream();
+  over("caller gone", 0);
+}
+
+void forwarding::cut() {
+  auto Keep = shared_from_this();
+  leaveUpstream();
+  over("cut by the stop", 0);
+}
+
+void forwarding::over(std::string_view Outcome, int Status) {
+  if (std::exchange(Finished, true))
+    return;
+  Timer.stop();
+  // Whoever holds half an answer must see that it is not whole.
+  if (Status == 0 && Caller)
+    Caller->breakOff();
+  Caller = nullptr;
+  std::string_view Name = Route ? std::string_view(Route->Name) : "none";
+  State.Metrics->count("requests", Status >= 200 && Status < 300 ? "served"
+                                   : Status == 0                 ? "broken off"
+                                                 : "not served");
+  logLine(log_level::Info, "request over",
+          {{"id", Facts.AttemptId},
+           {"route", Name},
+           {"routing", Routing ? int64_t(Routing->version()) : 0},
+           {"account", Account ? std::string_view(Account->Name) : ""},
+           {"service", Service},
+           {"model", Model},
+           {"attempts", int64_t(Attempts)},
+           {"trouble", LastTrouble},
+           {"may_have_run", int64_t(MayHaveRun)},
+           {"status", int64_t(Status)},
+           {"outcome", Outcome},
+           {"event_bytes", int64_t(EventBytes)},
+           {"seconds", steadySeconds() - BegunAt}});
+  OnOver(*this);
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/gateway/forwarding.h
@@ -0,0 +1,140 @@
+//===- forwarding.h - One request on its way --------------------*- C++ -*-===//
+//
+// Takes a request from its caller to an upstream and the answer back: chooses,
+// sends again where that is allowed, goes on with a broken stream elsewhere,
+// and gives every request one final answer in time.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_GATEWAY_FORWARDING_H
+#define OLIVEVALVE_GATEWAY_FORWARDING_H
+
+#include "base/error.h"
+#include "base/metrics.h"
+#include "gateway/caller_connection.h"
+#include "gateway/event_splitter.h"
+#include "gateway/session_pins.h"
+#include "gateway/software_versions.h"
+#include "gateway/upstream_connection.h"
+#include "policy/limits.h"
+#include <random>
+#include <set>
+
+namespace olivevalve {
+
+/// What all requests of a gateway share.
+struct gateway_state {
+  struct ev_loop *Loop = nullptr;
+  metrics *Metrics = nullptr;
+  std::string DataHall;
+  std::shared_ptr<const routing_table> Routing; ///< Null: not known yet.
+  upstream_table Upstreams;
+  software_versions Versions;
+  session_pins Pins;
+  retry_bounds RetryBounds;
+  std::map<std::string, retry_budget> Budgets; ///< By service.
+  std::mt19937_64 Random{1};
+};
+
+/// Gives out connections to upstreams.
+class connection_source {
+public:
+  virtual ~connection_source() = default;
+  /// One that is idle, or a new one; null when none may be opened.
+  virtual upstream_connection *
+  acquire(const std::shared_ptr<upstream> &Upstream) = 0;
+};
+
+class forwarding : public caller_user,
+                   public upstream_user,
+                   public std::enable_shared_from_this<forwarding> {
+public:
+  /// Told once, when the request has its final answer or none can be given.
+  using end_handler = std::function<void(forwarding &)>;
+
+  forwarding(gateway_state &State, connection_source &Connections,
+             caller_connection &Caller, http_head Head, std::string Body,
+             end_handler OnOver);
+  ~forwarding() override;
+
+  void start();
+  /// Ends it now: the process is about to stop.
+  void cut();
+
+  void onCallerGone() override;
+  void onCallerDrained() override;
+  void onAnswerHead(const http_head &Head,
+                    const platform::answer_facts &Facts) override;
+  void onAnswerBytes(std::string_view Bytes) override;
+  void onAnswerEnd() override;
+  void onBroken(broken_at Where) override;
+
+private:
+  /// How the last attempt ended, for what is told in the end.
+  struct kept_answer {
+    int Status = 0;
+    std::string Reason;
+    std::vector<head_line> Lines;
+    std::string Body;
+  };
+
+  bool authorise();
+  const std::string &pickService();
+  void attempt();
+  std::shared_ptr<upstream> choose();
+  std::shared_ptr<upstream>
+  chooseAmong(const std::vector<std::shared_ptr<upstream>> &Fit, double Now);
+  void chooseModelFor(const upstream &Upstream, double Now);
+  bool mayTryAgain(bool WasRun) const;
+  void again(bool WasRun, std::string_view Why);
+  void giveUp(error_kind Kind, std::string_view Why);
+  void onTimer();
+  void armTimer();
+  void leaveUpstream();
+  void passOn(std::string_view Bytes);
+  void deliver();
+  void over(std::string_view Outcome, int Status);
+  void countAnswer(bool Failed);
+  bool streaming() const {
+    return Route && Route->Kind == route_kind::Streaming;
+  }
+  /// Seconds until both the caller's and the operator's time are over.
+  double left(double Now) const { return EndsAt - Now; }
+
+  gateway_state &State;
+  connection_source &Connections;
+  caller_connection *Caller;
+  http_head Head;
+  std::string Body;
+  end_handler OnOver;
+  platform::caller_facts Facts;
+  std::shared_ptr<const routing_table> Routing; ///< In force when it came.
+  const route_spec *Route = nullptr;
+  const caller_account *Account = nullptr;
+  std::string Service;
+  uint64_t AffinityKey = 0;
+
+  double BegunAt;
+  double EndsAt;
+  timer Timer;
+  uint32_t Attempts = 0;
+  std::set<std::string> Tried; ///< Incarnations.
+  std::shared_ptr<upstream> Upstream;
+  upstream_connection *Connection = nullptr;
+  std::string Model;       ///< Chosen by this gateway; empty: the caller's.
+  double SentAt = 0;       ///< The attempt in hand.
+  double HeardAt = 0;      ///< Last bytes of the answer in hand.
+  bool MayHaveRun = false; ///< Some attempt did, or perhaps did.
+  bool HeadSent = false;   ///< The caller has the head of its answer.
+  bool AnswerIsEvents = false;
+  bool NotRunAnswer = false;
+  bool Finished = false;
+  kept_answer Answer;
+  event_splitter Events;
+  uint64_t EventBytes = 0;
+  std::string_view LastTrouble; ///< Why the last attempt failed.
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_GATEWAY_FORWARDING_H
--- /dev/null
+++ b/gateway/gateway_task.cpp
@@ -0,0 +1,259 @@
+//===- gateway_task.cpp - The gateway role --------------------------------===//
+
+#include "gateway/gateway_task.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// How exactly idle times and times of callers are kept.
+constexpr double SweepSeconds = 0.25;
+// After a refused or failed question for the list.
+constexpr double ListRetrySeconds = 0.4;
+constexpr double ListTimeoutSeconds = 1.5;
+constexpr int GoodStatus = 200;
+// Sessions are remembered a little longer than they may pause.
+constexpr double SessionMargin = 2;
+
+} // namespace
+
+gateway_task::gateway_task(link_context &Context, struct ev_loop *Loop,
+                           metrics &Metrics, gateway_options NewOptions)
+    : Loop(Loop), Options(std::move(NewOptions)),
+      Listener(Loop, [this](int Socket) { accept(Socket); }),
+      Watch(Context, Loop,
+            {.Node = Options.Node,
+             .Incarnation = randomIncarnation(),
+             .DataHall = Options.DataHall,
+             .Seeds = Options.ControlSeeds}),
+      ListClient(Loop), SweepTimer(Loop, [this] { sweep(); }),
+      ListTimer(Loop, [this] { askForList(); }), Prepare(Loop, [this] {
+        OverCallers.clear();
+        OverConnections.clear();
+        OverRequests.clear();
+      }) {
+  State.Loop = Loop;
+  State.Metrics = &Metrics;
+  State.DataHall = Options.DataHall;
+  State.RetryBounds = Options.RetryBounds;
+  State.Random.seed(randomIncarnation());
+  State.Pins.setLifetime(Options.SessionSeconds * SessionMargin);
+  Watch.OnAsk = [this](wire::watch &Ask) {
+    Ask.set_stopping(Stopping);
+    State.Versions.fillTallies(Ask);
+  };
+  Watch.OnRouting = [this](uint64_t Version, const std::string &Document) {
+    takeRouting(Version, Document);
+  };
+  Watch.OnRollouts = [this](const wire::notice &Notice) {
+    State.Versions.take(Notice, State.Upstreams);
+    for (const wire::rollout &Rollout : Notice.rollouts())
+      logLine(log_level::Info, "roll-out of a service",
+              {{"service", Rollout.service()},
+               {"version", Rollout.target_version()},
+               {"stage", wire::rollout_stage_Name(Rollout.stage())}});
+  };
+  SweepTimer.startRepeating(SweepSeconds);
+  ListTimer.startOnce(0);
+}
+
+gateway_task::~gateway_task() { leave(); }
+
+const caller_limits &gateway_task::limits() const {
+  static const caller_limits Usual;
+  return State.Routing ? State.Routing->limits() : Usual;
+}
+
+void gateway_task::takeRouting(uint64_t Version, const std::string &Document) {
+  auto Config = readRouting(Document);
+  if (!Config.ok()) {
+    // Control checks before it agrees, so this is a newer form of documents.
+    logLine(log_level::Error, "routing configuration cannot be read",
+            {{"version", int64_t(Version)},
+             {"reason", std::string_view(Config.status().message().data(),
+                                         Config.status().message().size())}});
+    return;
+  }
+  logLine(log_level::Info, "routing configuration in force",
+          {{"version", int64_t(Version)},
+           {"routes", int64_t(Config->Routes.size())},
+           {"accounts", int64_t(Config->Accounts.size())}});
+  State.Routing = std::make_shared<routing_table>(*std::move(Config));
+}
+
+void gateway_task::accept(int Socket) {
+  if (Callers.size() >= Options.MaxConnections)
+    closeLongestResting();
+  auto Connection = std::make_unique<caller_connection>(Loop, *this, Socket);
+  caller_connection *Raw = Connection.get();
+  Callers[Raw] = std::move(Connection);
+}
+
+// A new caller comes before one that has long said nothing.
+void gateway_task::closeLongestResting() {
+  caller_connection *Longest = nullptr;
+  for (auto &[Raw, Connection] : Callers)
+    if (!Raw->busy() &&
+        (!Longest || Raw->restingSince() < Longest->restingSince()))
+      Longest = Raw;
+  if (!Longest)
+    return;
+  State.Metrics->count("callers_closed", "for room");
+  Longest->close();
+}
+
+void gateway_task::onRequest(caller_connection &Connection, http_head Head,
+                             std::string Body) {
+  auto Request = std::make_shared<forwarding>(
+      State, *this, Connection, std::move(Head), std::move(Body),
+      [this](forwarding &Over) {
+        auto It = Requests.find(&Over);
+        if (It == Requests.end())
+          return;
+        OverRequests.push_back(std::move(It->second));
+        Requests.erase(It);
+      });
+  Requests[Request.get()] = Request;
+  Connection.answeredBy(Request);
+  Request->start();
+}
+
+void gateway_task::onMalformed(int Status, std::string_view Why) {
+  State.Metrics->count("requests", "malformed");
+  logLine(log_level::Info, "request refused before it was whole",
+          {{"status", int64_t(Status)}, {"reason", Why}});
+}
+
+void gateway_task::ended(caller_connection &Connection) {
+  auto It = Callers.find(&Connection);
+  if (It == Callers.end())
+    return;
+  OverCallers.push_back(std::move(It->second));
+  Callers.erase(It);
+}
+
+void gateway_task::released(upstream_connection &Connection) {
+  Connection.server()->Idle.push_back(&Connection);
+}
+
+void gateway_task::forgetIdle(upstream_connection &Connection) {
+  std::erase(Connection.server()->Idle, &Connection);
+}
+
+void gateway_task::ended(upstream_connection &Connection) {
+  forgetIdle(Connection);
+  auto It = UpstreamConnections.find(&Connection);
+  if (It == UpstreamConnections.end())
+    return;
+  OverConnections.push_back(std::move(It->second));
+  UpstreamConnections.erase(It);
+}
+
+// The one used last: the others can go when their time is over.
+upstream_connection *
+gateway_task::acquire(const std::shared_ptr<upstream> &Upstream) {
+  double Now = steadySeconds();
+  while (!Upstream->Idle.empty()) {
+    upstream_connection *Last = Upstream->Idle.back();
+    Upstream->Idle.pop_back();
+    if (Last->idleUntil() > Now)
+      return Last;
+    Last->drop();
+  }
+  State.Metrics->count("upstream_connections", "opened");
+  auto Connection =
+      std::make_unique<upstream_connection>(Loop, *this, Upstream);
+  upstream_connection *Raw = Connection.get();
+  UpstreamConnections[Raw] = std::move(Connection);
+  return Raw;
+}
+
+void gateway_task::sweep() {
+  double Now = steadySeconds();
+  std::vector<caller_connection *> Late;
+  for (auto &[Raw, Connection] : Callers)
+    if (!Raw->busy() && Raw->giveUpAt() > 0 && Now >= Raw->giveUpAt())
+      Late.push_back(Raw);
+  for (caller_connection *Each : Late)
+    Each->onTimeOver();
+  std::vector<upstream_connection *> Old;
+  for (auto &[Raw, Connection] : UpstreamConnections)
+    if (Raw->idle() && Now >= Raw->idleUntil() && Raw->idleUntil() > 0)
+      Old.push_back(Raw);
+  for (upstream_connection *Each : Old)
+    Each->drop();
+  State.Pins.forgetOld(Now);
+  State.Metrics->gauge("callers", double(Callers.size()));
+  State.Metrics->gauge("open_requests", double(Requests.size()));
+}
+
+void gateway_task::askForList() {
+  ListBody.clear();
+  fetch_options Fetch;
+  Fetch.Url = "http://" + Options.UpstreamListAddress +
+              platform::upstreamPagePath(ListPage);
+  Fetch.TimeoutSeconds = ListTimeoutSeconds;
+  Fetch.OnBytes = [this](std::string_view Bytes) {
+    ListBody.append(Bytes);
+    return true;
+  };
+  Fetch.OnDone = [this](const fetch_result &Result) { takePage(Result); };
+  ListClient.start(std::move(Fetch));
+}
+
+void gateway_task::takePage(const fetch_result &Result) {
+  absl::StatusOr<platform::upstream_page> Page =
+      platform::readUpstreamPage(ListBody);
+  if (Result.Status != GoodStatus || !Result.Error.empty() || !Page.ok()) {
+    logLine(log_level::Warning, "list of upstreams not had",
+            {{"status", int64_t(Result.Status)}, {"error", Result.Error}});
+    // The whole list anew: pages of two answers may not fit together.
+    ListSoFar.clear();
+    ListPage.clear();
+    return ListTimer.startOnce(ListRetrySeconds);
+  }
+  std::move(Page->Upstreams.begin(), Page->Upstreams.end(),
+            std::back_inserter(ListSoFar));
+  ListPage = Page->NextPage;
+  if (!ListPage.empty())
+    return askForList();
+  takeList();
+  ListTimer.startOnce(Options.ListSeconds);
+}
+
+void gateway_task::takeList() {
+  size_t Before = State.Upstreams.all().size();
+  auto Left = State.Upstreams.update(std::exchange(ListSoFar, {}));
+  if (!ListKnown || Before != State.Upstreams.all().size() || !Left.empty())
+    logLine(log_level::Info, "upstreams changed",
+            {{"listed", int64_t(State.Upstreams.all().size())},
+             {"left", int64_t(Left.size())}});
+  ListKnown = true;
+  for (const auto &Upstream : Left)
+    for (upstream_connection *Idle : std::vector(Upstream->Idle))
+      Idle->drop();
+}
+
+void gateway_task::drain() {
+  Stopping = true;
+  Listener.close();
+  std::vector<caller_connection *> Resting;
+  for (auto &[Raw, Connection] : Callers)
+    if (!Raw->busy())
+      Resting.push_back(Raw);
+  for (caller_connection *Each : Resting)
+    Each->close();
+}
+
+void gateway_task::leave() {
+  std::vector<std::shared_ptr<forwarding>> Running;
+  for (auto &[Raw, Request] : Requests)
+    Running.push_back(Request);
+  for (const auto &Request : Running)
+    Request->cut();
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/gateway/gateway_task.h
@@ -0,0 +1,102 @@
+//===- gateway_task.h - The gateway role ------------------------*- C++ -*-===//
+//
+// Takes callers' requests for plain HTTP services and passes them to upstreams
+// of the platform's list, under the routing configuration that control keeps.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_GATEWAY_GATEWAY_TASK_H
+#define OLIVEVALVE_GATEWAY_GATEWAY_TASK_H
+
+#include "gateway/forwarding.h"
+#include "lease/control_watch.h"
+#include "net/http_client.h"
+#include <unordered_map>
+
+namespace olivevalve {
+
+struct gateway_options {
+  std::string Node;
+  std::string DataHall;
+  std::string Address;             ///< For callers.
+  std::string UpstreamListAddress; ///< The platform's list.
+  std::vector<std::string> ControlSeeds;
+  retry_bounds RetryBounds;
+  double SessionSeconds = 5;    ///< Requests of a session follow within this.
+  double ListSeconds = 2;       ///< Between two questions for the list.
+  size_t MaxConnections = 2500; ///< Of callers.
+};
+
+class gateway_task : public caller_host,
+                     public upstream_connections,
+                     public connection_source {
+public:
+  gateway_task(link_context &Context, struct ev_loop *Loop, metrics &Metrics,
+               gateway_options Options);
+  ~gateway_task() override;
+
+  bool bind() { return Listener.bind(Options.Address); }
+  std::string address() const { return Listener.address(); }
+  bool ready() const { return State.Routing && ListKnown; }
+  /// Answers say from now on that their connection closes.
+  void beginStop() { Stopping = true; }
+  /// No new connections or requests.
+  void drain();
+  bool drained() const { return Requests.empty(); }
+  /// Ends what still runs.
+  void leave();
+  void setSeeds(std::vector<std::string> Seeds) {
+    Watch.setSeeds(std::move(Seeds));
+  }
+
+private:
+  const caller_limits &limits() const override;
+  bool closesAfterAnswer() const override { return Stopping; }
+  void onRequest(caller_connection &Connection, http_head Head,
+                 std::string Body) override;
+  void onMalformed(int Status, std::string_view Why) override;
+  void ended(caller_connection &Connection) override;
+
+  void released(upstream_connection &Connection) override;
+  void ended(upstream_connection &Connection) override;
+  upstream_connection *
+  acquire(const std::shared_ptr<upstream> &Upstream) override;
+
+  void accept(int Socket);
+  void closeLongestResting();
+  void sweep();
+  void askForList();
+  void takePage(const fetch_result &Result);
+  void takeList();
+  void takeRouting(uint64_t Version, const std::string &Document);
+  void forgetIdle(upstream_connection &Connection);
+
+  struct ev_loop *Loop;
+  gateway_options Options;
+  gateway_state State;
+  tcp_listener Listener;
+  control_watch Watch;
+  http_client ListClient;
+  std::unordered_map<caller_connection *, std::unique_ptr<caller_connection>>
+      Callers;
+  std::unordered_map<upstream_connection *,
+                     std::unique_ptr<upstream_connection>>
+      UpstreamConnections;
+  std::unordered_map<forwarding *, std::shared_ptr<forwarding>> Requests;
+  // Freed before the next wait: neither may go inside its own callback.
+  std::vector<std::unique_ptr<caller_connection>> OverCallers;
+  std::vector<std::unique_ptr<upstream_connection>> OverConnections;
+  std::vector<std::shared_ptr<forwarding>> OverRequests;
+  std::vector<platform::listed_upstream> ListSoFar;
+  std::string ListPage;
+  std::string ListBody;
+  bool ListKnown = false;
+  bool Stopping = false;
+  timer SweepTimer;
+  timer ListTimer;
+  before_wait Prepare;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_GATEWAY_GATEWAY_TASK_H
--- /dev/null
+++ b/gateway/session_pins.h
@@ -0,0 +1,54 @@
+//===- session_pins.h - Where a session was served last ---------*- C++ -*-===//
+
+#ifndef OLIVEVALVE_GATEWAY_SESSION_PINS_H
+#define OLIVEVALVE_GATEWAY_SESSION_PINS_H
+
+#include <string>
+#include <unordered_map>
+
+namespace olivevalve {
+
+struct session_pin {
+  std::string Version;  ///< Software of the upstream.
+  std::string Upstream; ///< Incarnation that holds the session's memory.
+  double TouchedAt = 0;
+};
+
+/// Sessions of this entry by service and name; forgotten some time after their
+/// last request.
+class session_pins {
+public:
+  void setLifetime(double Seconds) { Lifetime = Seconds; }
+
+  const session_pin *find(const std::string &Service,
+                          const std::string &Session, double Now) const {
+    auto It = Pins.find(keyOf(Service, Session));
+    bool Fresh = It != Pins.end() && Now < It->second.TouchedAt + Lifetime;
+    return Fresh ? &It->second : nullptr;
+  }
+  void touch(const std::string &Service, const std::string &Session,
+             const std::string &Version, const std::string &Upstream,
+             double Now) {
+    Pins[keyOf(Service, Session)] = {Version, Upstream, Now};
+  }
+  void forgetOld(double Now) {
+    std::erase_if(Pins, [&](const auto &Pin) {
+      return Now > Pin.second.TouchedAt + Lifetime;
+    });
+  }
+  size_t size() const { return Pins.size(); }
+
+private:
+  // A zero byte is in neither name.
+  static std::string keyOf(const std::string &Service,
+                           const std::string &Session) {
+    return Service + '\0' + Session;
+  }
+
+  std::unordered_map<std::string, session_pin> Pins;
+  double Lifetime = 10;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_GATEWAY_SESSION_PINS_H
--- /dev/null
+++ b/gateway/software_versions.cpp
@@ -0,0 +1,78 @@
+//===- software_versions.cpp - Which software may serve a request ---------===//
+
+#include "gateway/software_versions.h"
+#include "gateway/upstream_table.h"
+
+namespace olivevalve {
+
+namespace {
+
+constexpr uint64_t DrawSteps = 1'000'000;
+
+bool drawn(uint64_t Draw, double Share) {
+  return double(Draw % DrawSteps) < Share * double(DrawSteps);
+}
+
+} // namespace
+
+void software_versions::take(const wire::notice &Notice,
+                             upstream_table &Upstreams) {
+  for (const wire::rollout &Rollout : Notice.rollouts()) {
+    Rollouts[Rollout.service()] = Rollout;
+    if (Rollout.stage() == wire::COMPLETED)
+      Upstreams.settleVersion(Rollout.service(), Rollout.target_version());
+    else
+      Upstreams.unsettleVersion(Rollout.service(), Rollout.target_version());
+  }
+}
+
+const std::string &software_versions::versionFor(const std::string &Service,
+                                                 const std::string &Settled,
+                                                 const std::string &Pinned,
+                                                 uint64_t Draw) const {
+  auto It = Rollouts.find(Service);
+  if (It == Rollouts.end())
+    return Settled;
+  const wire::rollout &Rollout = It->second;
+  const std::string &Target = Rollout.target_version();
+  switch (Rollout.stage()) {
+  case wire::CANARY:
+    if (!Pinned.empty())
+      return Pinned == Target ? Target : Settled;
+    return drawn(Draw, CanaryShare) ? Target : Settled;
+  case wire::SHIFT:
+  case wire::COMPLETED:
+    return Target;
+  default:
+    return Settled;
+  }
+}
+
+std::string_view software_versions::barred(const std::string &Service) const {
+  auto It = Rollouts.find(Service);
+  bool Reverted = It != Rollouts.end() && It->second.stage() == wire::REVERTED;
+  return Reverted ? std::string_view(It->second.target_version())
+                  : std::string_view();
+}
+
+void software_versions::count(const std::string &Service,
+                              const std::string &Version, bool Failed,
+                              double Seconds) {
+  version_tally &Tally = Tallies[{Service, Version}];
+  ++Tally.Answers;
+  Tally.Failures += Failed;
+  Tally.Seconds += Seconds;
+}
+
+void software_versions::fillTallies(wire::watch &Watch) const {
+  for (const auto &[Key, Tally] : Tallies) {
+    wire::version_tally *Out = Watch.add_tallies();
+    Out->set_service(Key.first);
+    Out->set_version(Key.second);
+    Out->set_answers(Tally.Answers);
+    Out->set_failures(Tally.Failures);
+    Out->set_seconds(Tally.Seconds);
+  }
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/gateway/upstream_connection.cpp
@@ -0,0 +1,149 @@
+//===- upstream_connection.cpp - One connection to an upstream ------------===//
+
+#include "gateway/upstream_connection.h"
+#include "base/clock.h"
+#include <algorithm>
+#include <charconv>
+
+namespace olivevalve {
+
+namespace {
+
+// Connecting takes a round trip and about a millisecond; an opening packet that
+// was lost is sent again after a second.
+constexpr double ConnectSeconds = 0.6;
+// Upstreams that tell no time close idle connections at one of their own.
+constexpr double UsualIdleSeconds = 4;
+// Closed so long before the upstream would: a request sent while it closes is
+// lost.
+constexpr double IdleMargin = 0.8;
+
+double idleSecondsOf(const http_head &Head) {
+  const std::string *Value = Head.find("Keep-Alive");
+  constexpr std::string_view Field = "timeout=";
+  size_t At = Value ? Value->find(Field) : std::string::npos;
+  if (At == std::string::npos)
+    return UsualIdleSeconds;
+  int Seconds = 0;
+  const char *Begin = Value->data() + At + Field.size();
+  std::from_chars(Begin, Value->data() + Value->size(), Seconds);
+  return Seconds;
+}
+
+} // namespace
+
+upstream_connection::upstream_connection(struct ev_loop *Loop,
+                                         upstream_connections &Owner,
+                                         std::shared_ptr<upstream> NewUpstream)
+    : Owner(Owner), Upstream(std::move(NewUpstream)),
+      Stream(Loop, Upstream->Listed.Address), Reader(http_side::Answer),
+      ConnectTimer(Loop, [this] { onEnd(true); }) {
+  ++Upstream->Connections;
+  Stream.OnConnected = [this] { ConnectTimer.stop(); };
+  Stream.OnBytes = [this](std::string_view Bytes) { receive(Bytes); };
+  Stream.OnEnd = [this](bool Reset) { onEnd(Reset); };
+  Reader.OnHead = [this] { onHead(); };
+  Reader.OnBody = [this](std::string_view Bytes) {
+    if (User && !Skipping && Reader.head().Status >= 200)
+      User->onAnswerBytes(Bytes);
+  };
+  ConnectTimer.startOnce(ConnectSeconds);
+}
+
+upstream_connection::~upstream_connection() { --Upstream->Connections; }
+
+void upstream_connection::send(upstream_user &NewUser, std::string_view Bytes,
+                               const std::string &Id, bool NewHeadOnly) {
+  User = &NewUser;
+  AttemptId = Id;
+  HeadOnly = NewHeadOnly;
+  Skipping = false;
+  Reused = IdleSince > 0;
+  Reader.next(HeadOnly);
+  Stream.write(Bytes);
+}
+
+void upstream_connection::onHead() {
+  const http_head &Head = Reader.head();
+  if (Head.Status < 200)
+    return;
+  Facts = platform::readAnswer(Head);
+  Skipping = !Facts.AttemptId.empty() && Facts.AttemptId != AttemptId;
+  if (User && !Skipping)
+    User->onAnswerHead(Head, Facts);
+}
+
+void upstream_connection::receive(std::string_view Bytes) {
+  while (!Bytes.empty() && !Ended) {
+    // Bytes that nobody asked for belong to no request.
+    if (!User)
+      return end();
+    Bytes.remove_prefix(Reader.feed(Bytes));
+    if (Ended || !User)
+      continue;
+    if (Reader.failed())
+      return broken(Reader.headDone() && !Skipping ? broken_at::Answering
+                                                   : broken_at::Garbled);
+    if (!Reader.done())
+      return;
+    bool Interim = Reader.head().Status < 200;
+    if (!Skipping && !Interim)
+      return finish(!Bytes.empty());
+    Skipping = false;
+    Reader.next(HeadOnly);
+  }
+}
+
+void upstream_connection::finish(bool Surplus) {
+  const http_head &Head = Reader.head();
+  upstream_user *Old = std::exchange(User, nullptr);
+  bool Reusable = Head.KeepAlive && !Surplus && Stream.open() &&
+                  !Upstream->Gone && idleSecondsOf(Head) > IdleMargin;
+  if (Head.find("Connection") && Head.isTied("close") && !Facts.NotRun)
+    Reusable = false;
+  if (Reusable) {
+    IdleSince = steadySeconds();
+    IdleUntil = IdleSince + idleSecondsOf(Head) - IdleMargin;
+    Owner.released(*this);
+  } else {
+    end();
+  }
+  Old->onAnswerEnd();
+}
+
+void upstream_connection::onEnd(bool Reset) {
+  if (Ended)
+    return;
+  if (!User)
+    return end();
+  if (!Stream.connected())
+    return broken(broken_at::Connecting);
+  // An answer without a length ends with its connection, but not by a reset.
+  if (!Reset && Reader.headDone() && !Skipping && Reader.endOfInput())
+    return finish(true);
+  if (Reader.headDone() && !Skipping)
+    return broken(broken_at::Answering);
+  broken(Reused && Reader.fresh() ? broken_at::Reused : broken_at::Waiting);
+}
+
+void upstream_connection::broken(broken_at Where) {
+  upstream_user *Old = std::exchange(User, nullptr);
+  end();
+  Old->onBroken(Where);
+}
+
+void upstream_connection::drop() {
+  User = nullptr;
+  end();
+}
+
+void upstream_connection::end() {
+  if (Ended)
+    return;
+  Ended = true;
+  ConnectTimer.stop();
+  Stream.close();
+  Owner.ended(*this);
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/gateway/upstream_table.cpp
@@ -0,0 +1,93 @@
+//===- upstream_table.cpp - Upstreams that an entry speaks to -------------===//
+
+#include "gateway/upstream_table.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// The first failure keeps new work away for a short time, each one after it
+// for twice as long: a restart takes seconds, a lost packet none.
+constexpr double FirstPause = 0.5;
+constexpr double LongestPause = 8;
+constexpr unsigned MostDoublings = 4;
+// A load told longer ago says nothing of the present one.
+constexpr double LoadLifetime = 2;
+
+} // namespace
+
+double upstream::load(double Now) const {
+  if (ToldAt == 0 || Now > ToldAt + LoadLifetime)
+    return InFlight;
+  double Then = double(Told.Running) + double(Told.Waiting);
+  return std::max(double(InFlight), Then + InFlight - InFlightThen);
+}
+
+void upstream::heardLoad(const platform::reported_load &Load, double Now) {
+  Told = Load;
+  ToldAt = Now;
+  InFlightThen = InFlight;
+}
+
+void upstream::failed(double Now) {
+  double Pause = FirstPause * double(1U << std::min(Strikes, MostDoublings));
+  SuspectUntil = Now + std::min(Pause, LongestPause);
+  ++Strikes;
+}
+
+std::vector<std::shared_ptr<upstream>>
+upstream_table::update(std::vector<platform::listed_upstream> List) {
+  std::map<std::string, std::shared_ptr<upstream>> Next;
+  ByService.clear();
+  std::map<std::string, std::map<std::string, int>> Versions;
+  for (platform::listed_upstream &Listed : List) {
+    auto It = ById.find(Listed.Id);
+    auto Upstream =
+        It == ById.end() ? std::make_shared<upstream>() : It->second;
+    Upstream->Listed = std::move(Listed);
+    ++Versions[Upstream->Listed.Service][Upstream->Listed.Version];
+    ByService[Upstream->Listed.Service].push_back(Upstream);
+    Next[Upstream->Listed.Id] = std::move(Upstream);
+  }
+  std::vector<std::shared_ptr<upstream>> Left;
+  for (auto &[Id, Upstream] : ById)
+    if (!Next.contains(Id)) {
+      Upstream->Gone = true;
+      Left.push_back(Upstream);
+    }
+  ById = std::move(Next);
+  for (auto &[Service, Counts] : Versions) {
+    auto Most = std::max_element(
+        Counts.begin(), Counts.end(),
+        [](const auto &A, const auto &B) { return A.second < B.second; });
+    Settled.try_emplace(Service, Most->first);
+  }
+  return Left;
+}
+
+const std::vector<std::shared_ptr<upstream>> &
+upstream_table::ofService(const std::string &Service) const {
+  static const std::vector<std::shared_ptr<upstream>> None;
+  auto It = ByService.find(Service);
+  return It == ByService.end() ? None : It->second;
+}
+
+void upstream_table::unsettleVersion(const std::string &Service,
+                                     const std::string &Version) {
+  auto It = Settled.find(Service);
+  if (It == Settled.end() || It->second != Version)
+    return;
+  for (const auto &Upstream : ofService(Service))
+    if (Upstream->Listed.Version != Version)
+      It->second = Upstream->Listed.Version;
+}
+
+const std::string &
+upstream_table::settledVersion(const std::string &Service) const {
+  static const std::string None;
+  auto It = Settled.find(Service);
+  return It == Settled.end() ? None : It->second;
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/gateway/upstream_table.h
@@ -0,0 +1,78 @@
+//===- upstream_table.h - Upstreams that an entry speaks to -----*- C++ -*-===//
+//
+// The upstreams of the platform's list with what this entry knows of each: its
+// own requests in flight, the load it told last, and failures.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_GATEWAY_UPSTREAM_TABLE_H
+#define OLIVEVALVE_GATEWAY_UPSTREAM_TABLE_H
+
+#include "platform/headers.h"
+#include "platform/upstream_list.h"
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace olivevalve {
+
+class upstream_connection;
+
+/// One incarnation.
+struct upstream {
+  platform::listed_upstream Listed;
+  bool Gone = false; ///< Not listed any more.
+  uint32_t InFlight = 0;
+  uint32_t Connections = 0;
+  std::vector<upstream_connection *> Idle;
+
+  /// Requests that run or wait there: what it told last, corrected by what
+  /// this entry has sent and got back since.
+  double load(double Now) const;
+  bool suspect(double Now) const { return Now < SuspectUntil; }
+  void heardLoad(const platform::reported_load &Load, double Now);
+  /// Gave no answer, or one that is not its own.
+  void failed(double Now);
+  void answered() { Strikes = 0; }
+  void leave() { Leaves = true; }
+  bool takesNew() const { return !Gone && !Leaves && !Listed.Leaving; }
+
+private:
+  platform::reported_load Told;
+  double ToldAt = 0;
+  uint32_t InFlightThen = 0;
+  double SuspectUntil = 0;
+  unsigned Strikes = 0;
+  bool Leaves = false; ///< Said so itself, before the list did.
+};
+
+class upstream_table {
+public:
+  /// Takes in a whole list. Returns what is gone since the last one.
+  std::vector<std::shared_ptr<upstream>>
+  update(std::vector<platform::listed_upstream> List);
+  const std::vector<std::shared_ptr<upstream>> &
+  ofService(const std::string &Service) const;
+  const std::map<std::string, std::shared_ptr<upstream>> &all() const {
+    return ById;
+  }
+  /// The software version most upstreams of the service had when it was seen
+  /// first, or that was set since.
+  const std::string &settledVersion(const std::string &Service) const;
+  void settleVersion(const std::string &Service, const std::string &Version) {
+    Settled[Service] = Version;
+  }
+  /// \p Version is on trial or was given up: another one is the settled one.
+  void unsettleVersion(const std::string &Service, const std::string &Version);
+
+private:
+  std::map<std::string, std::shared_ptr<upstream>> ById;
+  std::map<std::string, std::vector<std::shared_ptr<upstream>>> ByService;
+  std::map<std::string, std::string> Settled;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_GATEWAY_UPSTREAM_TABLE_H
--- /dev/null
+++ b/lease/control_watch.cpp
@@ -0,0 +1,150 @@
+//===- control_watch.cpp - A gateway's tie to control ---------------------===//
+
+#include "lease/control_watch.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// A change is to be in force within 2 s. The leader tells it at once; when that
+// message is lost, the next question brings it.
+constexpr double AskSeconds = 0.4;
+// A round trip between data halls takes a few milliseconds, a busy control VM
+// some tens.
+constexpr double PatienceSeconds = 0.45;
+constexpr double TickSeconds = 0.2;
+constexpr double LostSeconds = 3;
+
+} // namespace
+
+control_watch::control_watch(link_context &Context, struct ev_loop *Loop,
+                             control_watch_options NewOptions)
+    : Context(Context), Loop(Loop), Options(std::move(NewOptions)),
+      LastHeard(steadySeconds()), Timer(Loop, [this] { tick(); }) {
+  moveOn();
+  Timer.startRepeating(TickSeconds);
+}
+
+double control_watch::silence() const { return steadySeconds() - LastHeard; }
+
+void control_watch::setSeeds(std::vector<std::string> Seeds) {
+  Options.Seeds = std::move(Seeds);
+}
+
+std::vector<std::string> control_watch::known() const {
+  std::vector<std::string> All = Members;
+  for (const std::string &Seed : Options.Seeds)
+    if (std::find(All.begin(), All.end(), Seed) == All.end())
+      All.push_back(Seed);
+  return All;
+}
+
+client_link &control_watch::linkTo(const std::string &Address) {
+  std::unique_ptr<client_link> &Link = Links[Address];
+  if (!Link) {
+    Link = std::make_unique<client_link>(
+        Context, Loop, "gateway/" + hexOf(Options.Incarnation),
+        [this, Address](const wire::envelope &Message) {
+          if (Message.body_case() == wire::envelope::kNotice)
+            receive(Address, Message.notice());
+        });
+    Link->connect(Address);
+  }
+  return *Link;
+}
+
+// The next one in the list, so that all are tried in turn.
+void control_watch::moveOn() {
+  std::vector<std::string> All = known();
+  if (All.empty())
+    return;
+  auto It = std::find(All.begin(), All.end(), Current);
+  size_t Place = It == All.end() ? Options.Incarnation % All.size()
+                                 : size_t(It - All.begin() + 1) % All.size();
+  Current = All[Place];
+  // Links to VMs that have left are dropped here, outside their callbacks.
+  std::erase_if(Links, [&](const auto &Link) {
+    return std::find(All.begin(), All.end(), Link.first) == All.end();
+  });
+  HeardAt = 0;
+  AskedAt = 0;
+  linkTo(Current);
+}
+
+void control_watch::tick() {
+  double Now = steadySeconds();
+  bool Silent = AskedAt > 0 && HeardAt < AskedAt;
+  if (Silent && Now > AskedAt + PatienceSeconds)
+    moveOn();
+  if (Now >= AskedAt + AskSeconds - TickSeconds / 2)
+    ask();
+  if (!Lost && silence() > LostSeconds) {
+    Lost = true;
+    logLine(log_level::Warning, "control is silent, serving on",
+            {{"routing", int64_t(RoutingVersion)}, {"seconds", silence()}});
+  }
+}
+
+void control_watch::ask() {
+  if (Current.empty())
+    return;
+  wire::envelope Message;
+  wire::watch *Watch = Message.mutable_watch();
+  Watch->set_node(Options.Node);
+  Watch->set_incarnation(Options.Incarnation);
+  Watch->set_data_hall(Options.DataHall);
+  Watch->set_routing_version(RoutingVersion);
+  Watch->set_rollouts_revision(RolloutsRevision);
+  if (OnAsk)
+    OnAsk(*Watch);
+  double Now = steadySeconds();
+  // A question that is still open keeps its time, so that silence shows.
+  if (AskedAt == 0 || HeardAt >= AskedAt)
+    AskedAt = Now;
+  linkTo(Current).send(Message);
+}
+
+void control_watch::receive(const std::string &From,
+                            const wire::notice &Notice) {
+  double Now = steadySeconds();
+  LastHeard = Now;
+  if (Lost)
+    logLine(log_level::Info, "control is heard again", {{"from", From}});
+  Lost = false;
+  if (From == Current)
+    HeardAt = Now;
+  std::string Leader;
+  std::vector<std::string> Told;
+  for (const wire::member &Member : Notice.members()) {
+    Told.push_back(Member.address());
+    if (Member.id() == Notice.leader())
+      Leader = Member.address();
+  }
+  if (!Told.empty())
+    Members = std::move(Told);
+  if (Notice.routing_version() > RoutingVersion &&
+      !Notice.routing_document().empty()) {
+    RoutingVersion = Notice.routing_version();
+    OnRouting(RoutingVersion, Notice.routing_document());
+  }
+  if (Notice.rollouts_revision() > RolloutsRevision) {
+    RolloutsRevision = Notice.rollouts_revision();
+    OnRollouts(Notice);
+  }
+  if (From != Current)
+    return;
+  if (!Leader.empty() && Leader != Current) {
+    Current = Leader;
+    HeardAt = AskedAt = 0;
+    ask();
+  } else if (Leader.empty()) {
+    // This one does not know who leads; another may.
+    AskedAt = Now;
+    HeardAt = 0;
+  }
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/lease/control_watch.h
@@ -0,0 +1,70 @@
+//===- control_watch.h - A gateway's tie to control -------------*- C++ -*-===//
+//
+// Keeps routing and roll-outs of a gateway up to date without a lease: a
+// gateway that is cut off serves on with what it holds. Asks one control VM at
+// a time, the leader if it is known, and goes on to another when that one is
+// silent. Members are found through seeds.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_LEASE_CONTROL_WATCH_H
+#define OLIVEVALVE_LEASE_CONTROL_WATCH_H
+
+#include "net/link.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace olivevalve {
+
+struct control_watch_options {
+  std::string Node;
+  uint64_t Incarnation = 0;
+  std::string DataHall;
+  std::vector<std::string> Seeds; ///< Where control VMs listen, "IP:port".
+};
+
+class control_watch {
+public:
+  control_watch(link_context &Context, struct ev_loop *Loop,
+                control_watch_options Options);
+
+  /// Fills in what was counted, before each question.
+  std::function<void(wire::watch &)> OnAsk;
+  /// A routing configuration with a higher version than any before.
+  std::function<void(uint64_t Version, const std::string &Document)> OnRouting;
+  std::function<void(const wire::notice &)> OnRollouts;
+
+  uint64_t routingVersion() const { return RoutingVersion; }
+  /// Seconds since a control VM was last heard; for logs.
+  double silence() const;
+  void setSeeds(std::vector<std::string> Seeds);
+
+private:
+  void tick();
+  void ask();
+  void receive(const std::string &From, const wire::notice &Notice);
+  void moveOn();
+  std::vector<std::string> known() const;
+  client_link &linkTo(const std::string &Address);
+
+  link_context &Context;
+  struct ev_loop *Loop;
+  control_watch_options Options;
+  std::map<std::string, std::unique_ptr<client_link>> Links;
+  std::vector<std::string> Members; ///< As the last notice told.
+  std::string Current;
+  double AskedAt = 0;
+  double HeardAt = 0;   ///< From the VM that is asked now.
+  double LastHeard = 0; ///< From any.
+  uint64_t RoutingVersion = 0;
+  uint64_t RolloutsRevision = 0;
+  bool Lost = false; ///< Logged as lost.
+  timer Timer;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_LEASE_CONTROL_WATCH_H
--- a/ledger/state_machine.cpp
+++ b/ledger/state_machine.cpp
@@ -55,6 +55,18 @@
   case wire::command::kRatings:
     applyRatings(Command.ratings());
     return Result;
+  case wire::command::kRouting:
+    // A document under a version that is not higher changes nothing: it is
+    // a resend, or the loser of a race.
+    if (Command.routing().version() > Routing.version())
+      Routing = Command.routing();
+    return Result;
+  case wire::command::kBeginRollout:
+    Result.Status = Rollouts.begin(Command.begin_rollout(), Wall);
+    return Result;
+  case wire::command::kRolloutStep:
+    Rollouts.step(Command.rollout_step());
+    return Result;
   default:
     return Result;
   }
@@ -135,6 +147,8 @@
   Pins.save(Image);
   Bills.save(Image);
   Ratings.save(Image);
+  *Image.mutable_routing() = Routing;
+  Rollouts.save(Image);
   return Image.SerializeAsString();
 }
 
@@ -162,6 +176,8 @@
   Next.Pins.load(Image);
   Next.Bills.load(Image);
   Next.Ratings.load(Image);
+  Next.Routing = Image.routing();
+  Next.Rollouts.load(Image);
   *this = std::move(Next);
   return true;
 }
--- a/ledger/state_machine.h
+++ b/ledger/state_machine.h
@@ -14,6 +14,7 @@
 #include "ledger/claims.h"
 #include "ledger/pins.h"
 #include "ledger/ratings.h"
+#include "ledger/rollouts.h"
 #include <deque>
 #include <map>
 
@@ -39,6 +40,9 @@
   const rating_book &ratings() const { return Ratings; }
   const claim_table &claims() const { return Claims; }
   const pin_table &pins() const { return Pins; }
+  /// The routing configuration with the highest version; 0: none yet.
+  const wire::routing_change &routing() const { return Routing; }
+  const rollout_book &rollouts() const { return Rollouts; }
 
   std::string image() const;
   bool restore(const std::string &Image);
@@ -62,6 +66,8 @@
   pin_table Pins;
   bill_ledger Bills;
   rating_book Ratings;
+  wire::routing_change Routing;
+  rollout_book Rollouts;
   std::map<std::string, change_record> Changes;
   std::deque<std::string> ChangeOrder;
   std::map<std::string, uint64_t> ReporterSequence;
--- /dev/null
+++ b/net/http_reader.cpp
@@ -0,0 +1,187 @@
+//===- http_reader.cpp - HTTP/1.1 messages, byte for byte -----------------===//
+
+#include "net/http_reader.h"
+#include <algorithm>
+#include <cstring>
+#include <limits>
+#include <strings.h>
+
+namespace olivevalve {
+
+bool sameHeader(std::string_view A, std::string_view B) {
+  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
+}
+
+const std::string *http_head::find(std::string_view Name) const {
+  for (const head_line &Line : Lines)
+    if (sameHeader(Line.Name, Name))
+      return &Line.Value;
+  return nullptr;
+}
+
+bool http_head::isTied(std::string_view Name) const {
+  for (const head_line &Line : Lines) {
+    if (!sameHeader(Line.Name, "Connection"))
+      continue;
+    std::string_view Rest = Line.Value;
+    while (!Rest.empty()) {
+      size_t Comma = std::min(Rest.find(','), Rest.size());
+      std::string_view Item = Rest.substr(0, Comma);
+      Rest.remove_prefix(std::min(Comma + 1, Rest.size()));
+      while (Item.starts_with(' ') || Item.starts_with('\t'))
+        Item.remove_prefix(1);
+      while (Item.ends_with(' ') || Item.ends_with('\t'))
+        Item.remove_suffix(1);
+      if (sameHeader(Item, Name))
+        return true;
+    }
+  }
+  return false;
+}
+
+http_reader::http_reader(http_side Side) : Side(Side) { next(); }
+
+void http_reader::next(bool NewHeadOnly) {
+  http_parser_init(&Parser,
+                   Side == http_side::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+  Parser.data = this;
+  Head = {};
+  Error.clear();
+  Bytes = HeadBytes = 0;
+  HeadOnly = NewHeadOnly;
+  HeadDone = Done = InTrailer = LastWasValue = false;
+}
+
+http_reader &http_reader::self(http_parser *Parser) {
+  return *static_cast<http_reader *>(Parser->data);
+}
+
+const http_parser_settings &http_reader::settings() {
+  static const http_parser_settings Settings = [] {
+    http_parser_settings S;
+    http_parser_settings_init(&S);
+    S.on_url = &http_reader::onUrl;
+    S.on_status = &http_reader::onStatus;
+    S.on_header_field = &http_reader::onField;
+    S.on_header_value = &http_reader::onValue;
+    S.on_headers_complete = &http_reader::onHeadersComplete;
+    S.on_body = &http_reader::onBodyBytes;
+    S.on_message_complete = &http_reader::onMessageComplete;
+    return S;
+  }();
+  return Settings;
+}
+
+size_t http_reader::feed(std::string_view Input) {
+  if (Done || failed() || Input.empty())
+    return 0;
+  size_t Taken =
+      http_parser_execute(&Parser, &settings(), Input.data(), Input.size());
+  Bytes += Taken;
+  if (!HeadDone)
+    HeadBytes += Taken;
+  http_errno Code = HTTP_PARSER_ERRNO(&Parser);
+  if (Done)
+    return Taken;
+  if (Code != HPE_OK && Error.empty())
+    Error = http_errno_description(Code);
+  return Taken;
+}
+
+bool http_reader::endOfInput() {
+  if (!Done && !failed() && HeadDone)
+    http_parser_execute(&Parser, &settings(), nullptr, 0);
+  return Done;
+}
+
+int http_reader::onUrl(http_parser *Parser, const char *At, size_t Size) {
+  self(Parser).Head.Target.append(At, Size);
+  return 0;
+}
+
+int http_reader::onStatus(http_parser *Parser, const char *At, size_t Size) {
+  self(Parser).Head.Reason.append(At, Size);
+  return 0;
+}
+
+int http_reader::onField(http_parser *Parser, const char *At, size_t Size) {
+  http_reader &Reader = self(Parser);
+  if (Reader.HeadDone)
+    return 0; // Trailers are not passed on.
+  if (Reader.LastWasValue || Reader.Head.Lines.empty())
+    Reader.Head.Lines.emplace_back();
+  Reader.LastWasValue = false;
+  Reader.Head.Lines.back().Name.append(At, Size);
+  return 0;
+}
+
+int http_reader::onValue(http_parser *Parser, const char *At, size_t Size) {
+  http_reader &Reader = self(Parser);
+  if (Reader.HeadDone)
+    return 0;
+  Reader.LastWasValue = true;
+  Reader.Head.Lines.back().Value.append(At, Size);
+  return 0;
+}
+
+int http_reader::onHeadersComplete(http_parser *Parser) {
+  http_reader &Reader = self(Parser);
+  http_head &Head = Reader.Head;
+  Head.Status = Parser->status_code;
+  if (Reader.Side == http_side::Request)
+    Head.Method = http_method_str(http_method(Parser->method));
+  Head.IsHttp10 = Parser->http_major < 1 ||
+                  (Parser->http_major == 1 && Parser->http_minor == 0);
+  Head.KeepAlive = http_should_keep_alive(Parser) != 0;
+  Head.Chunked = (Parser->flags & F_CHUNKED) != 0;
+  bool NoLength =
+      Parser->content_length == std::numeric_limits<uint64_t>::max();
+  if ((Parser->flags & F_CONTENTLENGTH) && !NoLength)
+    Head.Length = Parser->content_length;
+  Reader.checkHead();
+  if (!Reader.Error.empty())
+    return -1;
+  Reader.HeadDone = true;
+  if (Reader.OnHead)
+    Reader.OnHead();
+  // 1: no body follows.
+  return Reader.HeadOnly ? 1 : 0;
+}
+
+// What the parser lets through and others may read in another way.
+void http_reader::checkHead() {
+  int Hosts = 0;
+  for (const head_line &Line : Head.Lines) {
+    Hosts += sameHeader(Line.Name, "Host");
+    bool Coding = sameHeader(Line.Name, "Transfer-Encoding");
+    if (Coding && !sameHeader(Line.Value, "chunked"))
+      Error = "transfer codings other than 'chunked' are not taken";
+    if (Line.Name.empty() || Line.Name.find(' ') != std::string::npos)
+      Error = "the name of a header is empty or holds a blank";
+    if (Line.Value.find('\0') != std::string::npos)
+      Error = "a header holds a zero byte";
+  }
+  if (Parser.uses_transfer_encoding && (Parser.flags & F_CONTENTLENGTH))
+    Error = "both a length and a transfer coding";
+  if (Side == http_side::Request && Hosts > 1)
+    Error = "more than one Host header";
+  if (Side == http_side::Request && Head.Method == "CONNECT")
+    Error = "CONNECT is not taken";
+}
+
+int http_reader::onBodyBytes(http_parser *Parser, const char *At, size_t Size) {
+  http_reader &Reader = self(Parser);
+  if (Reader.OnBody)
+    Reader.OnBody({At, Size});
+  return 0;
+}
+
+int http_reader::onMessageComplete(http_parser *Parser) {
+  http_reader &Reader = self(Parser);
+  Reader.Done = true;
+  // Bytes after the end belong to another message.
+  http_parser_pause(Parser, 1);
+  return 0;
+}
+
+} // namespace olivevalve
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,12 +1,10 @@
 //===- http_server.cpp - HTTP towards callers and operators ---------------===//
 
 #include "net/http_server.h"
+#include "net/ip_address.h"
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cstring>
 #include <microhttpd.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,6 +21,8 @@
 // idle entry waited for the end of its broken stream until its own time was up.
 constexpr unsigned RunsAfterAbort = 5;
 constexpr double RunAgainSeconds = 1e-3;
+// Connections that wait to be taken.
+constexpr int Backlog = 1024;
 
 MHD_Response *makeResponse(std::string_view ContentType,
                            const std::vector<http_header> &Headers,
@@ -35,36 +35,6 @@
   return Response;
 }
 
-bool parseAddress(const std::string &Address, sockaddr_in &Out) {
-  size_t Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
-    return false;
-  Out = {};
-  Out.sin_family = AF_INET;
-  Out.sin_port = htons(uint16_t(std::atoi(Address.c_str() + Colon + 1)));
-  return inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Out.sin_addr) ==
-         1;
-}
-
-int listenOn(const std::string &Address, std::string &Bound) {
-  sockaddr_in Where{};
-  if (!parseAddress(Address, Where))
-    return -1;
-  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  int On = 1;
-  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-  auto *Raw = reinterpret_cast<sockaddr *>(&Where);
-  if (bind(Socket, Raw, sizeof(Where)) != 0 || listen(Socket, 1024) != 0) {
-    close(Socket);
-    return -1;
-  }
-  socklen_t Size = sizeof(Where);
-  getsockname(Socket, Raw, &Size);
-  Bound = Address.substr(0, Address.rfind(':')) + ":" +
-          std::to_string(ntohs(Where.sin_port));
-  return Socket;
-}
-
 } // namespace
 
 std::string http_exchange::header(const char *Name) const {
@@ -192,7 +162,7 @@
 }
 
 bool http_server::bind(const std::string &Address) {
-  int Socket = listenOn(Address, BoundAddress);
+  int Socket = listenOn(Address, Backlog, BoundAddress);
   if (Socket < 0)
     return false;
   Daemon = MHD_start_daemon(
--- /dev/null
+++ b/net/ip_address.cpp
@@ -0,0 +1,41 @@
+//===- ip_address.cpp - Addresses of sockets ------------------------------===//
+
+#include "net/ip_address.h"
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace olivevalve {
+
+bool parseIpAddress(const std::string &Address, sockaddr_in &Out) {
+  size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  Out = {};
+  Out.sin_family = AF_INET;
+  Out.sin_port = htons(uint16_t(std::atoi(Address.c_str() + Colon + 1)));
+  return inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Out.sin_addr) ==
+         1;
+}
+
+int listenOn(const std::string &Address, int Backlog, std::string &Bound) {
+  sockaddr_in Where{};
+  if (!parseIpAddress(Address, Where))
+    return -1;
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  auto *Raw = reinterpret_cast<sockaddr *>(&Where);
+  if (bind(Socket, Raw, sizeof(Where)) != 0 || listen(Socket, Backlog) != 0) {
+    close(Socket);
+    return -1;
+  }
+  socklen_t Size = sizeof(Where);
+  getsockname(Socket, Raw, &Size);
+  Bound = Address.substr(0, Address.rfind(':')) + ":" +
+          std::to_string(ntohs(Where.sin_port));
+  return Socket;
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/net/tcp_stream.cpp
@@ -0,0 +1,212 @@
+//===- tcp_stream.cpp - One TCP connection on the event loop --------------===//
+
+#include "net/tcp_stream.h"
+#include "net/ip_address.h"
+#include <array>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace olivevalve {
+
+namespace {
+
+// One read takes what the kernel's buffers of a connection usually hold.
+constexpr size_t ReadBytes = 64 << 10;
+// Unacknowledged bytes for so long mean a dead path: well over the longest
+// round trip, under the time a caller would wait.
+constexpr unsigned UnackedMs = 5000;
+constexpr int Backlog = 1024;
+// Of one turn, so that open connections have theirs too.
+constexpr int AcceptsPerTurn = 64;
+
+void prepare(int Socket) {
+  int On = 1;
+  setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnackedMs,
+             sizeof(UnackedMs));
+}
+
+int connectTo(const std::string &Address) {
+  sockaddr_in Where{};
+  if (!parseIpAddress(Address, Where))
+    return -1;
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Socket < 0)
+    return -1;
+  prepare(Socket);
+  if (connect(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) ==
+          0 ||
+      errno == EINPROGRESS)
+    return Socket;
+  close(Socket);
+  return -1;
+}
+
+} // namespace
+
+tcp_stream::tcp_stream(struct ev_loop *Loop, int Socket)
+    : Loop(Loop), Socket(Socket), Connected(true),
+      Watch(Loop, [this](int Events) { onReady(Events); }),
+      Failure(Loop, [this] { fail(); }) {
+  prepare(Socket);
+  watch();
+}
+
+tcp_stream::tcp_stream(struct ev_loop *Loop, const std::string &Address)
+    : Loop(Loop), Socket(connectTo(Address)), Connected(false),
+      Watch(Loop, [this](int Events) { onReady(Events); }),
+      Failure(Loop, [this] { fail(); }) {
+  if (Socket < 0)
+    Failure.startOnce(0);
+  watch();
+}
+
+void tcp_stream::watch() {
+  if (Socket < 0)
+    return;
+  int Wanted = (Reading && Connected ? EV_READ : 0) |
+               (!Connected || unsent() > 0 ? EV_WRITE : 0);
+  if (Wanted == Watched)
+    return;
+  Watched = Wanted;
+  if (Wanted)
+    Watch.start(Socket, Wanted);
+  else
+    Watch.stop();
+}
+
+void tcp_stream::setReading(bool On) {
+  Reading = On;
+  watch();
+}
+
+void tcp_stream::onReady(int Events) {
+  if (!Connected) {
+    int Error = 0;
+    socklen_t Size = sizeof(Error);
+    getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size);
+    if (Error != 0)
+      return fail();
+    Connected = true;
+    if (OnConnected)
+      OnConnected();
+    if (open())
+      flush();
+    return watch();
+  }
+  if (Events & EV_WRITE)
+    flush();
+  if ((Events & EV_READ) && open())
+    readSome();
+}
+
+void tcp_stream::readSome() {
+  static thread_local std::array<char, ReadBytes> Buffer;
+  ssize_t Count = ::read(Socket, Buffer.data(), Buffer.size());
+  if (Count > 0)
+    return OnBytes({Buffer.data(), size_t(Count)});
+  if (Count < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  bool Reset = Count < 0;
+  Watch.stop();
+  Watched = 0;
+  Reading = false;
+  if (OnEnd)
+    OnEnd(Reset);
+}
+
+void tcp_stream::write(std::string_view Bytes) {
+  if (!open() || Closing)
+    return;
+  bool Waiting = unsent() > 0 || !Connected;
+  Unsent.append(Bytes);
+  if (!Waiting)
+    flush();
+}
+
+void tcp_stream::flush() {
+  if (!Connected)
+    return;
+  while (unsent() > 0) {
+    ssize_t Count =
+        ::send(Socket, Unsent.data() + Sent, unsent(), MSG_NOSIGNAL);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0 && errno == EAGAIN)
+      return watch();
+    if (Count < 0) {
+      // The caller of write() is in the middle of its own work.
+      Unsent.clear();
+      Sent = 0;
+      Watch.stop();
+      Watched = 0;
+      return Failure.startOnce(0);
+    }
+    Sent += size_t(Count);
+    SentBytes += uint64_t(Count);
+  }
+  Unsent.clear();
+  Sent = 0;
+  watch();
+  if (Closing)
+    return close();
+  if (OnDrained)
+    OnDrained();
+}
+
+void tcp_stream::closeWhenSent() {
+  Closing = true;
+  if (unsent() == 0)
+    close();
+}
+
+void tcp_stream::fail() {
+  Watch.stop();
+  Watched = 0;
+  if (OnEnd)
+    OnEnd(true);
+}
+
+void tcp_stream::close() {
+  Watch.stop();
+  Failure.stop();
+  Watched = 0;
+  if (Socket >= 0)
+    ::close(Socket);
+  Socket = -1;
+}
+
+tcp_listener::tcp_listener(struct ev_loop *Loop,
+                           std::function<void(int Socket)> OnAccept)
+    : OnAccept(std::move(OnAccept)),
+      Watch(Loop, [this](int) { acceptSome(); }) {}
+
+bool tcp_listener::bind(const std::string &Address) {
+  Socket = listenOn(Address, Backlog, Bound);
+  if (Socket < 0)
+    return false;
+  Watch.start(Socket, EV_READ);
+  return true;
+}
+
+void tcp_listener::acceptSome() {
+  for (int I = 0; I < AcceptsPerTurn; ++I) {
+    int Accepted =
+        accept4(Socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Accepted < 0)
+      return;
+    OnAccept(Accepted);
+  }
+}
+
+void tcp_listener::close() {
+  Watch.stop();
+  if (Socket >= 0)
+    ::close(Socket);
+  Socket = -1;
+}
+
+} // namespace olivevalve
--- a/policy/limits.cpp
+++ b/policy/limits.cpp
@@ -10,9 +10,12 @@
 
 // A bucket holds what comes in this many seconds, and one token at least.
 constexpr double BurstSeconds = 2.0;
-// Retries allowed for each request, and the most that are saved up.
-constexpr double RetriesPerRequest = 0.1;
-constexpr double SavedRetries = 10;
+// Retries earned in one window may be spent in the next, so half of a shared
+// ratio is used up by both together.
+constexpr double PartOfRatio = 0.5;
+// Of a shared slack, what one gateway may save: ten of them share it.
+constexpr double PartOfSlack = 0.1;
+constexpr double LeastSaved = 2;
 // Time constant of the rate meter, seconds.
 constexpr double MeterSeconds = 5.0;
 
@@ -31,8 +34,13 @@
   return true;
 }
 
+retry_bounds retry_bounds::partOf(double Ratio, double Slack) {
+  return {.Ratio = Ratio * PartOfRatio,
+          .Saved = std::max(LeastSaved, Slack * PartOfSlack)};
+}
+
 void retry_budget::requestSeen() {
-  Tokens = std::min(SavedRetries, Tokens + RetriesPerRequest);
+  Tokens = std::min(Bounds.Saved, Tokens + Bounds.Ratio);
 }
 
 bool retry_budget::take() {
--- a/policy/limits.h
+++ b/policy/limits.h
@@ -23,15 +23,28 @@
   double Last = 0;
 };
 
+/// What retries a budget allows.
+struct retry_bounds {
+  double Ratio = 0.1; ///< Retries earned by each request.
+  double Saved = 10;  ///< The most that is kept for later.
+
+  /// The part of one gateway in a bound that all of them share: of \p Ratio
+  /// retries a request, and \p Slack beside it.
+  static retry_bounds partOf(double Ratio, double Slack);
+};
+
 /// Allows retries as a share of requests, so that retries cannot multiply an
 /// overload.
 class retry_budget {
 public:
+  explicit retry_budget(retry_bounds Bounds = {})
+      : Bounds(Bounds), Tokens(Bounds.Saved / 2) {}
   void requestSeen();
   bool take();
 
 private:
-  double Tokens = 5;
+  retry_bounds Bounds;
+  double Tokens;
 };
 
 /// Running mean of a rate, for the shares that control hands out.
--- /dev/null
+++ b/tests/unit/http_test.cpp
@@ -0,0 +1,238 @@
+//===- http_test.cpp - Messages byte for byte, and the platform's heads ---===//
+
+#include "boost/test/unit_test.hpp"
+#include "net/http_reader.h"
+#include "platform/headers.h"
+#include "platform/upstream_list.h"
+#include <random>
+
+using namespace olivevalve;
+
+namespace {
+
+const std::string Post = "POST /lohu930/2f?a=%2e HTTP/1.1\r\n"
+                         "Host: ficu95.example\r\n"
+                         "X-Attempt-Id: 9c41d07be2a35f68\r\n"
+                         "X-Model: *\r\n"
+                         "X-Token-Count: 1460,80\r\n"
+                         "X-Prefix-Hash: 5c1e07a2:800,91bd3f06:410,e4:250\r\n"
+                         "X-Length-Hint: 70\r\n"
+                         "X-Deadline-Ms: 25000\r\n"
+                         "X-Credential: secret\r\n"
+                         "X-Tenant: somebody\r\n"
+                         "X-Kv-Hold: h\r\n"
+                         "X-Odd: kept  as is\r\n"
+                         "Connection: keep-alive, x-mine\r\n"
+                         "X-Mine: tied\r\n"
+                         "Transfer-Encoding: chunked\r\n"
+                         "\r\n"
+                         "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+
+/// A reader and what it told.
+struct read_message {
+  explicit read_message(http_side Side) : Reader(Side) {
+    Reader.OnBody = [this](std::string_view Bytes) { Body.append(Bytes); };
+  }
+  http_reader Reader;
+  std::string Body;
+};
+
+http_head headOf(const std::string &Text) {
+  read_message Message(http_side::Request);
+  Message.Reader.feed(Text);
+  BOOST_REQUIRE(Message.Reader.done());
+  return Message.Reader.head();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(http_messages)
+
+BOOST_AUTO_TEST_CASE(are_the_same_wherever_the_bytes_are_cut) {
+  std::string Two = Post + "GET / HTTP/1.1\r\n\r\n";
+  for (size_t Cut = 0; Cut < Post.size(); ++Cut) {
+    read_message Message(http_side::Request);
+    BOOST_TEST(Message.Reader.feed(Two.substr(0, Cut)) == Cut);
+    BOOST_TEST(Message.Reader.feed(Two.substr(Cut)) == Post.size() - Cut);
+    BOOST_REQUIRE(Message.Reader.done());
+    BOOST_TEST(Message.Body == "abcde");
+    BOOST_TEST(Message.Reader.head().Target == "/lohu930/2f?a=%2e");
+    BOOST_TEST(*Message.Reader.head().find("x-odd") == "kept  as is");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(that_two_readers_could_take_differently_are_errors) {
+  const std::string Cases[] = {
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: "
+      "3\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      std::string("GET / HTTP/1.1\r\nX-A: a\0b\r\n\r\n", 31),
+      "GET / HTTP/1.1\r\nX A: b\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+      "CONNECT a:1 HTTP/1.1\r\n\r\n",
+      "GARBAGE\r\n\r\n",
+  };
+  for (const std::string &Case : Cases) {
+    read_message Message(http_side::Request);
+    Message.Reader.feed(Case);
+    BOOST_TEST(Message.Reader.failed(), Case);
+    BOOST_TEST(!Message.Reader.done());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(of_answers_end_by_length_chunks_or_connection) {
+  struct answer_case {
+    std::string Text;
+    bool DoneBefore; ///< Without the end of the connection.
+    bool DoneAfter;
+  };
+  const answer_case Cases[] = {
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true, true},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", false, false},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+       "\r\n",
+       true, true},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+       false, false},
+      {"HTTP/1.1 200 OK\r\n\r\nok", false, true},
+      {"HTTP/1.1 204 None\r\n\r\n", true, true},
+      {"HTTP/1.1 200 OK\r\nContent-", false, false},
+  };
+  for (const answer_case &Case : Cases) {
+    read_message Message(http_side::Answer);
+    Message.Reader.feed(Case.Text);
+    BOOST_TEST(Message.Reader.done() == Case.DoneBefore, Case.Text);
+    BOOST_TEST(Message.Reader.endOfInput() == Case.DoneAfter, Case.Text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(never_crash_their_reader) {
+  std::mt19937_64 Random(7);
+  for (int I = 0; I < 20000; ++I) {
+    std::string Text = Post;
+    for (int J = 0; J < 4; ++J) {
+      size_t At = Random() % Text.size();
+      if (Random() % 2)
+        Text[At] = char(Random());
+      else
+        Text.erase(At, Random() % 5);
+    }
+    read_message Message(http_side::Request);
+    size_t Cut = Random() % Text.size();
+    size_t Taken = Message.Reader.feed(Text.substr(0, Cut));
+    if (Taken == Cut)
+      Message.Reader.feed(Text.substr(Cut));
+    platform::readCaller(Message.Reader.head());
+    platform::readAnswer(Message.Reader.head());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(heads_of_the_platform)
+
+BOOST_AUTO_TEST_CASE(say_what_a_caller_wants) {
+  platform::caller_facts Facts = platform::readCaller(headOf(Post));
+  BOOST_TEST(Facts.AttemptId == "9c41d07be2a35f68");
+  BOOST_TEST(*Facts.DeadlineSeconds == 25);
+  BOOST_TEST(Facts.Key == "secret");
+  BOOST_REQUIRE(Facts.Model.has_value());
+  BOOST_TEST(Facts.Model->PromptTokens == 1460U);
+  BOOST_TEST(Facts.Model->MostOutputTokens == 80U);
+  BOOST_TEST(*Facts.Model->LikelyOutputTokens == 70U);
+  BOOST_REQUIRE(Facts.Model->Parts.size() == 3U);
+  BOOST_TEST(Facts.Model->Parts[0].Id == 0x5c1e07a2U);
+  BOOST_TEST(Facts.Model->Parts[2].Tokens == 250U);
+}
+
+BOOST_AUTO_TEST_CASE(for_an_upstream_hold_only_what_the_system_says) {
+  std::string Text = platform::writeRequestHead(headOf(Post),
+                                                {.Instance = "i-1",
+                                                 .DeadlineSeconds = 1.25,
+                                                 .Account = "hule930",
+                                                 .Model = "large",
+                                                 .LastEvent = "12",
+                                                 .Priority = 1,
+                                                 .TellPriority = true},
+                                                5);
+  http_head Head = headOf(Text + "abcde");
+  auto Is = [&](const char *Name, const char *Value) {
+    const std::string *Found = Head.find(Name);
+    BOOST_TEST_CONTEXT(Name)
+    BOOST_TEST((Found ? *Found : "(none)") == Value);
+  };
+  BOOST_TEST(Head.Target == "/lohu930/2f?a=%2e");
+  Is("Host", "ficu95.example");
+  Is("X-Attempt-Id", "9c41d07be2a35f68");
+  Is("X-Odd", "kept  as is");
+  Is("X-Model", "large");
+  Is("X-Tenant", "hule930");
+  Is("X-Expect-Instance", "i-1");
+  Is("X-Deadline-Ms", "1250");
+  Is("Last-Event-Id", "12");
+  Is("X-Request-Priority", "1");
+  Is("Content-Length", "5");
+  for (const char *Name : {"X-Credential", "X-Kv-Hold", "Connection", "X-Mine",
+                           "Transfer-Encoding"})
+    Is(Name, "(none)");
+}
+
+BOOST_AUTO_TEST_CASE(tell_of_an_answer_whether_its_request_has_run) {
+  auto Facts = [](const std::string &Text) {
+    read_message Message(http_side::Answer);
+    Message.Reader.feed(Text);
+    return platform::readAnswer(Message.Reader.head());
+  };
+  platform::answer_facts Good =
+      Facts("HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Load: 3,1,8\r\n"
+            "X-Confidence: 40\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(Good.AttemptId == "a");
+  BOOST_TEST(!Good.NotRun);
+  BOOST_TEST(Good.Load->Running == 3U);
+  BOOST_TEST(Good.Load->Slots == 8U);
+  BOOST_TEST(*Good.Confidence == 0.4);
+  BOOST_TEST(Facts("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+                   "Content-Length: 0\r\n\r\n")
+                 .NotRun);
+  BOOST_TEST(Facts("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n").NotRun);
+  BOOST_TEST(!Facts("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").NotRun);
+  BOOST_TEST(!Facts("HTTP/1.1 200 OK\r\nX-Server-Load: 3,x\r\n\r\n").Load);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(list_of_upstreams)
+
+BOOST_AUTO_TEST_CASE(is_read_page_by_page) {
+  auto Page = platform::readUpstreamPage(
+      R"({"upstreams":[{"service":"huvo11a","address":"10.128.0.9:8080",)"
+      R"("data_hall":"hall-laval","version":"v1","slots":128,)"
+      R"("state":"draining","cold_ms":1500,"phase":"mixed","models":[],)"
+      R"("id":"i-7f3a91c2"}],"next_page":"p-50"})");
+  BOOST_REQUIRE(Page.ok());
+  BOOST_TEST(Page->NextPage == "p-50");
+  BOOST_TEST(Page->Upstreams[0].Id == "i-7f3a91c2");
+  BOOST_TEST(Page->Upstreams[0].Leaving);
+  BOOST_TEST(Page->Upstreams[0].ColdSeconds == 1.5);
+  auto Last =
+      platform::readUpstreamPage(R"({"upstreams":[],"next_page":null})");
+  BOOST_REQUIRE(Last.ok());
+  BOOST_TEST(Last->NextPage.empty());
+}
+
+BOOST_AUTO_TEST_CASE(that_cannot_be_read_is_no_list) {
+  for (const char *Text :
+       {"", "[]", "{\"upstreams\":3}", "{\"upstreams\":[{\"id\":\"x\"}]}",
+        "{\"upstreams\":[{\"id\":1,\"service\":\"a\",\"address\":\"b\","
+        "\"state\":\"ready\"}]}"})
+    BOOST_TEST(!platform::readUpstreamPage(Text).ok(), Text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -77,6 +77,7 @@
   if (Pid != 0)
     return;
   int File = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+  dup2(File, STDOUT_FILENO);
   dup2(File, STDERR_FILENO);
   execl(OLIVEVALVED, "olivevalved", "--settings", Path.c_str(), nullptr);
   _exit(127);
@@ -444,6 +445,7 @@
   if (Pid == 0) {
     int File = open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     dup2(File, STDOUT_FILENO);
+    dup2(File, STDOUT_FILENO);
     dup2(File, STDERR_FILENO);
     execv(OLIVEVALVECTL, Raw.data());
     _exit(127);
