--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -64,6 +64,7 @@
              [this](const std::string &Peer, const wire::envelope &Message) {
                receive(Peer, Message);
              }),
+      NewsTimer(Loop, [this] { pushNotices(); }),
       Timer(Loop, [this] { tick(); }) {}
 
 void control_task::receive(const std::string &Peer,
@@ -213,13 +214,11 @@
 void control_task::onApplied(uint64_t Index, const apply_result &Result) {
   if (Result.ConfigIndex == Index && Log->core().isLeader())
     pushConfig();
-  // Gateways ask one control VM at a time, so each that is asked tells its own.
-  bool News = Log->state().routing().version() != TellsRouting ||
-              Log->state().rollouts().revision() != TellsRollouts;
-  TellsRouting = Log->state().routing().version();
-  TellsRollouts = Log->state().rollouts().revision();
-  if (News)
-    pushNotices();
+  // Entries are applied many at a time, after a start above all: gateways hear
+  // only of what the last of them leaves.
+  if (Log->state().routing().version() != TellsRouting ||
+      Log->state().rollouts().revision() != TellsRollouts)
+    NewsTimer.startOnce(0);
 }
 
 void control_task::onWatch(const std::string &Peer, const wire::watch &Watch) {
@@ -249,7 +248,10 @@
   Server.send(Peer, Message);
 }
 
+// Gateways ask one control VM at a time, so each that is asked tells its own.
 void control_task::pushNotices() {
+  TellsRouting = Log->state().routing().version();
+  TellsRollouts = Log->state().rollouts().revision();
   for (const auto &[Peer, Gateway] : Gateways.gateways())
     sendNotice(Peer, Gateway);
 }
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -96,6 +96,7 @@
   uint64_t TellsRouting = 0;  ///< Version that gateways were told last.
   uint64_t TellsRollouts = 0; ///< Revision that gateways were told last.
   bool PlacementPending = false;
+  timer NewsTimer;
   timer Timer;
 };
 
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -58,6 +58,8 @@
   ~forwarding() override;
 
   void start();
+  /// Answers it without a try.
+  void refuse(error_kind Kind, std::string_view Why) { giveUp(Kind, Why); }
   /// Ends it now: the process is about to stop.
   void cut();
 
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -118,6 +118,8 @@
       });
   Requests[Request.get()] = Request;
   Connection.answeredBy(Request);
+  if (Draining)
+    return Request->refuse(error_kind::Draining, "this entry is stopping");
   Request->start();
 }
 
@@ -238,7 +240,7 @@
 }
 
 void gateway_task::drain() {
-  Stopping = true;
+  Stopping = Draining = true;
   Listener.close();
   std::vector<caller_connection *> Resting;
   for (auto &[Raw, Connection] : Callers)
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -92,6 +92,7 @@
   std::string ListBody;
   bool ListKnown = false;
   bool Stopping = false;
+  bool Draining = false; ///< New requests are refused.
   timer SweepTimer;
   timer ListTimer;
   before_wait Prepare;
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -17,13 +17,17 @@
 constexpr double PatienceSeconds = 0.45;
 constexpr double TickSeconds = 0.2;
 constexpr double LostSeconds = 3;
+// The first routing comes from the leader alone for so long: a new leader is
+// there within 3 s after all control VMs were lost at once.
+constexpr double FirstRoutingSeconds = 5;
 
 } // namespace
 
 control_watch::control_watch(link_context &Context, struct ev_loop *Loop,
                              control_watch_options NewOptions)
     : Context(Context), Loop(Loop), Options(std::move(NewOptions)),
-      LastHeard(steadySeconds()), Timer(Loop, [this] { tick(); }) {
+      StartedAt(steadySeconds()), LastHeard(StartedAt),
+      Timer(Loop, [this] { tick(); }) {
   moveOn();
   Timer.startRepeating(TickSeconds);
 }
@@ -64,6 +68,12 @@
   auto It = std::find(All.begin(), All.end(), Current);
   size_t Place = It == All.end() ? Options.Incarnation % All.size()
                                  : size_t(It - All.begin() + 1) % All.size();
+  if (!Current.empty())
+    logLine(log_level::Info, "control VM is silent, asking another",
+            {{"silent", Current},
+             {"next", All[Place]},
+             {"routing", int64_t(RoutingVersion)},
+             {"seconds", silence()}});
   Current = All[Place];
   // Links to VMs that have left are dropped here, outside their callbacks.
   std::erase_if(Links, [&](const auto &Link) {
@@ -71,13 +81,14 @@
   });
   HeardAt = 0;
   AskedAt = 0;
+  Leaderless = false;
   linkTo(Current);
 }
 
 void control_watch::tick() {
   double Now = steadySeconds();
   bool Silent = AskedAt > 0 && HeardAt < AskedAt;
-  if (Silent && Now > AskedAt + PatienceSeconds)
+  if (Leaderless || (Silent && Now > AskedAt + PatienceSeconds))
     moveOn();
   if (Now >= AskedAt + AskSeconds - TickSeconds / 2)
     ask();
@@ -125,7 +136,11 @@
   }
   if (!Told.empty())
     Members = std::move(Told);
-  if (Notice.routing_version() > RoutingVersion &&
+  // A VM that has just started may not have caught up: what it tells first
+  // could be long out of date.
+  bool Trusted = RoutingVersion > 0 || From == Leader ||
+                 Now > StartedAt + FirstRoutingSeconds;
+  if (Trusted && Notice.routing_version() > RoutingVersion &&
       !Notice.routing_document().empty()) {
     RoutingVersion = Notice.routing_version();
     OnRouting(RoutingVersion, Notice.routing_document());
@@ -142,8 +157,7 @@
     ask();
   } else if (Leader.empty()) {
     // This one does not know who leads; another may.
-    AskedAt = Now;
-    HeardAt = 0;
+    Leaderless = true;
   }
 }
 
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -56,12 +56,14 @@
   std::map<std::string, std::unique_ptr<client_link>> Links;
   std::vector<std::string> Members; ///< As the last notice told.
   std::string Current;
+  double StartedAt;
   double AskedAt = 0;
-  double HeardAt = 0;   ///< From the VM that is asked now.
-  double LastHeard = 0; ///< From any.
+  double HeardAt = 0; ///< From the VM that is asked now.
+  double LastHeard;   ///< From any.
   uint64_t RoutingVersion = 0;
   uint64_t RolloutsRevision = 0;
-  bool Lost = false; ///< Logged as lost.
+  bool Leaderless = false; ///< The VM asked now does not know who leads.
+  bool Lost = false;       ///< Logged as lost.
   timer Timer;
 };
 
