Cascade by the model's own confidence; retries shared by the number of gateways

Now the smallest is asked first and the largest when the answer's confidence is below a half; the caller holds nothing until then.

Control tells how many there are.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -245,6 +245,8 @@
   *Notice->mutable_members() = Core.members().members();
   bool Sure = !Core.isLeader() || leads(steadySeconds());
   Notice->set_leader(Sure ? Core.leader() : 0);
+  if (Core.isLeader())
+    Notice->set_gateways(uint32_t(Gateways.gateways().size()));
   Server.send(Peer, Message);
 }
 
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -13,9 +13,6 @@
 namespace {
 
 constexpr size_t KeyCharacters = 40;
-// Of all gateways together: retries for each request, and some beside.
-constexpr double UsualRetryRatio = 0.2;
-constexpr double UsualRetrySlack = 20;
 
 bool isAddress(const std::string &Text) {
   size_t Colon = Text.rfind(':');
@@ -171,17 +168,14 @@
 gateway_options readGateway(object_reader &Reader, address_reader &Addresses) {
   gateway_options Gateway;
   int64_t Connections = int64_t(Gateway.MaxConnections);
-  double RetryRatio = UsualRetryRatio;
-  double RetrySlack = UsualRetrySlack;
   Addresses.read(Reader, "address", Gateway.Address, presence::Required);
   Reader.text("upstream_list", Gateway.UpstreamListAddress, presence::Required);
   if (!Gateway.UpstreamListAddress.empty() &&
       !isAddress(Gateway.UpstreamListAddress))
     Reader.fault("upstream_list", "must be IP:port");
   Reader.number("list_seconds", Gateway.ListSeconds, {0.1, 60});
-  Reader.number("retry_ratio", RetryRatio, {0, 10});
-  Reader.number("retry_slack", RetrySlack, {0, 1e6});
-  Gateway.RetryBounds = retry_bounds::partOf(RetryRatio, RetrySlack);
+  Reader.number("retry_ratio", Gateway.RetryRatio, {0, 10});
+  Reader.number("retry_slack", Gateway.RetrySlack, {0, 1e6});
   Reader.number("session_seconds", Gateway.SessionSeconds, {0.1, 86400});
   Reader.integer("max_connections", Connections, {1, 60000});
   Gateway.MaxConnections = size_t(Connections);
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -90,6 +90,8 @@
       .first->second.requestSeen();
   if (Facts.Model)
     AffinityKey = affinityKeyOf(*Facts.Model);
+  if (choosesModel())
+    ModelPlace = firstModel(Route->Sizes.size());
   attempt();
 }
 
@@ -156,20 +158,27 @@
                      .SameHall = Each->Listed.DataHall == State.DataHall,
                      .Suspect = Each->suspect(Now)});
   bool ByMemory = Route->Sticky && Facts.Model && Facts.Model->Parts.size() > 1;
-  auto Place = ByMemory ? chooseByAffinity(Views, AffinityKey)
+  auto Place = ByMemory ? chooseByAffinity(Views, AffinityKey + ModelPlace)
                         : chooseLeastLoaded(Views, State.Random);
   return Place ? Fit[*Place] : nullptr;
 }
 
-void forwarding::chooseModelFor(const upstream &Chosen, double Now) {
-  bool IsOurs =
-      Facts.Model && Facts.Model->Model == AnyModel && !Route->Sizes.empty();
-  // A stream goes on with the model that began it.
-  if (!IsOurs || HeadSent)
-    return;
-  double Slots = std::max(1.0, double(Chosen.Listed.Slots));
-  Model =
-      Route->Sizes[chooseModel(Route->Sizes.size(), Chosen.load(Now) / Slots)];
+bool forwarding::choosesModel() const {
+  return Facts.Model && Facts.Model->Model == AnyModel && !Route->Sizes.empty();
+}
+
+// The caller holds nothing of the answer yet, so it may be dropped for one of
+// a larger model.
+bool forwarding::asksLargerModel() {
+  if (!choosesModel() || HeadSent || Confidence < 0 || !mayTryAgain(true))
+    return false;
+  auto Larger = largerModel({.Models = Route->Sizes.size(),
+                             .Place = ModelPlace,
+                             .Confidence = Confidence});
+  if (!Larger || !State.Budgets.at(Service).take())
+    return false;
+  ModelPlace = *Larger;
+  return true;
 }
 
 void forwarding::attempt() {
@@ -187,7 +196,8 @@
   }
   ++Attempts;
   ++Upstream->InFlight;
-  chooseModelFor(*Upstream, Now);
+  if (choosesModel())
+    Model = Route->Sizes[ModelPlace];
   if (!Facts.Session.empty())
     State.Pins.touch(Service, Facts.Session, Upstream->Listed.Version,
                      Upstream->Listed.Id, Now);
@@ -284,11 +294,20 @@
   AnswerIsEvents = streaming() && Good;
   if (HeadSent)
     return;
+  Confidence = AnswerFacts.Confidence.value_or(-1);
   Answer = {.Status = AnswerHead.Status, .Reason = AnswerHead.Reason};
   for (const head_line &Line : AnswerHead.Lines)
     if (!sameHeader(Line.Name, "Content-Length") &&
         !platform::belongsToConnection(AnswerHead, Line.Name))
       Answer.Lines.push_back(Line);
+  if (!AnswerIsEvents || !asksLargerModel())
+    return;
+  auto Keep = shared_from_this();
+  Upstream->answered();
+  countAnswer(false);
+  leaveUpstream();
+  Answer = {};
+  attempt();
 }
 
 void forwarding::onAnswerBytes(std::string_view Bytes) {
@@ -431,6 +450,7 @@
            {"account", Account ? std::string_view(Account->Name) : ""},
            {"service", Service},
            {"model", Model},
+           {"confidence", Confidence},
            {"attempts", int64_t(Attempts)},
            {"trouble", LastTrouble},
            {"may_have_run", int64_t(MayHaveRun)},
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -86,7 +86,8 @@
   std::shared_ptr<upstream> choose();
   std::shared_ptr<upstream>
   chooseAmong(const std::vector<std::shared_ptr<upstream>> &Fit, double Now);
-  void chooseModelFor(const upstream &Upstream, double Now);
+  bool choosesModel() const;
+  bool asksLargerModel();
   bool mayTryAgain(bool WasRun) const;
   void again(bool WasRun, std::string_view Why);
   void giveUp(error_kind Kind, std::string_view Why);
@@ -123,6 +124,8 @@
   std::set<std::string> Tried; ///< Incarnations.
   std::shared_ptr<upstream> Upstream;
   upstream_connection *Connection = nullptr;
+  double Confidence = -1;  ///< Of the model in its answer, 0 to 1; -1: untold.
+  size_t ModelPlace = 0;   ///< Of the model asked, in the route's sizes.
   std::string Model;       ///< Chosen by this gateway; empty: the caller's.
   double SentAt = 0;       ///< The attempt in hand.
   double HeardAt = 0;      ///< Last bytes of the answer in hand.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -17,6 +17,8 @@
 constexpr int GoodStatus = 200;
 // Sessions are remembered a little longer than they may pause.
 constexpr double SessionMargin = 2;
+// How many share the bound on retries while control has not told.
+constexpr uint32_t UnknownGateways = 20;
 
 } // namespace
 
@@ -38,7 +40,7 @@
   State.Loop = Loop;
   State.Metrics = &Metrics;
   State.DataHall = Options.DataHall;
-  State.RetryBounds = Options.RetryBounds;
+  shareRetries(UnknownGateways);
   State.Random.seed(randomIncarnation());
   State.Pins.setLifetime(Options.SessionSeconds * SessionMargin);
   Watch.OnAsk = [this](wire::watch &Ask) {
@@ -56,6 +58,7 @@
                {"version", Rollout.target_version()},
                {"stage", wire::rollout_stage_Name(Rollout.stage())}});
   };
+  Watch.OnGateways = [this](uint32_t Count) { shareRetries(Count); };
   SweepTimer.startRepeating(SweepSeconds);
   ListTimer.startOnce(0);
 }
@@ -84,6 +87,13 @@
   State.Routing = std::make_shared<routing_table>(*std::move(Config));
 }
 
+void gateway_task::shareRetries(uint32_t Gateways) {
+  State.RetryBounds =
+      retry_bounds::partOf(Options.RetryRatio, Options.RetrySlack, Gateways);
+  for (auto &[Service, Budget] : State.Budgets)
+    Budget.setBounds(State.RetryBounds);
+}
+
 void gateway_task::accept(int Socket) {
   if (Callers.size() >= Options.MaxConnections)
     closeLongestResting();
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -21,7 +21,8 @@
   std::string Address;             ///< For callers.
   std::string UpstreamListAddress; ///< The platform's list.
   std::vector<std::string> ControlSeeds;
-  retry_bounds RetryBounds;
+  double RetryRatio = 0.2;      ///< Retries for each request, of all gateways.
+  double RetrySlack = 20;       ///< Retries beside the ratio, of all gateways.
   double SessionSeconds = 5;    ///< Requests of a session follow within this.
   double ListSeconds = 2;       ///< Between two questions for the list.
   size_t MaxConnections = 2500; ///< Of callers.
@@ -69,6 +70,7 @@
   void takePage(const fetch_result &Result);
   void takeList();
   void takeRouting(uint64_t Version, const std::string &Document);
+  void shareRetries(uint32_t Gateways);
   void forgetIdle(upstream_connection &Connection);
 
   struct ev_loop *Loop;
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -149,6 +149,10 @@
     RolloutsRevision = Notice.rollouts_revision();
     OnRollouts(Notice);
   }
+  if (Notice.gateways() > 0 && Notice.gateways() != Gateways) {
+    Gateways = Notice.gateways();
+    OnGateways(Gateways);
+  }
   if (From != Current)
     return;
   if (!Leader.empty() && Leader != Current) {
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -36,6 +36,8 @@
   /// A routing configuration with a higher version than any before.
   std::function<void(uint64_t Version, const std::string &Document)> OnRouting;
   std::function<void(const wire::notice &)> OnRollouts;
+  /// How many gateways there are, whenever that has changed.
+  std::function<void(uint32_t Count)> OnGateways;
 
   uint64_t routingVersion() const { return RoutingVersion; }
   /// Seconds since a control VM was last heard; for logs.
@@ -62,6 +64,7 @@
   double LastHeard;   ///< From any.
   uint64_t RoutingVersion = 0;
   uint64_t RolloutsRevision = 0;
+  uint32_t Gateways = 0;
   bool Leaderless = false; ///< The VM asked now does not know who leads.
   bool Lost = false;       ///< Logged as lost.
   timer Timer;
--- a/policy/limits.cpp
+++ b/policy/limits.cpp
@@ -10,11 +10,11 @@
 
 // A bucket holds what comes in this many seconds, and one token at least.
 constexpr double BurstSeconds = 2.0;
-// Retries earned in one window may be spent in the next, so half of a shared
-// ratio is used up by both together.
-constexpr double PartOfRatio = 0.5;
-// Of a shared slack, what one gateway may save: ten of them share it.
-constexpr double PartOfSlack = 0.1;
+// A little less than the shared ratio, for what gateways save beside it.
+constexpr double PartOfRatio = 0.94;
+// Of a shared slack, what all gateways together may save; the rest is for one
+// that has started anew and counts twice.
+constexpr double PartOfSlack = 0.8;
 constexpr double LeastSaved = 2;
 // Time constant of the rate meter, seconds.
 constexpr double MeterSeconds = 5.0;
@@ -34,9 +34,9 @@
   return true;
 }
 
-retry_bounds retry_bounds::partOf(double Ratio, double Slack) {
+retry_bounds retry_bounds::partOf(double Ratio, double Slack, double Gateways) {
   return {.Ratio = Ratio * PartOfRatio,
-          .Saved = std::max(LeastSaved, Slack * PartOfSlack)};
+          .Saved = std::max(LeastSaved, Slack * PartOfSlack / Gateways)};
 }
 
 void retry_budget::requestSeen() {
--- a/policy/model_choice.cpp
+++ b/policy/model_choice.cpp
@@ -6,19 +6,24 @@
 
 namespace {
 
-// Share of the slots taken above which each next smaller model answers: a full
-// batch makes every token of every request slower.
-constexpr double StepDownShare = 0.5;
-constexpr double SmallestShare = 0.8;
+// Below it an answer is more likely poor than good. Measured on quiet days: of
+// the smallest model's answers 49% are above it and 51% of its credit is
+// earned; a few in a hundred lie on the wrong side.
+constexpr double GoodConfidence = 0.5;
 
 } // namespace
 
-size_t chooseModel(size_t Models, double LoadShare) {
-  if (Models <= 1)
-    return 0;
-  if (LoadShare < StepDownShare)
-    return Models - 1;
-  return LoadShare < SmallestShare ? Models - 2 : 0;
+// A small model takes a tenth of the largest one's time and cost, so asking it
+// first pays when it is good enough for one request in ten.
+size_t firstModel(size_t) { return 0; }
+
+// A model in the middle is skipped: it would have to be left again for most
+// requests that are too hard for the smallest.
+std::optional<size_t> largerModel(const model_answer &Answer) {
+  bool Largest = Answer.Place + 1 >= Answer.Models;
+  if (Largest || Answer.Confidence >= GoodConfidence)
+    return std::nullopt;
+  return Answer.Models - 1;
 }
 
 } // namespace olivevalve
--- a/policy/model_choice.h
+++ b/policy/model_choice.h
@@ -1,7 +1,8 @@
 //===- model_choice.h - Which size of model answers -------------*- C++ -*-===//
 //
-// Routes that list several models leave the choice to the system: a larger one
-// answers hard requests well and takes more of its upstream. Pure.
+// Routes that list several models leave the choice to the system. A larger one
+// answers hard requests well, costs more and takes more of its upstream; each
+// tells with its answer how good it thinks it is. Pure.
 //
 //===----------------------------------------------------------------------===//
 
@@ -9,12 +10,24 @@
 #define OLIVEVALVE_POLICY_MODEL_CHOICE_H
 
 #include <cstddef>
+#include <optional>
 
 namespace olivevalve {
 
-/// Place in the list of models, smallest first, for an upstream of which
-/// \p LoadShare of the slots are taken.
-size_t chooseModel(size_t Models, double LoadShare);
+/// What is known when a model has begun to answer; places are in the list of
+/// models, smallest first.
+struct model_answer {
+  size_t Models = 1;     ///< In the list.
+  size_t Place = 0;      ///< Of the one that answers.
+  double Confidence = 1; ///< Its own, 0 to 1.
+};
+
+/// The place of the model that is asked first.
+size_t firstModel(size_t Models);
+
+/// The place of a larger model that should be asked instead, or none when the
+/// answer is good enough.
+std::optional<size_t> largerModel(const model_answer &Answer);
 
 } // namespace olivevalve
 
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -115,11 +115,14 @@
   BOOST_TEST(*chooseByAffinity(Views, Key) != Home);
 }
 
-BOOST_AUTO_TEST_CASE(takes_a_smaller_model_when_the_upstream_is_full) {
-  BOOST_TEST(chooseModel(3, 0.1) == 2U);
-  BOOST_TEST(chooseModel(3, 0.6) == 1U);
-  BOOST_TEST(chooseModel(3, 0.95) == 0U);
-  BOOST_TEST(chooseModel(1, 0.1) == 0U);
+BOOST_AUTO_TEST_CASE(asks_the_largest_model_when_the_smallest_doubts_itself) {
+  BOOST_TEST(firstModel(3) == 0U);
+  auto Next = [](size_t Place, double Confidence) {
+    return largerModel({.Models = 3, .Place = Place, .Confidence = Confidence});
+  };
+  BOOST_TEST(*Next(0, 0.2) == 2U);
+  BOOST_TEST(!Next(0, 0.8).has_value());
+  BOOST_TEST(!Next(2, 0.2).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -232,7 +235,7 @@
   constexpr int Requests = 400;
   int Again = 0;
   for (int I = 0; I < Gateways; ++I) {
-    retry_budget Budget(retry_bounds::partOf(Ratio, Slack));
+    retry_budget Budget(retry_bounds::partOf(Ratio, Slack, Gateways));
     for (int J = 0; J < 1000; ++J)
       Budget.requestSeen();
     for (int J = 0; J < Requests / Gateways; ++J) {
