Sessions stay with their version at every gateway; control connects at its start

The first question for votes went to links that did not stand yet and was lost, and with it a whole election. Links are opened at start.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -224,13 +224,13 @@
 void control_task::onWatch(const std::string &Peer, const wire::watch &Watch) {
   double Now = steadySeconds();
   Gateways.watched(Peer, Watch, Now);
-  sendNotice(Peer, *Gateways.find(Peer));
+  sendNotice(Peer);
 }
 
 // Only what is newer than the gateway holds; members and leader always, so
 // that the gateway knows whom to ask next.
-void control_task::sendNotice(const std::string &Peer,
-                              const gateway_record &Gateway) {
+void control_task::sendNotice(const std::string &Peer) {
+  const gateway_record &Gateway = *Gateways.find(Peer);
   const state_machine &State = Log->state();
   const raft_core &Core = Log->core();
   wire::envelope Message;
@@ -247,6 +247,7 @@
   Notice->set_leader(Sure ? Core.leader() : 0);
   if (Core.isLeader())
     Notice->set_gateways(uint32_t(Gateways.gateways().size()));
+  Gateways.fillStaying(Peer, steadySeconds(), *Notice);
   Server.send(Peer, Message);
 }
 
@@ -255,7 +256,7 @@
   TellsRouting = Log->state().routing().version();
   TellsRollouts = Log->state().rollouts().revision();
   for (const auto &[Peer, Gateway] : Gateways.gateways())
-    sendNotice(Peer, Gateway);
+    sendNotice(Peer);
 }
 
 // Tells every node at once, not only at its next renewal. Such a grant
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -63,7 +63,7 @@
   void onApplied(uint64_t Index, const apply_result &Result);
   void pushConfig();
   void onWatch(const std::string &Peer, const wire::watch &Watch);
-  void sendNotice(const std::string &Peer, const gateway_record &Gateway);
+  void sendNotice(const std::string &Peer);
   void pushNotices();
   void noteLeadership();
   void tick();
--- a/control/gateway_table.cpp
+++ b/control/gateway_table.cpp
@@ -15,13 +15,16 @@
 
 void gateway_table::watched(const std::string &Peer, const wire::watch &Watch,
                             double Now) {
+  for (uint64_t Key : Watch.staying())
+    Staying.push_back({Now, Key});
   gateway_record &Gateway = Gateways[Peer];
   Gateway = {.Node = Watch.node(),
              .DataHall = Watch.data_hall(),
              .Incarnation = Watch.incarnation(),
              .RoutingVersion = Watch.routing_version(),
              .RolloutsRevision = Watch.rollouts_revision(),
-             .LastSeen = Now};
+             .LastSeen = Now,
+             .ToldStayingAt = Gateway.ToldStayingAt};
   for (const wire::version_tally &Tally : Watch.tallies())
     Tallies[{Tally.service(), Tally.version()}][Watch.incarnation()] = {
         .Answers = Tally.answers(),
@@ -29,7 +32,21 @@
         .Seconds = Tally.seconds()};
 }
 
+void gateway_table::fillStaying(const std::string &Peer, double Now,
+                                wire::notice &Notice) {
+  gateway_record &Gateway = Gateways[Peer];
+  auto First = std::partition_point(
+      Staying.begin(), Staying.end(), [&](const staying_session &Each) {
+        return Each.ToldAt <= Gateway.ToldStayingAt;
+      });
+  for (auto It = First; It != Staying.end(); ++It)
+    Notice.add_staying(It->Key);
+  Gateway.ToldStayingAt = Now;
+}
+
 void gateway_table::forgetSilent(double Now) {
+  while (!Staying.empty() && Staying.front().ToldAt + SilentSeconds < Now)
+    Staying.pop_front();
   std::erase_if(Gateways, [&](const auto &Each) {
     return Each.second.LastSeen + SilentSeconds < Now;
   });
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -11,6 +11,7 @@
 
 #include "policy/service_guard.h"
 #include "wire/wire.pb.h"
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -25,6 +26,7 @@
   uint64_t RoutingVersion = 0;
   uint64_t RolloutsRevision = 0;
   double LastSeen = 0;
+  double ToldStayingAt = 0; ///< Staying sessions up to then were told to it.
 };
 
 class gateway_table {
@@ -33,6 +35,8 @@
   /// Drops gateways that have long said nothing; what they counted stays.
   void forgetSilent(double Now);
   const gateway_record *find(const std::string &Peer) const;
+  /// Fills in the sessions that gateways told since \p Peer was told last.
+  void fillStaying(const std::string &Peer, double Now, wire::notice &Notice);
   const std::map<std::string, gateway_record> &gateways() const {
     return Gateways;
   }
@@ -45,6 +49,11 @@
 
 private:
   std::map<std::string, gateway_record> Gateways;
+  struct staying_session {
+    double ToldAt = 0;
+    uint64_t Key = 0;
+  };
+  std::deque<staying_session> Staying; ///< Oldest first.
   using version_key = std::pair<std::string, std::string>;
   /// Each start of a gateway counts from zero and tells its sums.
   std::map<version_key, std::map<uint64_t, version_tally>> Tallies;
--- a/control/replicated_log.cpp
+++ b/control/replicated_log.cpp
@@ -46,6 +46,11 @@
   Core.OperatorAddress = Log->Options.OperatorAddress;
   Log->Core =
       std::make_unique<raft_core>(Core, std::move(Durable), steadySeconds());
+  // A message to a VM that is not connected yet is lost, and with the first
+  // question for votes goes a whole election.
+  for (const wire::member &Member : Log->Core->members().members())
+    if (Member.id() != Core.Id)
+      Log->linkTo(Member.id());
   Log->Timer.startRepeating(TickSeconds);
   return Log;
 }
--- a/control/rollout_driver.cpp
+++ b/control/rollout_driver.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// An order older than this was given to another leader: what the new version
+// has answered so far counts for it.
+constexpr double FreshSeconds = 1;
+
 wire::rollout_stage stageAfter(rollout_verdict Verdict) {
   switch (Verdict) {
   case rollout_verdict::Shift:
@@ -34,7 +38,9 @@
   Run = {.BegunWall = Rollout.begun_wall(),
          .BegunAt = Now - Elapsed,
          .OldBefore = Gateways.answersOfOthers(Service, Target),
-         .NewBefore = Gateways.answersOf(Service, Target)};
+         .NewBefore = Elapsed < FreshSeconds
+                          ? Gateways.answersOf(Service, Target)
+                          : version_tally()};
   return Run;
 }
 
--- a/control/rollout_driver.h
+++ b/control/rollout_driver.h
@@ -2,7 +2,7 @@
 //
 // The leader's part in a roll-out: compares what gateways counted with the
 // counts at the order, asks the guard, and proposes the next step. What it
-// keeps is only the counts at the start; a new leader takes them anew.
+// keeps is only the counts at the start; a new leader does without them.
 //
 //===----------------------------------------------------------------------===//
 
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -118,16 +118,24 @@
   return Shares.back().Service;
 }
 
+// The same at every gateway for all requests of a session.
+uint64_t forwarding::versionDraw() const {
+  return checksum(Facts.Session.empty() ? Facts.AttemptId : Facts.Session,
+                  checksum(Service));
+}
+
 std::shared_ptr<upstream> forwarding::choose() {
   double Now = steadySeconds();
   const std::string &Settled = State.Upstreams.settledVersion(Service);
   const session_pin *Pin = Facts.Session.empty()
                                ? nullptr
                                : State.Pins.find(Service, Facts.Session, Now);
-  uint64_t Draw =
-      checksum(Facts.Session.empty() ? Facts.AttemptId : Facts.Session);
-  const std::string &Wanted = State.Versions.versionFor(
-      Service, Settled, Pin ? Pin->Version : std::string(), Draw);
+  uint64_t Draw = versionDraw();
+  std::string Pinned = Pin ? Pin->Version : std::string();
+  if (!Pin && State.Pins.stays(Draw, Now))
+    Pinned = Settled;
+  const std::string &Wanted =
+      State.Versions.versionFor(Service, Settled, Pinned, Draw);
   std::string_view Barred = State.Versions.barred(Service);
   std::vector<std::shared_ptr<upstream>> Fit;
   std::vector<std::shared_ptr<upstream>> Others;
@@ -198,9 +206,8 @@
   ++Upstream->InFlight;
   if (choosesModel())
     Model = Route->Sizes[ModelPlace];
-  if (!Facts.Session.empty())
-    State.Pins.touch(Service, Facts.Session, Upstream->Listed.Version,
-                     Upstream->Listed.Id, Now);
+  LastUpstream = Upstream;
+  touchSession();
   platform::upstream_request Sent{.Instance = Upstream->Listed.Id,
                                   .DeadlineSeconds = left(Now)};
   if (Account)
@@ -219,6 +226,23 @@
   Connection->send(*this, Bytes, Facts.AttemptId, Head.Method == "HEAD");
 }
 
+// At the start and at the end: an answer may take longer than a session is
+// remembered.
+void forwarding::touchSession() {
+  if (!LastUpstream || Facts.Session.empty())
+    return;
+  double Now = steadySeconds();
+  const std::string &Version = LastUpstream->Listed.Version;
+  State.Pins.touch(Service, Facts.Session, Version, LastUpstream->Listed.Id,
+                   Now);
+  // The session may go on at another entry, which must know where it belongs
+  // when a roll-out begins.
+  uint64_t Draw = versionDraw();
+  if (software_versions::isCanary(Draw) &&
+      Version != State.Versions.target(Service))
+    State.Pins.stay(Draw, Now);
+}
+
 void forwarding::armTimer() {
   double Now = steadySeconds();
   double At = EndsAt;
@@ -435,6 +459,7 @@
   if (std::exchange(Finished, true))
     return;
   Timer.stop();
+  touchSession();
   // Whoever holds half an answer must see that it is not whole.
   if (Status == 0 && Caller)
     Caller->breakOff();
@@ -448,7 +473,10 @@
            {"route", Name},
            {"routing", Routing ? int64_t(Routing->version()) : 0},
            {"account", Account ? std::string_view(Account->Name) : ""},
+           {"session", Facts.Session},
            {"service", Service},
+           {"upstream", LastUpstream ? LastUpstream->Listed.Id : ""},
+           {"version", LastUpstream ? LastUpstream->Listed.Version : ""},
            {"model", Model},
            {"confidence", Confidence},
            {"attempts", int64_t(Attempts)},
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -83,6 +83,7 @@
   bool authorise();
   const std::string &pickService();
   void attempt();
+  uint64_t versionDraw() const;
   std::shared_ptr<upstream> choose();
   std::shared_ptr<upstream>
   chooseAmong(const std::vector<std::shared_ptr<upstream>> &Fit, double Now);
@@ -98,6 +99,7 @@
   void deliver();
   void over(std::string_view Outcome, int Status);
   void countAnswer(bool Failed);
+  void touchSession();
   bool streaming() const {
     return Route && Route->Kind == route_kind::Streaming;
   }
@@ -123,6 +125,7 @@
   uint32_t Attempts = 0;
   std::set<std::string> Tried; ///< Incarnations.
   std::shared_ptr<upstream> Upstream;
+  std::shared_ptr<upstream> LastUpstream; ///< Of the last attempt.
   upstream_connection *Connection = nullptr;
   double Confidence = -1;  ///< Of the model in its answer, 0 to 1; -1: untold.
   size_t ModelPlace = 0;   ///< Of the model asked, in the route's sizes.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -46,6 +46,8 @@
   Watch.OnAsk = [this](wire::watch &Ask) {
     Ask.set_stopping(Stopping);
     State.Versions.fillTallies(Ask);
+    for (uint64_t Key : State.Pins.takeUntold())
+      Ask.add_staying(Key);
   };
   Watch.OnRouting = [this](uint64_t Version, const std::string &Document) {
     takeRouting(Version, Document);
@@ -58,6 +60,9 @@
                {"version", Rollout.target_version()},
                {"stage", wire::rollout_stage_Name(Rollout.stage())}});
   };
+  Watch.OnStaying = [this](uint64_t Key) {
+    State.Pins.heardStaying(Key, steadySeconds());
+  };
   Watch.OnGateways = [this](uint32_t Count) { shareRetries(Count); };
   SweepTimer.startRepeating(SweepSeconds);
   ListTimer.startOnce(0);
--- a/gateway/session_pins.h
+++ b/gateway/session_pins.h
@@ -5,6 +5,8 @@
 
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace olivevalve {
 
@@ -31,7 +33,24 @@
              double Now) {
     Pins[keyOf(Service, Session)] = {Version, Upstream, Now};
   }
+  /// A session that a canary must not take over; to be told to the others.
+  void stay(uint64_t Key, double Now) {
+    if (Staying.insert_or_assign(Key, Now).second)
+      Untold.push_back(Key);
+  }
+  /// The same, as another gateway told.
+  void heardStaying(uint64_t Key, double Now) {
+    Staying.insert_or_assign(Key, Now);
+  }
+  bool stays(uint64_t Key, double Now) const {
+    auto It = Staying.find(Key);
+    return It != Staying.end() && Now < It->second + Lifetime;
+  }
+  std::vector<uint64_t> takeUntold() { return std::exchange(Untold, {}); }
   void forgetOld(double Now) {
+    std::erase_if(Staying, [&](const auto &Each) {
+      return Now > Each.second + Lifetime;
+    });
     std::erase_if(Pins, [&](const auto &Pin) {
       return Now > Pin.second.TouchedAt + Lifetime;
     });
@@ -46,6 +65,9 @@
   }
 
   std::unordered_map<std::string, session_pin> Pins;
+  /// When each was last known to be served by the settled version.
+  std::unordered_map<uint64_t, double> Staying;
+  std::vector<uint64_t> Untold;
   double Lifetime = 10;
 };
 
--- a/gateway/software_versions.cpp
+++ b/gateway/software_versions.cpp
@@ -9,10 +9,6 @@
 
 constexpr uint64_t DrawSteps = 1'000'000;
 
-bool drawn(uint64_t Draw, double Share) {
-  return double(Draw % DrawSteps) < Share * double(DrawSteps);
-}
-
 } // namespace
 
 void software_versions::take(const wire::notice &Notice,
@@ -39,7 +35,7 @@
   case wire::CANARY:
     if (!Pinned.empty())
       return Pinned == Target ? Target : Settled;
-    return drawn(Draw, CanaryShare) ? Target : Settled;
+    return isCanary(Draw) ? Target : Settled;
   case wire::SHIFT:
   case wire::COMPLETED:
     return Target;
@@ -48,6 +44,18 @@
   }
 }
 
+bool software_versions::isCanary(uint64_t Draw) {
+  return double(Draw % DrawSteps) < CanaryShare * double(DrawSteps);
+}
+
+const std::string &software_versions::target(const std::string &Service) const {
+  static const std::string None;
+  auto It = Rollouts.find(Service);
+  bool UnderWay = It != Rollouts.end() && (It->second.stage() == wire::CANARY ||
+                                           It->second.stage() == wire::SHIFT);
+  return UnderWay ? It->second.target_version() : None;
+}
+
 std::string_view software_versions::barred(const std::string &Service) const {
   auto It = Rollouts.find(Service);
   bool Reverted = It != Rollouts.end() && It->second.stage() == wire::REVERTED;
--- a/gateway/software_versions.h
+++ b/gateway/software_versions.h
@@ -27,6 +27,10 @@
   const std::string &versionFor(const std::string &Service,
                                 const std::string &Settled,
                                 const std::string &Pinned, uint64_t Draw) const;
+  /// True if a session with this \p Draw would be taken over by a canary.
+  static bool isCanary(uint64_t Draw);
+  /// The version under way to \p Service, or "".
+  const std::string &target(const std::string &Service) const;
   /// A version that must get nothing, or "".
   std::string_view barred(const std::string &Service) const;
 
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -36,6 +36,8 @@
   /// A routing configuration with a higher version than any before.
   std::function<void(uint64_t Version, const std::string &Document)> OnRouting;
   std::function<void(const wire::notice &)> OnRollouts;
+  /// A session that no canary must take over, as another gateway told.
+  std::function<void(uint64_t Key)> OnStaying;
   /// How many gateways there are, whenever that has changed.
   std::function<void(uint32_t Count)> OnGateways;
 
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -226,6 +226,21 @@
   BOOST_TEST(Pins.size() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(
+    sessions_that_must_stay_are_told_once_and_forgotten_later) {
+  session_pins Pins;
+  Pins.setLifetime(10);
+  Pins.stay(7, 0);
+  Pins.stay(7, 1);
+  Pins.heardStaying(8, 1);
+  BOOST_TEST(Pins.takeUntold().size() == 1U);
+  BOOST_TEST(Pins.takeUntold().empty());
+  BOOST_TEST(Pins.stays(7, 10.5));
+  BOOST_TEST(Pins.stays(8, 10.5));
+  BOOST_TEST(!Pins.stays(7, 12));
+  BOOST_TEST(!Pins.stays(9, 1));
+}
+
 // Ten gateways that all see the worst: every request fails and is sent again as
 // often as the budget lets it, after a quiet time that saved up all it could.
 BOOST_AUTO_TEST_CASE(ten_budgets_together_keep_the_shared_bound) {
