Links give up dead connections early

Ruled out: the choice of the VM (it asked each of the five in turn, logged). Connections are tried anew after 0.6 s and given up after 1.5 s without acknowledgement.

--- a/net/link.cpp
+++ b/net/link.cpp
@@ -19,6 +19,12 @@
 constexpr int HeartbeatTimeoutMs = 3000;
 constexpr int ReconnectMs = 50;
 constexpr int ReconnectMaxMs = 500;
+// An opening packet that was lost is sent again by the kernel after 1, 3, 7 and
+// 15 s: a new attempt comes sooner through as soon as the path is whole.
+constexpr int ConnectTimeoutMs = 600;
+// Bytes without acknowledgement for so long mean a dead path; the kernel alone
+// would wait ever longer between its own attempts, also after it is whole.
+constexpr int UnackedMs = 1500;
 // Larger than the largest request body plus its fields.
 constexpr int64_t MaxMessageBytes = 80 << 20;
 // Reads of one socket before the others get their turn.
@@ -63,6 +69,8 @@
   setOption(ZMQ_HEARTBEAT_TIMEOUT, HeartbeatTimeoutMs);
   setOption(ZMQ_RECONNECT_IVL, ReconnectMs);
   setOption(ZMQ_RECONNECT_IVL_MAX, ReconnectMaxMs);
+  setOption(ZMQ_CONNECT_TIMEOUT, ConnectTimeoutMs);
+  setOption(ZMQ_TCP_MAXRT, UnackedMs);
   zmq_setsockopt(Socket, ZMQ_MAXMSGSIZE, &MaxMessageBytes,
                  sizeof(MaxMessageBytes));
 }
