olivevalvectl leaves a control VM that stands still after a second

Each call asks the VM first who leads, for a second at most, goes on to the next one and keeps to the one that answered. Ruled out: a shorter call, as a change is answered only when it is in force, up to 9 s. Test: configuration/is_changed_while_the_leader_stands_still, 20 s for the call; green, not seen red here: the old figure is over its bound.

--- a/ctl/operator_client.cpp
+++ b/ctl/operator_client.cpp
@@ -13,6 +13,10 @@
 constexpr double PauseSeconds = 0.2;
 // Longer than the longest time to be in force, with an election before it.
 constexpr double CallSeconds = 12;
+// A VM that runs says within milliseconds who it is; one that stands still is
+// left after this.
+constexpr double ProbeSeconds = 1;
+constexpr const char *StatusPath = "/v1/status";
 
 error_kind kindForCode(const std::string &Code) {
   for (uint32_t I = 0; I <= uint32_t(error_kind::Last); ++I)
@@ -56,6 +60,15 @@
   return Reply;
 }
 
+bool operator_client::mayLead(const std::string &Address) {
+  reply Reply = callOnce(Address, "GET", StatusPath, "", ProbeSeconds);
+  json Status = json::parse(Reply.Body, nullptr, false);
+  // What is wrong with the call itself is for the call to tell.
+  if (Reply.Status != 200 || !Status.is_object())
+    return Reply.Status != 0;
+  return Status.value("leads", false);
+}
+
 absl::StatusOr<json> operator_client::call(const std::string &Method,
                                            const std::string &Path,
                                            const std::string &Body) {
@@ -63,6 +76,11 @@
   std::string Last = "no control VM answers";
   while (steadySeconds() < Until) {
     const std::string &Address = Options.Control[Current];
+    if (Path != StatusPath && !mayLead(Address)) {
+      Last = Address + ": does not answer or does not lead";
+      moveOn();
+      continue;
+    }
     double Left = std::min(CallSeconds, Until - steadySeconds());
     reply Reply = callOnce(Address, Method, Path, Body, Left);
     json Value = json::parse(Reply.Body, nullptr, false);
@@ -79,15 +97,22 @@
       return makeError(Kind, Message);
     if (HasError)
       Last = Address + ": " + Message;
-    Current = (Current + 1) % Options.Control.size();
-    timespec Pause{0, long(PauseSeconds * 1e9)};
-    nanosleep(&Pause, nullptr);
+    moveOn();
   }
   return makeError(
       error_kind::NoQuorum,
       absl::StrCat("no answer within ", Options.TimeoutSeconds, " s: ", Last));
 }
 
+// After each round a pause, in which a leader may be found.
+void operator_client::moveOn() {
+  Current = (Current + 1) % Options.Control.size();
+  if (Current != 0)
+    return;
+  timespec Pause{0, long(PauseSeconds * 1e9)};
+  nanosleep(&Pause, nullptr);
+}
+
 absl::StatusOr<json> operator_client::get(const std::string &Path) {
   return call("GET", Path, "");
 }
--- a/ctl/operator_client.h
+++ b/ctl/operator_client.h
@@ -38,11 +38,15 @@
   reply callOnce(const std::string &Address, const std::string &Method,
                  const std::string &Path, const std::string &Body,
                  double Seconds);
+  /// False if the VM does not answer or says that another one leads.
+  bool mayLead(const std::string &Address);
   absl::StatusOr<json> call(const std::string &Method, const std::string &Path,
                             const std::string &Body);
 
+  void moveOn();
+
   operator_client_options Options;
-  size_t Current = 0;
+  size_t Current = 0; ///< Answered last.
 };
 
 } // namespace olivevalve
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -220,4 +220,18 @@
   BOOST_TEST(Kept["objects"].size() == Objects);
 }
 
+// The operators' client leaves a control VM that stands still: within the time
+// for one call it finds the new leader, and the change is in force once the
+// leases of the old one are over.
+BOOST_AUTO_TEST_CASE(is_changed_while_the_leader_stands_still) {
+  world World;
+  World.startUsual(3);
+  control_node &Old = World.leader();
+  Old.Process->signal(SIGSTOP);
+  ctl_result Set = World.ctl(
+      {"--timeout", "20", "set", "account", "dispatch", "quality_target=0.7"});
+  BOOST_TEST(Set.ExitCode == 0, Set.Text);
+  Old.Process->signal(SIGCONT);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
