The bench counts allocations of std::stable_sort too

Cause: operator new was replaced without its nothrow form, which stable_sort uses: memory of the library's new came to our free, and a sanitized bench ended. No functional change.

--- a/bench/speed.cpp
+++ b/bench/speed.cpp
@@ -21,6 +21,16 @@
     return Memory;
   throw std::bad_alloc();
 }
+// std::stable_sort asks in this form.
+[[gnu::noinline]] void *operator new(size_t Size,
+                                     const std::nothrow_t &) noexcept {
+  ++Allocations;
+  return std::malloc(Size);
+}
+[[gnu::noinline]] void operator delete(void *Memory,
+                                       const std::nothrow_t &) noexcept {
+  std::free(Memory);
+}
 [[gnu::noinline]] void operator delete(void *Memory) noexcept {
   std::free(Memory);
 }
