One HTTP server for all roles, on the strict reader; libmicrohttpd goes

http_server stands on caller_connection, which moves from gateway/ to net/, and a caller_pool in which the connection that has rested longest gives way; half-sent heads end after 10 s (entry, control) or the routing's time (gateway).

An upstream that is silent is left only when another can be asked.

--- a/catalog/routing.h
+++ b/catalog/routing.h
@@ -10,6 +10,7 @@
 #define OLIVEVALVE_CATALOG_ROUTING_H
 
 #include "absl/status/statusor.h"
+#include "base/caller_limits.h"
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -75,14 +76,6 @@
   std::optional<engine_spec> Engine;
 };
 
-/// What callers may send and how long they may take.
-struct caller_limits {
-  size_t HeaderBytes = 16 << 10;
-  size_t BodyBytes = 4 << 20;
-  double HeaderSeconds = 3;
-  double IdleSeconds = 15;
-};
-
 struct caller_account {
   std::string Name;
   std::vector<std::string> Keys;
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -26,7 +26,7 @@
 void refuse(http_exchange &Exchange, error_kind Kind,
             std::string_view Message) {
   const error_answer &Answer = answerFor(Kind);
-  std::vector<http_header> Headers = {
+  std::vector<head_line> Headers = {
       {"X-Olivevalve-Outcome", std::string(nameOf(Answer.Outcome))}};
   Exchange.reply(Answer.HttpStatus, Json, errorBody(Kind, Message), Headers);
 }
@@ -109,9 +109,6 @@
                   "an operator's key is required as 'Authorization: Bearer'");
   if (Routing.handle(Exchange))
     return;
-  if (Exchange->oversized())
-    return refuse(*Exchange, error_kind::BodyTooLarge,
-                  "the body is larger than 16 MiB");
   for (const route &Route : Routes) {
     if (Route.Path != Exchange->path() || Route.Method != Exchange->method())
       continue;
--- a/control/routing_api.cpp
+++ b/control/routing_api.cpp
@@ -65,9 +65,7 @@
   bool OfRollouts = Path == RolloutsPath || Path.starts_with(RolloutPrefix);
   if (!OfRouting && !OfRollouts)
     return false;
-  if (Exchange->oversized())
-    refuse(*Exchange, error_kind::BodyTooLarge, "the body is too large");
-  else if (!Log.core().hasLeaderLease(steadySeconds()))
+  if (!Log.core().hasLeaderLease(steadySeconds()))
     sendToLeader(Exchange);
   else if (OfRouting && Method == "POST")
     replaceRouting(Exchange);
--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -107,7 +107,7 @@
   error_kind Kind = kindOf(Status);
   const error_answer &Answer = answerFor(Kind);
   Metrics.count("errors", Answer.Code);
-  std::vector<http_header> Headers = {
+  std::vector<head_line> Headers = {
       {"X-Olivevalve-Outcome", std::string(nameOf(Answer.Outcome))}};
   if (Answer.RetryAfterSeconds > 0)
     Headers.push_back(
@@ -125,11 +125,6 @@
 }
 
 void entry_task::handle(const exchange &Exchange) {
-  if (Exchange->oversized())
-    return refuse(*Exchange,
-                  makeError(error_kind::BodyTooLarge,
-                            absl::StrCat("body: larger than ",
-                                         Options.MaxBodyBytes, " bytes")));
   if (Stopping)
     return refuse(*Exchange,
                   makeError(error_kind::Draining, "this entry is stopping"));
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -478,7 +478,7 @@
     return Exchange->finish();
   std::string Body = std::move(Answer);
   Answer.clear();
-  std::vector<http_header> Headers = headers();
+  std::vector<head_line> Headers = headers();
   Headers.push_back(
       {"X-Olivevalve-Cost", std::to_string(double(CostMicros) * 1e-6)});
   Exchange->reply(Status, ContentType, std::move(Body), Headers);
@@ -511,8 +511,8 @@
   finishTask();
 }
 
-std::vector<http_header> request_task::headers() const {
-  std::vector<http_header> Headers = {{"X-Request-Id", Facts.Id}};
+std::vector<head_line> request_task::headers() const {
+  std::vector<head_line> Headers = {{"X-Request-Id", Facts.Id}};
   if (!Version.Model.empty()) {
     Headers.push_back({"X-Olivevalve-Model", Version.Model});
     Headers.push_back({"X-Olivevalve-Version", Version.Version});
@@ -553,7 +553,7 @@
     Exchange->abort();
     return finishTask();
   }
-  std::vector<http_header> Headers = headers();
+  std::vector<head_line> Headers = headers();
   Headers.push_back(
       {"X-Olivevalve-Outcome", std::string(nameOf(Reply.Outcome))});
   if (Reply.RetryAfterSeconds > 0)
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -150,7 +150,7 @@
   void noteCompleted();
   /// Adds to the histograms of the client account and of the priority class.
   void record(measure Measure, double Value) const;
-  std::vector<http_header> headers() const;
+  std::vector<head_line> headers() const;
   error_kind truthful(error_kind Kind) const;
   void refuse(error_kind Kind, const std::string &Message);
   void finishTask();
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -259,11 +259,12 @@
   auto Keep = shared_from_this();
   double Now = steadySeconds();
   if (left(Now) < LeastSeconds) {
+    MayHaveRun = MayHaveRun || Connection;
     leaveUpstream();
     if (HeadSent)
       return over("time over in the answer", 0);
-    return giveUp(MayHaveRun || Attempts > 0 ? error_kind::DeadlineUnknown
-                                             : error_kind::NoUpstream,
+    return giveUp(MayHaveRun ? error_kind::DeadlineUnknown
+                             : error_kind::NoUpstream,
                   "the time for this request is over");
   }
   // Bytes have come since the timer was set.
@@ -271,6 +272,11 @@
                             : SilentTargets * Route->TargetSeconds;
   if (!Connection || Now < HeardAt + std::max(Silence, LeastPatience) - 1e-3)
     return armTimer();
+  // A slow answer is better than none: it is left only for another upstream.
+  bool Elsewhere =
+      mayTryAgain(true) && State.Budgets.at(Service).left() && choose();
+  if (!Elsewhere)
+    return Timer.startOnce(std::max(0.0, left(Now)));
   Upstream->failed(Now);
   countAnswer(true);
   leaveUpstream();
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -11,11 +11,12 @@
 
 #include "base/error.h"
 #include "base/metrics.h"
-#include "gateway/caller_connection.h"
+#include "catalog/routing.h"
 #include "gateway/event_splitter.h"
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
 #include "gateway/upstream_connection.h"
+#include "net/caller_connection.h"
 #include "policy/limits.h"
 #include <random>
 #include <set>
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// How exactly idle times and times of callers are kept.
+// How exactly idle times of upstream connections are kept.
 constexpr double SweepSeconds = 0.25;
 // After a refused or failed question for the list.
 constexpr double ListRetrySeconds = 0.4;
@@ -25,15 +25,15 @@
 gateway_task::gateway_task(link_context &Context, struct ev_loop *Loop,
                            metrics &Metrics, gateway_options NewOptions)
     : Loop(Loop), Options(std::move(NewOptions)),
-      Listener(Loop, [this](int Socket) { accept(Socket); }),
+      Listener(Loop, [this](int Socket) { Callers.take(Socket); }),
       Watch(Context, Loop,
             {.Node = Options.Node,
              .Incarnation = randomIncarnation(),
              .DataHall = Options.DataHall,
              .Seeds = Options.ControlSeeds}),
-      ListClient(Loop), SweepTimer(Loop, [this] { sweep(); }),
+      ListClient(Loop), Callers(Loop, *this, Options.MaxConnections),
+      SweepTimer(Loop, [this] { sweep(); }),
       ListTimer(Loop, [this] { askForList(); }), Prepare(Loop, [this] {
-        OverCallers.clear();
         OverConnections.clear();
         OverRequests.clear();
       }) {
@@ -99,27 +99,6 @@
     Budget.setBounds(State.RetryBounds);
 }
 
-void gateway_task::accept(int Socket) {
-  if (Callers.size() >= Options.MaxConnections)
-    closeLongestResting();
-  auto Connection = std::make_unique<caller_connection>(Loop, *this, Socket);
-  caller_connection *Raw = Connection.get();
-  Callers[Raw] = std::move(Connection);
-}
-
-// A new caller comes before one that has long said nothing.
-void gateway_task::closeLongestResting() {
-  caller_connection *Longest = nullptr;
-  for (auto &[Raw, Connection] : Callers)
-    if (!Raw->busy() &&
-        (!Longest || Raw->restingSince() < Longest->restingSince()))
-      Longest = Raw;
-  if (!Longest)
-    return;
-  State.Metrics->count("callers_closed", "for room");
-  Longest->close();
-}
-
 void gateway_task::onRequest(caller_connection &Connection, http_head Head,
                              std::string Body) {
   auto Request = std::make_shared<forwarding>(
@@ -145,11 +124,7 @@
 }
 
 void gateway_task::ended(caller_connection &Connection) {
-  auto It = Callers.find(&Connection);
-  if (It == Callers.end())
-    return;
-  OverCallers.push_back(std::move(It->second));
-  Callers.erase(It);
+  Callers.ended(Connection);
 }
 
 void gateway_task::released(upstream_connection &Connection) {
@@ -190,12 +165,6 @@
 
 void gateway_task::sweep() {
   double Now = steadySeconds();
-  std::vector<caller_connection *> Late;
-  for (auto &[Raw, Connection] : Callers)
-    if (!Raw->busy() && Raw->giveUpAt() > 0 && Now >= Raw->giveUpAt())
-      Late.push_back(Raw);
-  for (caller_connection *Each : Late)
-    Each->onTimeOver();
   std::vector<upstream_connection *> Old;
   for (auto &[Raw, Connection] : UpstreamConnections)
     if (Raw->idle() && Now >= Raw->idleUntil() && Raw->idleUntil() > 0)
@@ -257,12 +226,7 @@
 void gateway_task::drain() {
   Stopping = Draining = true;
   Listener.close();
-  std::vector<caller_connection *> Resting;
-  for (auto &[Raw, Connection] : Callers)
-    if (!Raw->busy())
-      Resting.push_back(Raw);
-  for (caller_connection *Each : Resting)
-    Each->close();
+  Callers.closeResting();
 }
 
 void gateway_task::leave() {
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -63,8 +63,6 @@
   upstream_connection *
   acquire(const std::shared_ptr<upstream> &Upstream) override;
 
-  void accept(int Socket);
-  void closeLongestResting();
   void sweep();
   void askForList();
   void takePage(const fetch_result &Result);
@@ -79,14 +77,12 @@
   tcp_listener Listener;
   control_watch Watch;
   http_client ListClient;
-  std::unordered_map<caller_connection *, std::unique_ptr<caller_connection>>
-      Callers;
+  caller_pool Callers;
   std::unordered_map<upstream_connection *,
                      std::unique_ptr<upstream_connection>>
       UpstreamConnections;
   std::unordered_map<forwarding *, std::shared_ptr<forwarding>> Requests;
   // Freed before the next wait: neither may go inside its own callback.
-  std::vector<std::unique_ptr<caller_connection>> OverCallers;
   std::vector<std::unique_ptr<upstream_connection>> OverConnections;
   std::vector<std::shared_ptr<forwarding>> OverRequests;
   std::vector<platform::listed_upstream> ListSoFar;
--- a/gateway/caller_connection.cpp
+++ b/net/caller_connection.cpp
@@ -1,10 +1,11 @@
 //===- caller_connection.cpp - One connection of a caller -----------------===//
 
-#include "gateway/caller_connection.h"
+#include "net/caller_connection.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include <array>
 #include <cstdio>
+#include <unistd.h>
 
 namespace olivevalve {
 
@@ -16,6 +17,8 @@
 // A refusal must reach a caller that is still sending its body: closing at once
 // would reset the connection and take the answer along.
 constexpr double LingerSeconds = 0.5;
+// How exactly times of callers are kept.
+constexpr double SweepSeconds = 0.25;
 
 std::string_view reasonOf(int Status) {
   switch (Status) {
@@ -91,6 +94,8 @@
 
 void caller_connection::onHead() {
   const http_head &Head = Reader.head();
+  if (Reader.headBytes() > Host.limits().HeaderBytes)
+    return refuse(431, "the head is larger than allowed");
   if (Head.Length && *Head.Length > Host.limits().BodyBytes)
     return refuse(413, "the body is larger than allowed");
   const std::string *Expect = Head.find("Expect");
@@ -110,9 +115,12 @@
 void caller_connection::refuse(int Status, std::string_view Why) {
   Host.onMalformed(Status, Why);
   KeepAlive = false;
-  std::string Text = errorBody(error_kind::BadRequest, Why);
+  error_kind Kind =
+      Status == 413 ? error_kind::BodyTooLarge : error_kind::BadRequest;
+  std::string Text = errorBody(Kind, Why);
   Stream.write(headOf(Status, reasonOf(Status),
                       {{"Content-Type", "application/json"},
+                       {"X-Olivevalve-Outcome", "not-run"},
                        {"Content-Length", std::to_string(Text.size())}}) +
                Text);
   Lingering = true;
@@ -137,11 +145,12 @@
   return Out;
 }
 
-void caller_connection::reply(int Status, std::string_view Reason,
-                              const std::vector<head_line> &Lines,
-                              std::string_view AnswerBody) {
+void caller_connection::writeWhole(int Status, std::string_view Reason,
+                                   const std::vector<head_line> &Lines,
+                                   std::string_view AnswerBody) {
   if (Ended)
     return;
+  Chunked = EndsByClose = false;
   KeepAlive = KeepAlive && !Host.closesAfterAnswer();
   std::vector<head_line> All = Lines;
   if (!hasNoBody(Status))
@@ -150,7 +159,6 @@
   if (!HeadOnly && !hasNoBody(Status))
     Bytes.append(AnswerBody);
   Stream.write(Bytes);
-  done();
 }
 
 void caller_connection::begin(int Status, std::string_view Reason,
@@ -216,6 +224,14 @@
   parse(Next);
 }
 
+bool caller_connection::stalled(double Now, double Seconds) {
+  bool Moved = Stream.sentBytes() != SeenBytes || Stream.unsent() == 0;
+  SeenBytes = Stream.sentBytes();
+  if (Moved)
+    MovedAt = Now;
+  return !Moved && Now > MovedAt + Seconds;
+}
+
 void caller_connection::onTimeOver() {
   bool HalfSent = !Lingering && !Reader.fresh();
   if (HalfSent)
@@ -236,7 +252,7 @@
     Old->onCallerGone();
 }
 
-void caller_connection::close() { end(); }
+void caller_connection::close() { onEnd(); }
 
 void caller_connection::end() {
   if (Ended)
@@ -247,4 +263,63 @@
   Host.ended(*this);
 }
 
+caller_pool::caller_pool(struct ev_loop *Loop, caller_host &Host, size_t Most)
+    : Loop(Loop), Host(Host), Most(Most), Sweep(Loop, [this] { sweep(); }),
+      Prepare(Loop, [this] { Over.clear(); }) {
+  Sweep.startRepeating(SweepSeconds);
+}
+
+void caller_pool::take(int Socket) {
+  if (Open.size() >= Most && !closeLongestResting()) {
+    ::close(Socket);
+    return;
+  }
+  auto Connection = std::make_unique<caller_connection>(Loop, Host, Socket);
+  caller_connection *Raw = Connection.get();
+  Open[Raw] = std::move(Connection);
+}
+
+void caller_pool::ended(caller_connection &Connection) {
+  auto It = Open.find(&Connection);
+  if (It == Open.end())
+    return;
+  Over.push_back(std::move(It->second));
+  Open.erase(It);
+}
+
+bool caller_pool::closeLongestResting() {
+  caller_connection *Longest = nullptr;
+  for (auto &[Raw, Connection] : Open)
+    if (!Raw->busy() &&
+        (!Longest || Raw->restingSince() < Longest->restingSince()))
+      Longest = Raw;
+  if (Longest)
+    Longest->close();
+  return Longest != nullptr;
+}
+
+void caller_pool::closeResting() {
+  std::vector<caller_connection *> Resting;
+  for (auto &[Raw, Connection] : Open)
+    if (!Raw->busy())
+      Resting.push_back(Raw);
+  for (caller_connection *Each : Resting)
+    Each->close();
+}
+
+void caller_pool::sweep() {
+  double Now = steadySeconds();
+  std::vector<caller_connection *> Late;
+  std::vector<caller_connection *> Stalled;
+  for (auto &[Raw, Connection] : Open)
+    if (Raw->stalled(Now, Host.limits().IdleSeconds))
+      Stalled.push_back(Raw);
+    else if (!Raw->busy() && Raw->giveUpAt() > 0 && Now >= Raw->giveUpAt())
+      Late.push_back(Raw);
+  for (caller_connection *Each : Stalled)
+    Each->close();
+  for (caller_connection *Each : Late)
+    Each->onTimeOver();
+}
+
 } // namespace olivevalve
--- a/gateway/caller_connection.h
+++ b/net/caller_connection.h
@@ -5,13 +5,14 @@
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OLIVEVALVE_GATEWAY_CALLER_CONNECTION_H
-#define OLIVEVALVE_GATEWAY_CALLER_CONNECTION_H
+#ifndef OLIVEVALVE_NET_CALLER_CONNECTION_H
+#define OLIVEVALVE_NET_CALLER_CONNECTION_H
 
-#include "catalog/routing.h"
+#include "base/caller_limits.h"
 #include "net/http_reader.h"
 #include "net/tcp_stream.h"
 #include <memory>
+#include <unordered_map>
 
 namespace olivevalve {
 
@@ -51,8 +52,14 @@
   }
   /// The whole answer. \p Lines must not hold headers of one connection.
   void reply(int Status, std::string_view Reason,
-             const std::vector<head_line> &Lines, std::string_view Body);
-  /// An answer in parts, of a length not known before.
+             const std::vector<head_line> &Lines, std::string_view Body) {
+    writeWhole(Status, Reason, Lines, Body);
+    finish();
+  }
+  /// The same, but the next request waits until finish().
+  void writeWhole(int Status, std::string_view Reason,
+                  const std::vector<head_line> &Lines, std::string_view Body);
+  /// An answer in parts, of a length not known before; finish() ends it.
   void begin(int Status, std::string_view Reason,
              const std::vector<head_line> &Lines);
   void write(std::string_view Bytes);
@@ -64,6 +71,8 @@
   size_t unsent() const { return Stream.unsent(); }
   /// When it is to be closed if nothing more happens; steady seconds.
   double giveUpAt() const { return GiveUpAt; }
+  /// True if what was written has not moved since the last call.
+  bool stalled(double Now, double Seconds);
   double restingSince() const { return RestingSince; }
   /// Its time is over.
   void onTimeOver();
@@ -97,8 +106,39 @@
   bool HeadOnly = false;
   double GiveUpAt = 0;
   double RestingSince = 0;
+  uint64_t SeenBytes = 0; ///< Sent when it was last looked at.
+  double MovedAt = 0;
+};
+
+/// All connections of one listener, with a bound on their number.
+class caller_pool {
+public:
+  caller_pool(struct ev_loop *Loop, caller_host &Host, size_t Most);
+
+  /// Takes over a connected \p Socket. With no room left, the connection that
+  /// has rested longest gives way; when all are busy the new one is closed.
+  void take(int Socket);
+  /// Must be called by the host for each connection that has ended.
+  void ended(caller_connection &Connection);
+  /// Closes those without a request.
+  void closeResting();
+  size_t size() const { return Open.size(); }
+
+private:
+  bool closeLongestResting();
+  void sweep();
+
+  struct ev_loop *Loop;
+  caller_host &Host;
+  size_t Most;
+  std::unordered_map<caller_connection *, std::unique_ptr<caller_connection>>
+      Open;
+  // Freed before the next wait: none may go inside its own callback.
+  std::vector<std::unique_ptr<caller_connection>> Over;
+  timer Sweep;
+  before_wait Prepare;
 };
 
 } // namespace olivevalve
 
-#endif // OLIVEVALVE_GATEWAY_CALLER_CONNECTION_H
+#endif // OLIVEVALVE_NET_CALLER_CONNECTION_H
--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -8,6 +8,12 @@
 
 namespace olivevalve {
 
+namespace {
+
+constexpr size_t LineOverhead = 4; // Colon, blank and the end of the line.
+
+} // namespace
+
 bool sameHeader(std::string_view A, std::string_view B) {
   return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
 }
@@ -151,7 +157,10 @@
 // What the parser lets through and others may read in another way.
 void http_reader::checkHead() {
   int Hosts = 0;
+  // The whole head may have come in one piece.
+  HeadBytes = Head.Method.size() + Head.Target.size();
   for (const head_line &Line : Head.Lines) {
+    HeadBytes += Line.Name.size() + Line.Value.size() + LineOverhead;
     Hosts += sameHeader(Line.Name, "Host");
     bool Coding = sameHeader(Line.Name, "Transfer-Encoding");
     if (Coding && !sameHeader(Line.Value, "chunked"))
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,274 +1,210 @@
 //===- http_server.cpp - HTTP towards callers and operators ---------------===//
 
 #include "net/http_server.h"
-#include "net/ip_address.h"
 #include <algorithm>
-#include <cstring>
-#include <microhttpd.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <charconv>
+#include <utility>
 
 namespace olivevalve {
 
 namespace {
 
-// What one read of a stream hands to the connection at most.
-// Each open stream holds one: with 16 KiB a thousand streams took 88 MB, most
-// of it here and in the connections' own memory.
-constexpr size_t StreamBlockBytes = 4 << 10;
-// The library reads the error, closes the connection and lets go of the socket
-// in turns of its own, and asks for none of them: without these a caller of an
-// idle entry waited for the end of its broken stream until its own time was up.
-constexpr unsigned RunsAfterAbort = 5;
-constexpr double RunAgainSeconds = 1e-3;
-// Connections that wait to be taken.
-constexpr int Backlog = 1024;
+// From the first byte of a head to its last: what a slow link needs for 16 KiB.
+constexpr double HeaderSeconds = 10;
+
+/// Resolves %XX; what is no escape stays as it is.
+std::string unescaped(std::string_view Text) {
+  std::string Out;
+  for (size_t I = 0; I < Text.size(); ++I) {
+    unsigned Byte = 0;
+    bool Escape = Text[I] == '%' && I + 2 < Text.size();
+    const char *Digits = Text.data() + I + 1;
+    if (Escape &&
+        std::from_chars(Digits, Digits + 2, Byte, 16).ptr == Digits + 2) {
+      Out.push_back(char(Byte));
+      I += 2;
+    } else {
+      Out.push_back(Text[I]);
+    }
+  }
+  return Out;
+}
+
+std::string_view reasonOf(int Status) {
+  switch (Status / 100) {
+  case 2:
+    return "OK";
+  case 3:
+    return "Redirect";
+  case 4:
+    return "Refused";
+  default:
+    return "Failed";
+  }
+}
 
-MHD_Response *makeResponse(std::string_view ContentType,
-                           const std::vector<http_header> &Headers,
-                           MHD_Response *Response) {
-  MHD_add_response_header(Response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                          std::string(ContentType).c_str());
-  for (const http_header &Header : Headers)
-    MHD_add_response_header(Response, Header.Name.c_str(),
-                            Header.Value.c_str());
-  return Response;
+std::vector<head_line> withType(std::string_view ContentType,
+                                const std::vector<head_line> &Headers) {
+  std::vector<head_line> Lines = {{"Content-Type", std::string(ContentType)}};
+  Lines.insert(Lines.end(), Headers.begin(), Headers.end());
+  return Lines;
 }
 
 } // namespace
 
+http_exchange::http_exchange(http_server &Server,
+                             caller_connection &NewConnection,
+                             http_head NewHead, std::string NewBody)
+    : Server(&Server), Connection(&NewConnection), Head(std::move(NewHead)),
+      Path(unescaped(
+          std::string_view(Head.Target).substr(0, Head.Target.find('?')))),
+      Body(std::move(NewBody)) {}
+
 std::string http_exchange::header(const char *Name) const {
-  const char *Value =
-      MHD_lookup_connection_value(Connection, MHD_HEADER_KIND, Name);
-  return Value ? Value : "";
+  const std::string *Value = Head.find(Name);
+  return Value ? *Value : "";
 }
 
 std::string http_exchange::query(const char *Name) const {
-  const char *Value =
-      MHD_lookup_connection_value(Connection, MHD_GET_ARGUMENT_KIND, Name);
-  return Value ? Value : "";
-}
-
-void http_exchange::resume() {
-  if (!Suspended || Gone)
-    return;
-  Suspended = false;
-  MHD_resume_connection(Connection);
-  Server->wake();
+  size_t Mark = Head.Target.find('?');
+  std::string_view Rest = Mark == std::string::npos
+                              ? std::string_view()
+                              : std::string_view(Head.Target).substr(Mark + 1);
+  while (!Rest.empty()) {
+    size_t End = std::min(Rest.find('&'), Rest.size());
+    std::string_view Pair = Rest.substr(0, End);
+    Rest.remove_prefix(std::min(End + 1, Rest.size()));
+    size_t Equals = std::min(Pair.find('='), Pair.size());
+    if (unescaped(Pair.substr(0, Equals)) == Name)
+      return unescaped(Pair.substr(std::min(Equals + 1, Pair.size())));
+  }
+  return "";
 }
 
 void http_exchange::reply(int Status, std::string_view ContentType,
-                          std::string ReplyBody,
-                          const std::vector<http_header> &Headers) {
-  if (Answered || Gone)
+                          std::string_view ReplyBody,
+                          const std::vector<head_line> &Headers) {
+  if (Answered || !Connection)
     return;
-  Answered = true;
-  Finished = true;
-  MHD_Response *Response = makeResponse(
-      ContentType, Headers,
-      MHD_create_response_from_buffer(ReplyBody.size(), ReplyBody.data(),
-                                      MHD_RESPMEM_MUST_COPY));
-  MHD_queue_response(Connection, unsigned(Status), Response);
-  MHD_destroy_response(Response);
-  resume();
+  Answered = Finished = true;
+  Connection->writeWhole(Status, reasonOf(Status),
+                         withType(ContentType, Headers), ReplyBody);
+  if (Connection && Connection->unsent() == 0)
+    Server->settleSoon(*this);
 }
 
 void http_exchange::startStream(int Status, std::string_view ContentType,
-                                const std::vector<http_header> &Headers) {
-  if (Answered || Gone)
+                                const std::vector<head_line> &Headers) {
+  if (Answered || !Connection)
     return;
   Answered = true;
-  MHD_Response *Response =
-      makeResponse(ContentType, Headers,
-                   MHD_create_response_from_callback(
-                       MHD_SIZE_UNKNOWN, StreamBlockBytes,
-                       &http_exchange::readChunk, this, nullptr));
-  MHD_queue_response(Connection, unsigned(Status), Response);
-  MHD_destroy_response(Response);
-  resume();
+  Connection->begin(Status, reasonOf(Status), withType(ContentType, Headers));
 }
 
-void http_exchange::write(std::string Bytes) {
-  if (Gone || Finished || Bytes.empty())
+void http_exchange::write(std::string_view Bytes) {
+  if (!Connection || Finished || Bytes.empty())
     return;
-  Chunks.push_back(std::move(Bytes));
-  resume();
+  ++Chunks;
+  Connection->write(Bytes);
+  if (Connection && Connection->unsent() == 0)
+    Server->settleSoon(*this);
 }
 
 void http_exchange::finish() {
   Finished = true;
-  resume();
+  if (Connection && Connection->unsent() == 0)
+    Server->settleSoon(*this);
 }
 
 void http_exchange::abort() {
-  Aborted = true;
-  if (Server)
-    Server->RunsDue = RunsAfterAbort;
-  resume();
-  if (Server)
-    Server->wake();
+  if (!Connection)
+    return;
+  caller_connection *Broken = Connection;
+  std::function<void()> Gone = OnGone;
+  end();
+  Broken->breakOff();
+  if (Gone)
+    Gone();
 }
 
-// Copies what is there. With nothing there the connection is suspended until
-// the next write, so an idle stream costs no turns of the loop.
-ssize_t http_exchange::readChunk(void *Context, uint64_t, char *Buffer,
-                                 size_t Max) {
-  auto *Self = static_cast<http_exchange *>(Context);
-  size_t Taken = 0;
-  size_t Drained = 0;
-  while (!Self->Chunks.empty() && Taken < Max) {
-    const std::string &Front = Self->Chunks.front();
-    size_t Count = std::min(Max - Taken, Front.size() - Self->ChunkOffset);
-    std::copy_n(Front.data() + Self->ChunkOffset, Count, Buffer + Taken);
-    Taken += Count;
-    Self->ChunkOffset += Count;
-    if (Self->ChunkOffset < Front.size())
-      continue;
-    Self->Chunks.pop_front();
-    Self->ChunkOffset = 0;
-    ++Drained;
-  }
-  if (Drained && Self->OnDrained)
-    Self->OnDrained(Drained);
-  if (Taken)
-    return ssize_t(Taken);
-  if (Self->Aborted)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (Self->Finished)
-    return MHD_CONTENT_READER_END_OF_STREAM;
-  Self->Suspended = true;
-  MHD_suspend_connection(Self->Connection);
-  return 0;
+void http_exchange::onCallerGone() {
+  auto Keep = shared_from_this();
+  std::function<void()> Gone = OnGone;
+  end();
+  if (Gone)
+    Gone();
 }
 
-http_server::http_server(struct ev_loop *Loop, http_limits Limits,
-                         handler Handler)
-    : Limits(Limits), Handler(std::move(Handler)),
-      Watch(Loop, [this](int) { run(); }), Timeout(Loop, [this] { run(); }) {}
+void http_exchange::onCallerDrained() { Server->settleSoon(*this); }
 
-http_server::~http_server() {
-  if (!Daemon)
+// Everything written so far has been taken by the caller.
+void http_exchange::settle() {
+  auto Keep = shared_from_this();
+  if (!Connection || Connection->unsent() > 0)
     return;
-  Watch.stop();
-  // The library ends the process if it is stopped with suspended connections.
-  for (http_exchange *Exchange : Live) {
-    Exchange->OnGone = nullptr;
-    Exchange->OnComplete = nullptr;
-    Exchange->OnDrained = nullptr;
-    Exchange->Aborted = true;
-    Exchange->resume();
-  }
-  MHD_stop_daemon(Daemon);
+  size_t Taken = std::exchange(Chunks, 0);
+  if (Taken > 0 && OnDrained)
+    OnDrained(Taken);
+  if (!Connection || !Finished || Chunks > 0)
+    return;
+  caller_connection *Whole = Connection;
+  std::function<void()> Complete = OnComplete;
+  end();
+  Whole->finish();
+  if (Complete)
+    Complete();
 }
 
-bool http_server::bind(const std::string &Address) {
-  int Socket = listenOn(Address, Backlog, BoundAddress);
-  if (Socket < 0)
-    return false;
-  Daemon = MHD_start_daemon(
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO, 0, nullptr,
-      nullptr,
-      reinterpret_cast<MHD_AccessHandlerCallback>(&http_server::onAccess), this,
-      MHD_OPTION_LISTEN_SOCKET, Socket, MHD_OPTION_NOTIFY_COMPLETED,
-      reinterpret_cast<MHD_RequestCompletedCallback>(&http_server::onCompleted),
-      this, MHD_OPTION_CONNECTION_LIMIT, Limits.MaxConnections,
-      MHD_OPTION_CONNECTION_TIMEOUT, Limits.IdleSeconds,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, Limits.MaxHeaderBytes,
-      MHD_OPTION_END);
-  if (!Daemon)
-    return false;
-  const MHD_DaemonInfo *Info =
-      MHD_get_daemon_info(Daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  Watch.start(Info->epoll_fd, EV_READ);
-  return true;
+void http_exchange::end() {
+  Connection = nullptr;
+  Server->Live.erase(this);
+  OnGone = nullptr;
+  OnDrained = nullptr;
+  OnComplete = nullptr;
 }
 
-void http_server::stopListening() {
-  if (!Daemon)
-    return;
-  MHD_socket Socket = MHD_quiesce_daemon(Daemon);
-  if (Socket != MHD_INVALID_SOCKET)
-    close(Socket);
-}
+http_server::http_server(struct ev_loop *Loop, http_limits NewLimits,
+                         handler Handler)
+    : Loop(Loop), Limits{.HeaderBytes = NewLimits.MaxHeaderBytes,
+                         .BodyBytes = NewLimits.MaxBodyBytes,
+                         .HeaderSeconds = HeaderSeconds,
+                         .IdleSeconds = double(NewLimits.IdleSeconds)},
+      Handler(std::move(Handler)),
+      Listener(Loop, [this](int Socket) { Callers.take(Socket); }),
+      Callers(Loop, *this, NewLimits.MaxConnections),
+      Prepare(Loop, [this] { beforeWait(); }) {}
 
-// The library wants to be run after an event, after a resume (which feeds the
-// watcher), and when its own nearest timeout is over.
-void http_server::run() {
-  if (!Daemon)
-    return;
-  MHD_run(Daemon);
-  if (RunsDue > 0) {
-    --RunsDue;
-    return Timeout.startOnce(RunAgainSeconds);
+http_server::~http_server() {
+  for (http_exchange *Exchange : std::set(Live)) {
+    Exchange->OnGone = nullptr;
+    Exchange->OnComplete = nullptr;
+    Exchange->end();
   }
-  MHD_UNSIGNED_LONG_LONG Milliseconds = 0;
-  if (MHD_get_timeout(Daemon, &Milliseconds) == MHD_YES)
-    Timeout.startOnce(double(Milliseconds) * 1e-3 + 1e-4);
-  else
-    Timeout.stop();
 }
 
-int http_server::onAccess(void *Self, MHD_Connection *Connection,
-                          const char *Url, const char *Method, const char *,
-                          const char *Upload, size_t *UploadSize,
-                          void **Context) {
-  return static_cast<http_server *>(Self)->access(Connection, Url, Method,
-                                                  Upload, UploadSize, Context);
+void http_server::onRequest(caller_connection &Connection, http_head Head,
+                            std::string Body) {
+  auto Exchange = std::make_shared<http_exchange>(
+      *this, Connection, std::move(Head), std::move(Body));
+  Live.insert(Exchange.get());
+  Connection.answeredBy(Exchange);
+  Handler(Exchange);
 }
 
-int http_server::access(MHD_Connection *Connection, const char *Url,
-                        const char *Method, const char *Upload,
-                        size_t *UploadSize, void **Context) {
-  if (!*Context) {
-    auto Exchange = std::make_shared<http_exchange>();
-    Exchange->Connection = Connection;
-    Exchange->Server = this;
-    Exchange->Method = Method;
-    Exchange->Path = Url;
-    Exchange->Self = Exchange;
-    *Context = Exchange.get();
-    Live.insert(Exchange.get());
-    return MHD_YES;
-  }
-  auto *Exchange = static_cast<http_exchange *>(*Context);
-  if (*UploadSize > 0) {
-    if (Exchange->Body.size() + *UploadSize > Limits.MaxBodyBytes)
-      Exchange->Oversized = true;
-    if (!Exchange->Oversized)
-      Exchange->Body.append(Upload, *UploadSize);
-    *UploadSize = 0;
-    return MHD_YES;
-  }
-  if (Exchange->Dispatched)
-    return MHD_YES;
-  Exchange->Dispatched = true;
-  Handler(Exchange->Self);
-  if (!Exchange->Answered) {
-    Exchange->Suspended = true;
-    MHD_suspend_connection(Connection);
-  }
-  return MHD_YES;
+void http_server::ended(caller_connection &Connection) {
+  Callers.ended(Connection);
 }
 
-void http_server::onCompleted(void *Self, MHD_Connection *, void **Context,
-                              int Code) {
-  auto *Server = static_cast<http_server *>(Self);
-  auto *Raw = static_cast<http_exchange *>(*Context);
-  if (!Raw)
-    return;
-  std::shared_ptr<http_exchange> Exchange = std::move(Raw->Self);
-  *Context = nullptr;
-  Server->Live.erase(Raw);
-  Exchange->Gone = true;
-  bool Whole = Code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
-               Exchange->Finished && !Exchange->Aborted;
-  if (Whole && Exchange->OnComplete)
-    Exchange->OnComplete();
-  if (!Whole && Exchange->OnGone)
-    Exchange->OnGone();
-  Exchange->OnComplete = nullptr;
-  Exchange->OnGone = nullptr;
-  Exchange->OnDrained = nullptr;
+void http_server::settleSoon(http_exchange &Exchange) {
+  Due.push_back(Exchange.weak_from_this());
+}
+
+void http_server::beforeWait() {
+  // Settling may write more, which may be taken at once.
+  while (!Due.empty())
+    for (const auto &Weak : std::exchange(Due, {}))
+      if (auto Exchange = Weak.lock())
+        Exchange->settle();
 }
 
 } // namespace olivevalve
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -1,46 +1,41 @@
 //===- http_server.h - HTTP towards callers and operators -------*- C++ -*-===//
 //
-// libmicrohttpd on the event loop. A request is handed over whole, the answer
-// may be given at once or streamed later; a slow reader holds back the writer
-// through OnDrained and is cut off when it stalls.
+// A request is handed over whole, the answer may be given at once or streamed
+// later; a slow reader holds back the writer through OnDrained and is cut off
+// when it stalls.
 //
 //===----------------------------------------------------------------------===//
 
 #ifndef OLIVEVALVE_NET_HTTP_SERVER_H
 #define OLIVEVALVE_NET_HTTP_SERVER_H
 
-#include "base/loop.h"
-#include <deque>
+#include "net/caller_connection.h"
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
-struct MHD_Connection;
-struct MHD_Daemon;
-
 namespace olivevalve {
 
-struct http_header {
-  std::string Name;
-  std::string Value;
-};
-
 struct http_limits {
   size_t MaxBodyBytes = 8 << 20;
   unsigned MaxConnections = 4000;
-  unsigned IdleSeconds = 75;        ///< Without progress of a connection.
-  size_t MaxHeaderBytes = 16 << 10; ///< Memory each connection holds.
+  unsigned IdleSeconds = 75; ///< Without progress of a connection.
+  size_t MaxHeaderBytes = 16 << 10;
 };
 
-/// One request and its answer. Kept by whoever answers; the connection is
-/// suspended while there is nothing to send.
-class http_exchange {
+/// One request and its answer. Kept by whoever answers.
+class http_exchange : public caller_user,
+                      public std::enable_shared_from_this<http_exchange> {
 public:
-  const std::string &method() const { return Method; }
+  http_exchange(class http_server &Server, caller_connection &Connection,
+                http_head Head, std::string Body);
+
+  const std::string &method() const { return Head.Method; }
+  /// Without the query, escapes resolved.
   const std::string &path() const { return Path; }
   const std::string &body() const { return Body; }
   std::string header(const char *Name) const;
@@ -48,82 +43,76 @@
   std::string query(const char *Name) const;
 
   /// Gives the whole answer.
-  void reply(int Status, std::string_view ContentType, std::string Body,
-             const std::vector<http_header> &Headers = {});
+  void reply(int Status, std::string_view ContentType, std::string_view Body,
+             const std::vector<head_line> &Headers = {});
   /// Starts an answer of unknown length.
   void startStream(int Status, std::string_view ContentType,
-                   const std::vector<http_header> &Headers = {});
-  void write(std::string Bytes);
+                   const std::vector<head_line> &Headers = {});
+  void write(std::string_view Bytes);
   void finish();
   /// Ends a stream so that the caller's library sees it as broken.
   void abort();
-  /// Refuses any body larger than this; set by the server.
-  bool oversized() const { return Oversized; }
   bool answered() const { return Answered; }
-  bool gone() const { return Gone; }
+  bool gone() const { return !Connection; }
 
   std::function<void()> OnGone;     ///< The caller has left before the end.
   std::function<void()> OnComplete; ///< The whole answer was written out.
   std::function<void(size_t)> OnDrained; ///< Chunks taken by the caller.
 
+  void onCallerGone() override;
+  void onCallerDrained() override;
+
 private:
   friend class http_server;
-  void resume();
-  static ssize_t readChunk(void *Self, uint64_t Position, char *Buffer,
-                           size_t Max);
-
-  MHD_Connection *Connection = nullptr;
-  class http_server *Server = nullptr;
-  std::shared_ptr<http_exchange> Self; ///< Held while the connection lives.
-  std::string Method;
+  void settle();
+  void end();
+
+  class http_server *Server;
+  caller_connection *Connection; ///< Null once it is over.
+  http_head Head;
   std::string Path;
   std::string Body;
-  std::deque<std::string> Chunks;
-  size_t ChunkOffset = 0;
-  bool Oversized = false;
-  bool Dispatched = false;
-  bool Suspended = false;
+  size_t Chunks = 0; ///< Written and not yet told as taken.
   bool Answered = false;
   bool Finished = false;
-  bool Aborted = false;
-  bool Gone = false;
 };
 
-class http_server {
+class http_server : public caller_host {
 public:
   using handler = std::function<void(std::shared_ptr<http_exchange>)>;
   http_server(struct ev_loop *Loop, http_limits Limits, handler Handler);
-  ~http_server();
+  ~http_server() override;
   http_server(const http_server &) = delete;
   http_server &operator=(const http_server &) = delete;
 
   /// Binds to "host:port" (IP numbers); port 0 lets the kernel choose.
-  bool bind(const std::string &Address);
-  std::string address() const { return BoundAddress; }
+  bool bind(const std::string &Address) { return Listener.bind(Address); }
+  const std::string &address() const { return Listener.address(); }
   /// No new connections; those that live go on.
-  void stopListening();
+  void stopListening() { Listener.close(); }
   size_t openExchanges() const { return Live.size(); }
 
 private:
   friend class http_exchange;
-  static int onAccess(void *Self, MHD_Connection *Connection, const char *Url,
-                      const char *Method, const char *Version,
-                      const char *Upload, size_t *UploadSize, void **Context);
-  static void onCompleted(void *Self, MHD_Connection *Connection,
-                          void **Context, int Code);
-  int access(MHD_Connection *Connection, const char *Url, const char *Method,
-             const char *Upload, size_t *UploadSize, void **Context);
-  void run();
-  void wake() { Watch.feed(); }
-
-  http_limits Limits;
+  const caller_limits &limits() const override { return Limits; }
+  bool closesAfterAnswer() const override { return false; }
+  void onRequest(caller_connection &Connection, http_head Head,
+                 std::string Body) override;
+  void onMalformed(int, std::string_view) override {}
+  void ended(caller_connection &Connection) override;
+  /// Tells what was written and taken, before the next wait: never inside the
+  /// writer's own call.
+  void settleSoon(http_exchange &Exchange);
+  void beforeWait();
+
+  struct ev_loop *Loop;
+  caller_limits Limits;
   handler Handler;
-  MHD_Daemon *Daemon = nullptr;
-  descriptor_watch Watch;
-  timer Timeout;
-  std::string BoundAddress;
+  tcp_listener Listener;
+  caller_pool Callers;
   std::set<http_exchange *> Live;
-  unsigned RunsDue = 0; ///< Turns that the library needs and does not ask for.
+  std::vector<std::weak_ptr<http_exchange>> Due;
+  before_wait Prepare;
 };
 
 } // namespace olivevalve
--- a/net/tcp_stream.cpp
+++ b/net/tcp_stream.cpp
@@ -15,18 +15,16 @@
 
 // One read takes what the kernel's buffers of a connection usually hold.
 constexpr size_t ReadBytes = 64 << 10;
-// Unacknowledged bytes for so long mean a dead path: well over the longest
-// round trip, under the time a caller would wait.
+// Unacknowledged bytes to an upstream for so long mean a dead path: well over
+// the longest round trip, under the time a caller would wait.
 constexpr unsigned UnackedMs = 5000;
 constexpr int Backlog = 1024;
 // Of one turn, so that open connections have theirs too.
 constexpr int AcceptsPerTurn = 64;
 
-void prepare(int Socket) {
+void sendAtOnce(int Socket) {
   int On = 1;
   setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnackedMs,
-             sizeof(UnackedMs));
 }
 
 int connectTo(const std::string &Address) {
@@ -36,7 +34,9 @@
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (Socket < 0)
     return -1;
-  prepare(Socket);
+  sendAtOnce(Socket);
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnackedMs,
+             sizeof(UnackedMs));
   if (connect(Socket, reinterpret_cast<sockaddr *>(&Where), sizeof(Where)) ==
           0 ||
       errno == EINPROGRESS)
@@ -51,7 +51,7 @@
     : Loop(Loop), Socket(Socket), Connected(true),
       Watch(Loop, [this](int Events) { onReady(Events); }),
       Failure(Loop, [this] { fail(); }) {
-  prepare(Socket);
+  sendAtOnce(Socket);
   watch();
 }
 
--- a/policy/limits.h
+++ b/policy/limits.h
@@ -41,6 +41,8 @@
       : Bounds(Bounds), Tokens(Bounds.Saved / 2) {}
   void requestSeen();
   bool take();
+  /// True if take() would find one.
+  bool left() const { return Tokens >= 1; }
   void setBounds(retry_bounds NewBounds) { Bounds = NewBounds; }
 
 private:
--- a/tests/system/strangers_test.cpp
+++ b/tests/system/strangers_test.cpp
@@ -2,7 +2,9 @@
 
 #include "boost/test/unit_test.hpp"
 #include "net/link.h"
+#include "net/tcp_stream.h"
 #include "tests/world.h"
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <fstream>
@@ -16,6 +18,19 @@
 
 namespace {
 
+/// Sends bytes to an entry and returns all that comes back until the close.
+std::string talkRaw(world &World, const std::string &Address,
+                    const std::string &Bytes) {
+  tcp_stream Stream(World.Loop, Address);
+  std::string Got;
+  bool Ended = false;
+  Stream.OnBytes = [&](std::string_view More) { Got.append(More); };
+  Stream.OnEnd = [&](bool) { Ended = true; };
+  Stream.write(Bytes);
+  World.until("the connection is closed", [&] { return Ended; });
+  return Got;
+}
+
 void sendRaw(const std::string &Address, const std::string &Bytes) {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in Where{};
@@ -158,4 +173,53 @@
   BOOST_TEST(runsOf(Counts, "rough-3") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(cannot_carry_one_request_inside_another) {
+  world World;
+  World.startUsual(1);
+  uint64_t Before = World.engineCounts(*World.Sidecars["led"])["started"];
+  const std::string Head = "POST /ledger/x HTTP/1.1\r\nHost: a\r\n"
+                           "Authorization: Bearer demo-dispatch\r\n"
+                           "Idempotency-Key: k\r\n";
+  const std::string Inner = "0\r\n\r\n" + Head + "Content-Length: 0\r\n\r\n";
+  const std::string Cases[] = {
+      Head + "Content-Length: " + std::to_string(Inner.size()) +
+          "\r\nTransfer-Encoding: chunked\r\n\r\n" + Inner,
+      Head + std::string("X-Zero: a\0b\r\nContent-Length: 0\r\n\r\n", 35),
+  };
+  for (const std::string &Case : Cases)
+    for (const std::string &Address : {World.Entries["entry-1"]->Address.text(),
+                                       World.Control[0]->Operators.text()}) {
+      std::string Text = talkRaw(World, Address, Case);
+      BOOST_TEST(Text.starts_with("HTTP/1.1 400"), Text);
+      BOOST_TEST(Text.find("HTTP/1.1", 5) == std::string::npos, Text);
+    }
+  BOOST_TEST(World.engineCounts(*World.Sidecars["led"])["started"] == Before);
+}
+
+BOOST_AUTO_TEST_CASE(that_say_nothing_give_way_to_callers) {
+  world World;
+  World.EntrySettings = {{"max_open_requests", 10}};
+  World.startUsual(1);
+  const std::string Address = World.Entries["entry-1"]->Address.text();
+  auto Running = World.begin(
+      Address, {.Body = chatBody("plan", "tokens=400 gap=5", true)});
+  // More than the entry has connections for.
+  std::vector<std::unique_ptr<tcp_stream>> Idle;
+  for (int I = 0; I < 400; ++I) {
+    Idle.push_back(std::make_unique<tcp_stream>(World.Loop, Address));
+    Idle.back()->OnBytes = [](std::string_view) {};
+    Idle.back()->OnEnd = [Raw = Idle.back().get()](bool) { Raw->close(); };
+    Idle.back()->write(I % 2 ? "POST /v1/chat" : "");
+  }
+  World.until("some were closed for room", [&] {
+    return std::any_of(Idle.begin(), Idle.end(),
+                       [](const auto &Each) { return !Each->open(); });
+  });
+  BOOST_TEST(World.ask(Address, {.Body = chatBody("plan", "hi")}).Status ==
+             200);
+  World.until("the stream has ended", [&] { return Running->Done; });
+  BOOST_TEST(Running->Error.empty());
+  BOOST_TEST(Running->Body.ends_with("data: [DONE]\n\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
