--- /dev/null
+++ b/tests/gateway_world.cpp
@@ -0,0 +1,227 @@
+//===- gateway_world.cpp - Gateways, control by seeds, upstreams ----------===//
+
+#include "tests/gateway_world.h"
+#include "base/clock.h"
+#include "boost/test/unit_test.hpp"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr size_t SeedCount = 3;
+
+int portOf(const std::string &Address) {
+  return std::stoi(Address.substr(Address.rfind(':') + 1));
+}
+
+} // namespace
+
+gateway_world::gateway_world(size_t Count)
+    : List(std::make_unique<upstream_list_stand_in>(Loop)) {
+  // The kernel chooses the ports; addresses of their own make them free.
+  for (int *Port : {&NodePort, &OperatorPort}) {
+    Ports.push_back(std::make_unique<reserved_address>());
+    *Port = portOf(Ports.back()->text());
+  }
+  for (size_t I = 0; I < Count; ++I)
+    addControl(true);
+  for (auto &Node : Seeded)
+    Node->Process->start();
+}
+
+gateway_world::~gateway_world() {
+  if (Gateway)
+    Gateway->kill();
+  for (auto &Node : Seeded)
+    Node->Process->kill();
+  Paths.clear();
+  Replicas.clear();
+  List.reset();
+}
+
+json gateway_world::seeds() {
+  json Addresses = json::array();
+  for (size_t I = 0; I < std::min(SeedCount, Seeded.size()); ++I)
+    Addresses.push_back(Seeded[I]->Ip + ":" + std::to_string(OperatorPort));
+  if (Addresses.empty())
+    Addresses.push_back("127.0.1.1:" + std::to_string(OperatorPort));
+  return {{"operator_addresses", Addresses}, {"port", NodePort}};
+}
+
+seeded_control &gateway_world::addControl(bool MayStartGroup) {
+  auto Node = std::make_unique<seeded_control>();
+  size_t Number = Seeded.size() + 1;
+  Node->Ip = "127.0.1." + std::to_string(Number);
+  Node->Folder = Folder.path() + "/control-" + std::to_string(Number);
+  seeded_control &Added = *Node;
+  Seeded.push_back(std::move(Node));
+  json Addresses = json::array();
+  for (size_t I = 1; I <= SeedCount; ++I)
+    Addresses.push_back("127.0.1." + std::to_string(I) + ":" +
+                        std::to_string(OperatorPort));
+  json Settings = {
+      {"node", "control-" + std::to_string(Number)},
+      {"data_hall", "charguia"},
+      {"control_seeds",
+       {{"operator_addresses", Addresses}, {"port", NodePort}}},
+      {"control",
+       {{"address", Added.Ip + ":" + std::to_string(NodePort)},
+        {"operator_address", Added.Ip + ":" + std::to_string(OperatorPort)},
+        {"data_folder", Added.Folder},
+        {"may_start_group", MayStartGroup},
+        {"tolerated_losses", 2},
+        {"replace_after_seconds", 1.5}}}};
+  Added.Process = std::make_unique<daemon_process>(
+      "control-" + std::to_string(Number), Folder.path(), Settings);
+  return Added;
+}
+
+replica &gateway_world::addReplica(replica_options Options) {
+  std::string Id = Options.Id;
+  auto Replica = std::make_unique<replica>(Loop, std::move(Options));
+  Paths[Id] = std::make_unique<proxy>(Loop, Replica->address());
+  List->put(*Replica, Paths[Id]->address());
+  return *(Replicas[Id] = std::move(Replica));
+}
+
+void gateway_world::startGateway(const std::string &Name) {
+  json Settings = {{"node", Name},
+                   {"data_hall", "charguia"},
+                   {"health_address", GatewayHealth.text()},
+                   {"unready_seconds", 0.3},
+                   {"control_seeds", seeds()},
+                   {"gateway",
+                    {{"address", GatewayAddress.text()},
+                     {"upstream_list", List->address()},
+                     {"list_seconds", 0.2},
+                     {"retry_ratio", 5},
+                     {"retry_slack", 1000}}}};
+  Gateway = std::make_unique<daemon_process>(Name, Folder.path(), Settings);
+  Gateway->start();
+}
+
+void gateway_world::untilGatewayReady(const std::string &Name) {
+  until(Name + " is ready", [&] { return ready(GatewayHealth); });
+}
+
+json gateway_world::usualRouting() {
+  auto Route = [](const char *Name, const char *Kind, int Attempts,
+                  double TargetMs) {
+    return json{{"name", Name},
+                {"host", "a.example"},
+                {"path_prefix", std::string("/") + Name + "/"},
+                {"kind", Kind},
+                {"timeout_ms", 3000},
+                {"target_ms", TargetMs},
+                {"gap_ms", 300},
+                {"max_attempts", Attempts},
+                {"service", "plain"}};
+  };
+  json Stream = Route("stream", "streaming", 3, 400);
+  Stream["resumable"] = true;
+  Stream["sizes"] = {"small", "large"};
+  return {{"version", RoutingVersion += 3},
+          {"routes",
+           {Route("safe", "safe", 3, 200), Route("unsafe", "unsafe", 3, 200),
+            Stream}},
+          {"services", {{{"name", "plain"}, {"max_connections", 100}}}},
+          {"limits",
+           {{"max_header_bytes", 4096},
+            {"max_body_bytes", 100000},
+            {"header_timeout_ms", 500},
+            {"idle_timeout_ms", 2000}}},
+          {"accounts", {{{"name", "dispatch"}, {"keys", {"k1"}}}}}};
+}
+
+caller_answer gateway_world::operatorCall(const std::string &Method,
+                                          const std::string &Path,
+                                          const std::string &Body) {
+  caller_answer Answer;
+  double End = steadySeconds() + 20;
+  for (size_t Turn = 0; steadySeconds() < End; ++Turn) {
+    seeded_control &Node = *Seeded[Turn % Seeded.size()];
+    std::string Address = Node.Ip + ":" + std::to_string(OperatorPort);
+    Answer = call(Address, {.Method = Method,
+                            .Path = Path,
+                            .Body = Body,
+                            .Key = "",
+                            .Seconds = 2});
+    if (Answer.Status == 307) {
+      std::string Where = Answer.header("location");
+      Answer = call(Where.substr(7, Where.find('/', 7) - 7), {.Method = Method,
+                                                              .Path = Path,
+                                                              .Body = Body,
+                                                              .Key = "",
+                                                              .Seconds = 2});
+    }
+    if (Answer.Status != 0 && Answer.Status != 503 && Answer.Status != 307)
+      return Answer;
+    run(0.05);
+  }
+  return Answer;
+}
+
+caller_answer gateway_world::putRouting(const json &Routing) {
+  return operatorCall("POST", "/v1/routing", Routing.dump());
+}
+
+json gateway_world::statusOf(const seeded_control &Node) {
+  caller_answer Answer =
+      call(Node.Ip + ":" + std::to_string(OperatorPort),
+           {.Method = "GET", .Path = "/v1/status", .Key = "", .Seconds = 1});
+  json Status = json::parse(Answer.Body, nullptr, false);
+  return Status.is_object() ? Status : json::object();
+}
+
+seeded_control *gateway_world::leaderOf() {
+  for (auto &Node : Seeded)
+    if (Node->Process->running() && statusOf(*Node).value("leads", false))
+      return Node.get();
+  return nullptr;
+}
+
+// Voters that run and hold the disk that the leader knows them by.
+size_t gateway_world::voters() {
+  seeded_control *Leader = leaderOf();
+  if (!Leader)
+    return 0;
+  json Status = statusOf(*Leader);
+  if (!Status.value("members_settled", false))
+    return 0;
+  size_t Count = 0;
+  for (auto &Node : Seeded) {
+    if (!Node->Process->running())
+      continue;
+    json Own = statusOf(*Node);
+    for (const json &Member : Status["members"])
+      Count += Member["voter"] == true && Member["id"] == Own["id"] &&
+               Member["disk"] == Own["disk"] && Own.value("member", false);
+  }
+  return Count;
+}
+
+void gateway_world::untilVoters(size_t Count) {
+  until(std::to_string(Count) + " voters", [&] { return voters() == Count; });
+}
+
+std::shared_ptr<caller_answer>
+gateway_world::beginRequest(const std::string &Path, caller_request Request) {
+  LastId = nextId();
+  Request.Path = Path;
+  Request.Key = "";
+  for (std::string Line :
+       {"Host: a.example", "X-Credential: k1", "X-Deadline-Ms: 5000"})
+    Request.Headers.push_back(Line);
+  Request.Headers.push_back("X-Attempt-Id: " + LastId);
+  return begin(GatewayAddress.text(), std::move(Request));
+}
+
+caller_answer gateway_world::request(const std::string &Path,
+                                     caller_request Request) {
+  auto Answer = beginRequest(Path, std::move(Request));
+  until("an answer", [&] { return Answer->Done; });
+  return *Answer;
+}
+
+} // namespace olivevalve
--- a/tests/measure.cpp
+++ b/tests/measure.cpp
@@ -8,13 +8,11 @@
 //===----------------------------------------------------------------------===//
 
 #define BOOST_TEST_MODULE measure
+#include "tests/measure.h"
 #include "base/clock.h"
 #include "boost/test/unit_test.hpp"
 #include "ledger/pins.h"
-#include "tests/world.h"
 #include <algorithm>
-#include <cstdlib>
-#include <fstream>
 #include <sstream>
 #include <unistd.h>
 
@@ -25,50 +23,6 @@
 // Two askings of each entry at each sidecar.
 constexpr double WindowSeconds = 20;
 
-class csv_file {
-public:
-  csv_file() {
-    const char *Path = std::getenv("OLIVEVALVE_CSV");
-    File.open(Path ? Path : "/dev/null", std::ios::app);
-  }
-  void row(const std::string &Experiment, const std::string &Role, double Size,
-           const std::string &Quantity, double Value) {
-    File << Experiment << "," << Role << "," << Size << "," << Quantity << ","
-         << Value << std::endl;
-  }
-
-private:
-  std::ofstream File;
-};
-
-/// What the system says of one process.
-struct process_use {
-  double CpuSeconds = 0;
-  double ResidentMb = 0;
-};
-
-process_use useOf(pid_t Pid) {
-  std::string Folder = "/proc/" + std::to_string(Pid);
-  std::ifstream Stat(Folder + "/stat");
-  std::string Text((std::istreambuf_iterator<char>(Stat)), {});
-  std::istringstream Fields(Text.substr(Text.rfind(')') + 2));
-  std::string Field;
-  double Ticks = 0;
-  for (int I = 3; I <= 15 && Fields >> Field; ++I)
-    if (I == 14 || I == 15)
-      Ticks += std::atof(Field.c_str());
-  std::ifstream Statm(Folder + "/statm");
-  double Total = 0;
-  double Resident = 0;
-  Statm >> Total >> Resident;
-  return {Ticks / double(sysconf(_SC_CLK_TCK)),
-          Resident * double(sysconf(_SC_PAGESIZE)) / 1e6};
-}
-
-process_use useOf(const daemon_process &Process) {
-  return useOf(Process.pid());
-}
-
 /// Sum of one counter of a node's metrics over its kinds, or of one kind.
 double counter(world &World, const reserved_address &Health,
                const std::string &Name, const std::string &Kind = "") {
--- /dev/null
+++ b/tests/measure.h
@@ -0,0 +1,62 @@
+//===- measure.h - What a process uses, and where rows go -------*- C++ -*-===//
+
+#ifndef OLIVEVALVE_TESTS_MEASURE_H
+#define OLIVEVALVE_TESTS_MEASURE_H
+
+#include "tests/world.h"
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace olivevalve {
+
+/// Rows of experiment, role, size, quantity, value in the file named by
+/// OLIVEVALVE_CSV.
+class csv_file {
+public:
+  csv_file() {
+    const char *Path = std::getenv("OLIVEVALVE_CSV");
+    File.open(Path ? Path : "/dev/null", std::ios::app);
+  }
+  void row(const std::string &Experiment, const std::string &Role, double Size,
+           const std::string &Quantity, double Value) {
+    File << Experiment << "," << Role << "," << Size << "," << Quantity << ","
+         << Value << std::endl;
+  }
+
+private:
+  std::ofstream File;
+};
+
+/// What the system says of one process.
+struct process_use {
+  double CpuSeconds = 0;
+  double ResidentMb = 0;
+};
+
+inline process_use useOf(pid_t Pid) {
+  std::string Folder = "/proc/" + std::to_string(Pid);
+  std::ifstream Stat(Folder + "/stat");
+  std::string Text((std::istreambuf_iterator<char>(Stat)), {});
+  std::istringstream Fields(Text.substr(Text.rfind(')') + 2));
+  std::string Field;
+  double Ticks = 0;
+  for (int I = 3; I <= 15 && Fields >> Field; ++I)
+    if (I == 14 || I == 15)
+      Ticks += std::atof(Field.c_str());
+  std::ifstream Statm(Folder + "/statm");
+  double Total = 0;
+  double Resident = 0;
+  Statm >> Total >> Resident;
+  return {Ticks / double(sysconf(_SC_CLK_TCK)),
+          Resident * double(sysconf(_SC_PAGESIZE)) / 1e6};
+}
+
+inline process_use useOf(const daemon_process &Process) {
+  return useOf(Process.pid());
+}
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_TESTS_MEASURE_H
--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -130,7 +130,7 @@
   if (Count < 0)
     return;
   if (Count == 0)
-    return reset(Connection);
+    return Fault == proxy_fault::None ? endBoth(Connection) : reset(Connection);
   // What went into a hole is gone: a connection that lost bytes must not be
   // used again, or frames would be cut in half.
   if (swallows(FromClient))
@@ -187,13 +187,29 @@
       Connection.Server, EventsFor(Connection.ToClient, Connection.ToServer));
 }
 
-void proxy::reset(connection &Connection) {
-  if (Connection.Dead)
-    return;
+void proxy::forget(connection &Connection) {
   Connection.Dead = true;
   Connection.ClientWatch.stop();
   Connection.ServerWatch.stop();
   Connection.Later.stop();
+}
+
+// An end without a fault stays one: the other side sees it after the bytes.
+void proxy::endBoth(connection &Connection) {
+  moveAll(Connection);
+  bool AllMoved = Connection.ToServer.Pending.empty() &&
+                  Connection.ToClient.Pending.empty();
+  if (!AllMoved)
+    return reset(Connection);
+  forget(Connection);
+  ::close(Connection.Client);
+  ::close(Connection.Server);
+}
+
+void proxy::reset(connection &Connection) {
+  if (Connection.Dead)
+    return;
+  forget(Connection);
   resetAndClose(Connection.Client);
   resetAndClose(Connection.Server);
 }
--- a/tests/proxy.h
+++ b/tests/proxy.h
@@ -60,6 +60,8 @@
   void push(direction &Direction, int Out);
   bool swallows(bool FromClient) const;
   void reset(connection &Connection);
+  void endBoth(connection &Connection);
+  void forget(connection &Connection);
   void rewatch(connection &Connection);
 
   struct ev_loop *Loop;
--- /dev/null
+++ b/tests/replica.cpp
@@ -0,0 +1,231 @@
+//===- replica.cpp - Direct upstreams, their list and their faults --------===//
+
+#include "tests/replica.h"
+#include <algorithm>
+#include <cstdlib>
+
+namespace olivevalve {
+
+namespace {
+
+constexpr double EventGapSeconds = 0.005;
+constexpr size_t EntriesOfPage = 2; // So that every list has pages.
+
+std::string queryOf(const std::string &Target, const std::string &Name) {
+  size_t Query = Target.find('?');
+  size_t At =
+      Query == std::string::npos ? Query : Target.find(Name + "=", Query);
+  if (At == std::string::npos)
+    return "";
+  size_t Begin = At + Name.size() + 1;
+  return Target.substr(Begin, Target.find('&', Begin) - Begin);
+}
+
+int numberOf(const std::string &Target, const std::string &Name, int Default) {
+  std::string Text = queryOf(Target, Name);
+  return Text.empty() ? Default : std::atoi(Text.c_str());
+}
+
+std::string headerOf(const http_head &Head, const char *Name) {
+  const std::string *Value = Head.find(Name);
+  return Value ? *Value : "";
+}
+
+std::string whole(const std::string &Head, const std::string &Body) {
+  return Head + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+std::string chunk(const std::string &Bytes) {
+  std::array<char, 16> Size{};
+  std::snprintf(Size.data(), Size.size(), "%zx\r\n", Bytes.size());
+  return Size.data() + Bytes + "\r\n";
+}
+
+} // namespace
+
+replica::connection::connection(struct ev_loop *Loop, int Socket,
+                                replica &Owner)
+    : Stream(Loop, Socket), Reader(http_side::Request),
+      Later(Loop, [this, &Owner] { Owner.step(*this); }) {}
+
+replica::replica(struct ev_loop *Loop, replica_options NewOptions)
+    : Loop(Loop), Options(std::move(NewOptions)),
+      Listener(Loop,
+               [this](int Socket) {
+                 connection &New =
+                     Connections.emplace_back(this->Loop, Socket, *this);
+                 New.Stream.OnBytes = [this, &New](std::string_view Bytes) {
+                   receive(New, Bytes);
+                 };
+                 New.Stream.OnEnd = [this, &New](bool) {
+                   Cancelled += New.Working;
+                   kill(New);
+                 };
+                 New.Reader.OnBody = [&New](std::string_view Bytes) {
+                   New.Body.append(Bytes);
+                 };
+               }),
+      Prepare(Loop, [this] {
+        Connections.remove_if([](const connection &C) { return C.Dead; });
+      }) {
+  Listener.bind("127.0.0.1:0");
+}
+
+replica::~replica() = default;
+
+int replica::runs(const std::string &AttemptId) const {
+  auto It = Runs.find(AttemptId);
+  return It == Runs.end() ? 0 : It->second;
+}
+
+int replica::runs() const {
+  int Sum = 0;
+  for (const auto &[Id, Count] : Runs)
+    Sum += Count;
+  return Sum;
+}
+
+void replica::crash() {
+  Listener.close();
+  for (connection &Each : Connections)
+    kill(Each);
+}
+
+void replica::kill(connection &Connection) {
+  Connection.Dead = true;
+  Connection.Working = false;
+  Connection.Later.stop();
+  Connection.Stream.close();
+}
+
+void replica::receive(connection &Connection, std::string_view Bytes) {
+  Connection.Reader.feed(Bytes);
+  if (Connection.Reader.failed())
+    return kill(Connection);
+  if (Connection.Reader.done())
+    serve(Connection);
+}
+
+std::string replica::answerHead(int Status, const std::string &Id,
+                                const std::string &Extra) const {
+  std::string Confidence = std::to_string(int(this->Confidence * 100));
+  return "HTTP/1.1 " + std::to_string(Status) + " Word\r\nX-Attempt-Id: " + Id +
+         "\r\nX-Response-Seal: seal-of-" + Options.Id +
+         "\r\nX-Server-Load: 1,0,8\r\nX-Confidence: " + Confidence + "\r\n" +
+         Extra;
+}
+
+void replica::serve(connection &Connection) {
+  http_head Head = Connection.Reader.head();
+  std::string Body = std::exchange(Connection.Body, {});
+  Connection.Reader.next();
+  std::string Id = headerOf(Head, "X-Attempt-Id");
+  std::string Do = queryOf(Head.Target, "do");
+  if (headerOf(Head, "X-Expect-Instance") != Options.Id)
+    return Connection.Stream.write(whole(answerHead(421, Id, ""), "other"));
+  if (Do == "refuse")
+    return Connection.Stream.write(
+        whole(answerHead(503, Id, "X-Not-Executed: 1\r\n"), "full"));
+  LastHead = Head;
+  LastBody = Body;
+  ++Runs[Id];
+  Connection.Working = true;
+  if (Do == "mute")
+    return;
+  if (Do == "reset")
+    return kill(Connection);
+  if (Head.Target.find("/stream/") != std::string::npos)
+    return stream(Connection, Head.Target, Id);
+  std::string Text = Options.Id + " got " + Body;
+  std::string Answer = whole(answerHead(200, Id, ""), Text);
+  if (Do == "fail" || Fails)
+    Answer = whole(answerHead(500, Id, ""), "failed");
+  if (Do == "cut")
+    Answer.resize(Answer.size() - 3);
+  if (Do == "garble")
+    Answer = "!!! this is not HTTP\r\n\r\n";
+  if (Do == "extra")
+    Answer += whole(answerHead(200, "somebody-else", ""), "not yours");
+  if (Do == "unframed")
+    Answer = answerHead(200, Id, "Connection: close\r\n") + "\r\n" + Text;
+  Connection.CloseAfter = Do == "cut" || Do == "unframed";
+  Connection.Answer = std::move(Answer);
+  Connection.Later.startOnce(numberOf(Head.Target, "late", 0) * 1e-3);
+}
+
+void replica::stream(connection &Connection, const std::string &Target,
+                     const std::string &Id) {
+  std::string Last = headerOf(LastHead, "Last-Event-Id");
+  Connection.NextEvent = Last.empty() ? 1 : std::atoi(Last.c_str()) + 1;
+  Connection.LastEvent = numberOf(Target, "events", 5);
+  int Break = numberOf(Target, "break", -1);
+  Connection.BreakAfter = Last.empty() ? Break : -1;
+  Connection.Answer = answerHead(200, Id,
+                                 "Content-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\n") +
+                      "\r\n";
+  Connection.Later.startOnce(numberOf(Target, "late", 0) * 1e-3);
+}
+
+void replica::step(connection &Connection) {
+  if (!Connection.Answer.empty())
+    Connection.Stream.write(std::exchange(Connection.Answer, {}));
+  if (Connection.LastEvent == 0) {
+    Connection.Working = false;
+    if (Connection.CloseAfter)
+      Connection.Stream.closeWhenSent();
+    return;
+  }
+  int Event = Connection.NextEvent;
+  if (Connection.BreakAfter >= 0 && Event > Connection.BreakAfter) {
+    Connection.Stream.write(chunk("id: " + std::to_string(Event) + "\nda"));
+    return kill(Connection);
+  }
+  if (Event > Connection.LastEvent) {
+    Connection.Stream.write("0\r\n\r\n");
+    Connection.LastEvent = 0;
+    Connection.Working = false;
+    return;
+  }
+  ++Connection.NextEvent;
+  Connection.Stream.write(chunk("id: " + std::to_string(Event) +
+                                "\ndata: " + std::to_string(Event) + "\n\n"));
+  Connection.Later.startOnce(EventGapSeconds);
+}
+
+upstream_list_stand_in::upstream_list_stand_in(struct ev_loop *Loop)
+    : Server(Loop, {}, [this](const std::shared_ptr<http_exchange> &Exchange) {
+        ++Questions;
+        if (Refusals > 0) {
+          --Refusals;
+          return Exchange->reply(429, "application/json", "{}");
+        }
+        std::string Page = Exchange->query("pageToken");
+        auto It = Page.empty() ? Entries.begin() : Entries.lower_bound(Page);
+        json List = json::array();
+        for (; It != Entries.end() && List.size() < EntriesOfPage; ++It)
+          List.push_back(It->second);
+        json Next = It == Entries.end() ? json() : json(It->first);
+        Exchange->reply(
+            200, "application/json",
+            json({{"upstreams", List}, {"next_page", Next}}).dump());
+      }) {
+  Server.bind("127.0.0.1:0");
+  Address = Server.address();
+}
+
+void upstream_list_stand_in::put(const replica &Replica, const std::string &At,
+                                 const std::string &State) {
+  const replica_options &Options = Replica.options();
+  Entries[Options.Id] = {{"id", Options.Id},
+                         {"service", Options.Service},
+                         {"address", At},
+                         {"data_hall", Options.DataHall},
+                         {"version", Options.Version},
+                         {"slots", 8},
+                         {"state", State},
+                         {"cold_ms", 0}};
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/tests/system/gateway_test.cpp
@@ -0,0 +1,463 @@
+//===- gateway_test.cpp - Requests for plain services through a gateway ---===//
+
+#include "base/clock.h"
+#include "boost/test/unit_test.hpp"
+#include "tests/gateway_world.h"
+
+using namespace olivevalve;
+
+namespace {
+
+/// A gateway before two upstreams, ready.
+class served_world : public gateway_world {
+public:
+  served_world() {
+    addReplica({.Id = "i-1"});
+    addReplica({.Id = "i-2"});
+    BOOST_REQUIRE_EQUAL(putRouting(usualRouting()).Status, 200);
+    startGateway("gateway-1");
+    untilGatewayReady("gateway-1");
+    until("upstreams are known",
+          [&] { return request("/safe/x", {.Method = "GET"}).Status == 200; });
+  }
+
+  int runs(const std::string &Id) {
+    int Sum = 0;
+    for (auto &[Name, Replica] : Replicas)
+      Sum += Replica->runs(Id);
+    return Sum;
+  }
+  /// Sends raw bytes and returns all that comes back until the close.
+  std::string raw(const std::string &Bytes) {
+    tcp_stream Stream(Loop, GatewayAddress.text());
+    std::string Got;
+    bool Ended = false;
+    Stream.OnBytes = [&](std::string_view More) { Got.append(More); };
+    Stream.OnEnd = [&](bool) { Ended = true; };
+    Stream.write(Bytes);
+    until("the connection is closed", [&] { return Ended; });
+    return Got;
+  }
+};
+
+std::string events(int First, int Last) {
+  std::string Text;
+  for (int I = First; I <= Last; ++I)
+    Text +=
+        "id: " + std::to_string(I) + "\ndata: " + std::to_string(I) + "\n\n";
+  return Text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gateways)
+
+BOOST_AUTO_TEST_CASE(pass_requests_and_answers_on_unchanged) {
+  served_world World;
+  caller_answer Answer = World.request(
+      "/unsafe/book?a=%2e&b", {.Body = "{\"seat\": 7}",
+                               .Headers = {"X-Odd: kept", "X-Tenant: forged"}});
+  BOOST_TEST(Answer.Status == 200);
+  BOOST_TEST(Answer.Body.ends_with("got {\"seat\": 7}"));
+  BOOST_TEST(Answer.header("x-response-seal").starts_with("seal-of-i-"));
+  std::string Server = Answer.header("x-response-seal").substr(8);
+  const http_head &Head = World.Replicas[Server]->lastHead();
+  BOOST_TEST(Head.Target == "/unsafe/book?a=%2e&b");
+  BOOST_TEST(*Head.find("X-Odd") == "kept");
+  BOOST_TEST(*Head.find("X-Tenant") == "dispatch");
+  BOOST_TEST(Head.find("X-Credential") == nullptr);
+  BOOST_TEST(std::stoi(*Head.find("X-Deadline-Ms")) <= 3000);
+
+  // Chunked bodies reach the upstream with their length.
+  std::string Text = World.raw(
+      "POST /unsafe/c HTTP/1.1\r\nHost: a.example\r\nX-Credential: k1\r\n"
+      "X-Attempt-Id: c\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  BOOST_TEST(Text.find("got abcde") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(refuse_what_has_no_route_or_key) {
+  served_world World;
+  BOOST_TEST(World.request("/nowhere/x").Status == 404);
+  BOOST_TEST(World
+                 .request("/safe/x",
+                          {.Method = "GET", .Headers = {"X-Credential: other"}})
+                 .Status == 401);
+  BOOST_TEST(World.runs(World.LastId) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(refuse_what_could_carry_another_request) {
+  served_world World;
+  int Before = World.Replicas["i-1"]->runs() + World.Replicas["i-2"]->runs();
+  const std::string Head =
+      "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nX-Credential: k1\r\n"
+      "X-Attempt-Id: smuggler\r\n";
+  const std::string Inner =
+      "0\r\n\r\nPOST /unsafe/y HTTP/1.1\r\nHost: a.example\r\n"
+      "X-Credential: k1\r\nX-Attempt-Id: smuggled\r\n\r\n";
+  const std::string Cases[] = {
+      Head + "Content-Length: " + std::to_string(Inner.size()) +
+          "\r\nTransfer-Encoding: chunked\r\n\r\n" + Inner,
+      Head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n" + Inner,
+      Head + "Transfer-Encoding: xchunked\r\n\r\n" + Inner,
+      Head + "Content-Length: 3\r\nContent-Length: 5\r\n\r\n" + Inner,
+      Head + std::string("X-Zero: a\0b\r\nContent-Length: 0\r\n\r\n", 35),
+      Head + "X Blank: a\r\nContent-Length: 0\r\n\r\n",
+  };
+  for (const std::string &Case : Cases) {
+    std::string Text = World.raw(Case);
+    BOOST_TEST(Text.starts_with("HTTP/1.1 400"), Text);
+    BOOST_TEST(Text.find("HTTP/1.1", 5) == std::string::npos);
+  }
+  int After = World.Replicas["i-1"]->runs() + World.Replicas["i-2"]->runs();
+  BOOST_TEST(After == Before);
+}
+
+BOOST_AUTO_TEST_CASE(keep_callers_within_the_limits) {
+  served_world World;
+  std::string Start = "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\n";
+  BOOST_TEST(World.raw(Start + "X-Long: " + std::string(5000, 'x'))
+                 .starts_with("HTTP/1.1 431"));
+  BOOST_TEST(World.raw(Start + "Content-Length: 200000\r\n\r\n")
+                 .starts_with("HTTP/1.1 413"));
+  // A head that does not end, and a connection that says nothing.
+  BOOST_TEST(World.raw(Start).starts_with("HTTP/1.1 408"));
+  BOOST_TEST(World.raw("").empty());
+}
+
+// How an upstream fails, and what each kind of request makes of it.
+BOOST_AUTO_TEST_CASE(tell_exactly_what_has_run) {
+  served_world World;
+  struct fault_case {
+    const char *Do;
+    int Safe;    ///< Status, when both upstreams fail so.
+    bool MayRun; ///< At an upstream.
+    int Unsafe;
+    int UnsafeRuns;
+  };
+  const fault_case Cases[] = {
+      {"refuse", 503, false, 503, 0}, {"fail", 500, true, 500, 1},
+      {"reset", 502, true, 502, 1},   {"cut", 502, true, 502, 1},
+      {"garble", 502, true, 502, 1},  {"mute", 502, true, 504, 1},
+  };
+  for (const fault_case &Case : Cases)
+    BOOST_TEST_CONTEXT(Case.Do) {
+      std::string Query = std::string("x?do=") + Case.Do;
+      caller_answer Safe = World.request("/safe/" + Query, {.Method = "GET"});
+      BOOST_TEST(Safe.Status == Case.Safe);
+      // Never more often than the route allows.
+      int Runs = World.runs(World.LastId);
+      BOOST_TEST((Case.MayRun ? Runs >= 2 && Runs <= 3 : Runs == 0));
+      caller_answer Unsafe = World.request("/unsafe/" + Query);
+      BOOST_TEST(Unsafe.Status == Case.Unsafe);
+      BOOST_TEST(World.runs(World.LastId) == Case.UnsafeRuns);
+    }
+  for (const char *Do : {"extra", "unframed"})
+    BOOST_TEST_CONTEXT(Do) {
+      caller_answer Answer =
+          World.request(std::string("/unsafe/x?do=") + Do, {.Body = "b"});
+      BOOST_TEST(Answer.Status == 200);
+      BOOST_TEST(Answer.Body.ends_with("got b"));
+    }
+  // The surplus answer belongs to nobody, whoever comes next.
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(World.request("/unsafe/x", {.Body = "z"}).Body.ends_with("z"));
+}
+
+BOOST_AUTO_TEST_CASE(go_elsewhere_when_one_upstream_is_out_of_reach) {
+  served_world World;
+  for (proxy_fault Fault : {proxy_fault::Cut, proxy_fault::Hole}) {
+    World.Paths["i-1"]->set(Fault);
+    for (int I = 0; I < 6; ++I) {
+      caller_answer Answer = World.request("/safe/x", {.Method = "GET"});
+      BOOST_TEST(Answer.Status == 200);
+    }
+    World.Paths["i-1"]->set(proxy_fault::None);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE(streams)
+
+BOOST_AUTO_TEST_CASE(go_on_elsewhere_in_the_same_answer) {
+  served_world World;
+  caller_answer Answer = World.request("/stream/x?events=8");
+  BOOST_TEST(Answer.Body == events(1, 8));
+  Answer = World.request("/stream/x?events=8&break=3");
+  BOOST_TEST(Answer.Status == 200);
+  BOOST_TEST(Answer.Error.empty());
+  BOOST_TEST(Answer.Body == events(1, 8));
+  BOOST_TEST(World.runs(World.LastId) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(that_cannot_go_on_end_as_broken) {
+  served_world World;
+  // Each of the two breaks it once and there is no third.
+  World.Paths["i-1"]->set(proxy_fault::Cut);
+  caller_answer Answer = World.request("/stream/x?events=8&break=3");
+  BOOST_TEST(Answer.Body == events(1, 3));
+  BOOST_TEST(!Answer.Error.empty());
+}
+
+BOOST_AUTO_TEST_CASE(end_at_the_upstream_when_the_caller_leaves) {
+  served_world World;
+  auto Answer = World.beginRequest("/stream/x?events=500", {.Seconds = 0.3});
+  World.until("the caller has left", [&] { return Answer->Done; });
+  World.until("the upstream has stopped", [&] {
+    return World.Replicas["i-1"]->cancelled() +
+               World.Replicas["i-2"]->cancelled() ==
+           1;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(of_a_model_in_doubt_are_asked_of_the_largest) {
+  served_world World;
+  for (auto &[Id, Replica] : World.Replicas)
+    Replica->Confidence = 0.2;
+  caller_answer Answer =
+      World.request("/stream/x?events=3", {.Headers = {"X-Model: *"}});
+  BOOST_TEST(Answer.Body == events(1, 3));
+  BOOST_TEST(World.runs(World.LastId) == 2);
+  std::string Server = Answer.header("x-response-seal").substr(8);
+  BOOST_TEST(*World.Replicas[Server]->lastHead().find("X-Model") == "large");
+  for (auto &[Id, Replica] : World.Replicas)
+    Replica->Confidence = 0.9;
+  World.request("/stream/x?events=3", {.Headers = {"X-Model: *"}});
+  BOOST_TEST(World.runs(World.LastId) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(list_of_the_platform)
+
+BOOST_AUTO_TEST_CASE(is_followed_however_late_it_is) {
+  served_world World;
+  World.List->Refusals = 3;
+  World.List->put(*World.Replicas["i-1"], World.Paths["i-1"]->address(),
+                  "draining");
+  int Asked = World.List->Questions;
+  World.until("the list was read again",
+              [&] { return World.List->Questions > Asked + 6; });
+  int Before = World.Replicas["i-1"]->runs();
+  for (int I = 0; I < 8; ++I)
+    BOOST_TEST(World.request("/safe/x", {.Method = "GET"}).Status == 200);
+  BOOST_TEST(World.Replicas["i-1"]->runs() == Before);
+}
+
+BOOST_AUTO_TEST_CASE(may_name_an_address_that_another_has_now) {
+  served_world World;
+  replica_options Other{.Id = "i-9", .Service = "other"};
+  replica Stranger(World.Loop, Other);
+  World.Paths["i-1"]->setTarget(Stranger.address());
+  World.Replicas["i-1"]->crash();
+  for (int I = 0; I < 8; ++I)
+    BOOST_TEST(World.request("/safe/x", {.Method = "GET"}).Status == 200);
+  BOOST_TEST(Stranger.runs() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(stops)
+
+BOOST_AUTO_TEST_CASE(cut_no_request_and_take_none_unanswered) {
+  served_world World;
+  auto Slow = World.beginRequest("/unsafe/x?late=800", {.Body = "s"});
+  World.until("it runs", [&] {
+    return World.Replicas["i-1"]->runs() + World.Replicas["i-2"]->runs() > 1;
+  });
+  World.Gateway->signal(SIGTERM);
+  World.until("it is not ready",
+              [&] { return !World.ready(World.GatewayHealth); });
+  World.until("the slow one is answered", [&] { return Slow->Done; });
+  BOOST_TEST(Slow->Status == 200);
+  World.until("it has ended", [&] { return !World.Gateway->running(); });
+  BOOST_TEST(World.Gateway->exitCode() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(are_not_caused_by_a_changed_settings_file) {
+  served_world World;
+  World.Gateway->signal(SIGHUP);
+  World.until("the settings are read again", [&] {
+    return World.Gateway->logText().find("settings reloaded") !=
+           std::string::npos;
+  });
+  BOOST_TEST(World.Gateway->running());
+  BOOST_TEST(World.request("/safe/x", {.Method = "GET"}).Status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(routing_in_control)
+
+BOOST_AUTO_TEST_CASE(is_in_force_at_gateways_and_never_goes_back) {
+  served_world World;
+  json Old = World.usualRouting();
+  json New = World.usualRouting();
+  New["routes"].push_back(New["routes"][0]);
+  New["routes"].back()["path_prefix"] = "/added/";
+  BOOST_TEST(World.putRouting(New).Status == 200);
+  World.until("the new route is there", [&] {
+    return World.request("/added/x", {.Method = "GET"}).Status == 200;
+  });
+  // An older one, a resend, and other content under the same number.
+  BOOST_TEST(World.putRouting(Old).Status == 200);
+  BOOST_TEST(World.putRouting(New).Status == 200);
+  json Other = New;
+  Other["routes"].erase(3);
+  BOOST_TEST(World.putRouting(Other).Status == 200);
+  caller_answer Read = World.operatorCall("GET", "/v1/routing", "");
+  BOOST_TEST(json::parse(Read.Body) == New);
+  json Invalid = World.usualRouting();
+  Invalid["routes"][0]["service"] = "nobody";
+  caller_answer Refused = World.putRouting(Invalid);
+  BOOST_TEST(Refused.Status == 400);
+  BOOST_TEST(Refused.Body.find("routes[0].service") != std::string::npos);
+  BOOST_TEST(World.request("/added/x", {.Method = "GET"}).Status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(serves_on_without_control_and_comes_back_after_it) {
+  served_world World;
+  World.untilVoters(3);
+  for (auto &Node : World.Seeded)
+    Node->Process->kill();
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(World.request("/safe/x", {.Method = "GET"}).Status == 200);
+  // A gateway that starts now knows no routing and refuses as not run.
+  World.Gateway->kill();
+  World.Gateway->start();
+  World.until("it listens", [&] {
+    return World.request("/safe/x", {.Method = "GET"}).Status == 503;
+  });
+  for (auto &Node : World.Seeded)
+    Node->Process->start();
+  World.until("it serves again", [&] {
+    return World.request("/safe/x", {.Method = "GET"}).Status == 200;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(follows_a_new_leader_when_the_old_one_stands_still) {
+  served_world World;
+  World.untilVoters(3);
+  seeded_control *Old = World.leaderOf();
+  Old->Process->signal(SIGSTOP);
+  json New = World.usualRouting();
+  New["routes"][0]["path_prefix"] = "/moved/";
+  BOOST_TEST(World.putRouting(New).Status == 200);
+  World.until("the change is in force", [&] {
+    return World.request("/moved/x", {.Method = "GET"}).Status == 200;
+  });
+  Old->Process->signal(SIGCONT);
+  World.until("the old leader follows",
+              [&] { return !World.statusOf(*Old).value("leads", true); });
+  BOOST_TEST(World.request("/moved/x", {.Method = "GET"}).Status == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(members_by_seeds)
+
+BOOST_AUTO_TEST_CASE(hold_what_was_acknowledged_through_two_lost_disks) {
+  gateway_world World(5);
+  World.untilVoters(5);
+  json Routing = World.usualRouting();
+  BOOST_REQUIRE_EQUAL(World.putRouting(Routing).Status, 200);
+  for (int Round = 0; Round < 2; ++Round) {
+    // Two lose their disks, the leader among them; they come back empty.
+    seeded_control *Leader = World.leaderOf();
+    BOOST_REQUIRE(Leader);
+    std::vector<seeded_control *> Lost = {Leader};
+    for (auto &Node : World.Seeded)
+      if (Node.get() != Leader && Lost.size() < 2)
+        Lost.push_back(Node.get());
+    for (seeded_control *Each : Lost) {
+      Each->Process->kill();
+      std::filesystem::remove_all(Each->Folder);
+    }
+    for (seeded_control *Each : Lost)
+      Each->Process->start();
+    World.untilVoters(5);
+    caller_answer Read = World.operatorCall("GET", "/v1/routing", "");
+    BOOST_TEST(json::parse(Read.Body) == Routing);
+    Routing = World.usualRouting();
+    BOOST_REQUIRE_EQUAL(World.putRouting(Routing).Status, 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(replace_one_that_is_gone_by_a_new_one_at_a_new_address) {
+  gateway_world World(5);
+  World.untilVoters(5);
+  json Routing = World.usualRouting();
+  BOOST_REQUIRE_EQUAL(World.putRouting(Routing).Status, 200);
+  World.Seeded[4]->Process->kill();
+  World.addControl(false).Process->start();
+  World.until("the new one votes in its place", [&] {
+    seeded_control *Leader = World.leaderOf();
+    if (!Leader)
+      return false;
+    json Status = World.statusOf(*Leader);
+    std::string Members = Status["members"].dump();
+    return Status["members"].size() == 5 && World.voters() == 5 &&
+           Members.find("127.0.1.6:") != std::string::npos &&
+           Members.find("127.0.1.5:") == std::string::npos;
+  });
+  BOOST_TEST(json::parse(World.operatorCall("GET", "/v1/routing", "").Body) ==
+             Routing);
+}
+
+BOOST_AUTO_TEST_CASE(come_back_all_at_once) {
+  gateway_world World(5);
+  World.untilVoters(5);
+  json Routing = World.usualRouting();
+  BOOST_REQUIRE_EQUAL(World.putRouting(Routing).Status, 200);
+  for (auto &Node : World.Seeded)
+    Node->Process->kill();
+  for (auto &Node : World.Seeded)
+    Node->Process->start();
+  BOOST_TEST(json::parse(World.operatorCall("GET", "/v1/routing", "").Body) ==
+             Routing);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(roll_outs_of_services)
+
+BOOST_AUTO_TEST_CASE(
+    end_well_for_a_sound_version_and_are_taken_back_for_a_bad) {
+  for (bool Good : {true, false})
+    BOOST_TEST_CONTEXT((Good ? "sound" : "bad")) {
+      served_world World;
+      World.addReplica({.Id = "i-3", .Version = "v2"});
+      World.addReplica({.Id = "i-4", .Version = "v2"});
+      for (const char *Id : {"i-3", "i-4"})
+        World.Replicas[Id]->Fails = !Good;
+      caller_answer Begun = World.operatorCall(
+          "POST", "/v1/rollouts",
+          R"({"service":"plain","target_version":"v2","duration_s":6})");
+      BOOST_REQUIRE_EQUAL(Begun.Status, 200);
+      std::string State;
+      int Sent = 0;
+      World.until("the roll-out has ended", [&] {
+        World.request("/unsafe/x");
+        ++Sent;
+        caller_answer Read =
+            World.operatorCall("GET", "/v1/rollouts/plain", "");
+        State = json::parse(Read.Body).value("state", "");
+        return State != "running";
+      });
+      BOOST_TEST(State == (Good ? "completed" : "reverted"));
+      int New = World.Replicas["i-3"]->runs() + World.Replicas["i-4"]->runs();
+      BOOST_TEST(New > 0);
+      if (!Good)
+        BOOST_TEST(New < Sent * 15 / 100 + 30);
+      // The gateway hears of it within its next question.
+      World.run(1);
+      int Then = World.Replicas["i-3"]->runs() + World.Replicas["i-4"]->runs();
+      for (int I = 0; I < 6; ++I)
+        World.request("/unsafe/x");
+      int Since =
+          World.Replicas["i-3"]->runs() + World.Replicas["i-4"]->runs() - Then;
+      BOOST_TEST(Since == (Good ? 6 : 0));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -445,7 +445,6 @@
   if (Pid == 0) {
     int File = open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     dup2(File, STDOUT_FILENO);
-    dup2(File, STDOUT_FILENO);
     dup2(File, STDERR_FILENO);
     execv(OLIVEVALVECTL, Raw.data());
     _exit(127);
