Sooner back after all are lost: elections of 0.7 to 1.2 s, first routing asked of all

Cause of the worst windows: after all processes are killed a gateway refuses until a leader is elected and asked. Control VMs come back 0.6 s after the kill, the leader was there 1.1 to 1.8 s later, and a gateway asked one control VM after the other. Ruled out: routing from followers, whose log may be behind (they cannot know what is committed before the leader tells).

--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -33,8 +33,8 @@
   std::string Address;
   std::string OperatorAddress; ///< Told to the other members.
   double Heartbeat = 0.15;
-  double ElectionMin = 1.0;
-  double ElectionMax = 1.8;
+  double ElectionMin = 0.7;
+  double ElectionMax = 1.2;
   uint64_t Seed = 1;
   size_t TargetVoters = 3;   ///< Learners become voters up to this count.
   double SilentSeconds = 30; ///< A silent voter may be replaced after this.
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -87,6 +87,8 @@
 
 void control_watch::tick() {
   double Now = steadySeconds();
+  if (RoutingVersion == 0)
+    askAll();
   bool Silent = AskedAt > 0 && HeardAt < AskedAt;
   if (Leaderless || (Silent && Now > AskedAt + PatienceSeconds))
     moveOn();
@@ -99,7 +101,27 @@
   }
 }
 
+// Nothing can be served before the first routing, and nobody knows yet who
+// leads.
+void control_watch::askAll() {
+  std::string Asked = Current;
+  for (const std::string &Each : known())
+    if (Each != Asked) {
+      Current = Each;
+      send();
+    }
+  Current = Asked;
+}
+
 void control_watch::ask() {
+  double Now = steadySeconds();
+  // A question that is still open keeps its time, so that silence shows.
+  if (AskedAt == 0 || HeardAt >= AskedAt)
+    AskedAt = Now;
+  send();
+}
+
+void control_watch::send() {
   if (Current.empty())
     return;
   wire::envelope Message;
@@ -111,10 +133,6 @@
   Watch->set_rollouts_revision(RolloutsRevision);
   if (OnAsk)
     OnAsk(*Watch);
-  double Now = steadySeconds();
-  // A question that is still open keeps its time, so that silence shows.
-  if (AskedAt == 0 || HeardAt >= AskedAt)
-    AskedAt = Now;
   linkTo(Current).send(Message);
 }
 
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -49,6 +49,8 @@
 private:
   void tick();
   void ask();
+  void askAll();
+  void send();
   void receive(const std::string &From, const wire::notice &Notice);
   void moveOn();
   std::vector<std::string> known() const;
