--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -194,7 +194,8 @@
   Connection.Later.startOnce(EventGapSeconds);
 }
 
-upstream_list_stand_in::upstream_list_stand_in(struct ev_loop *Loop)
+upstream_list_stand_in::upstream_list_stand_in(struct ev_loop *Loop,
+                                               const std::string &At)
     : Server(Loop, {}, [this](const std::shared_ptr<http_exchange> &Exchange) {
         ++Questions;
         if (Refusals > 0) {
@@ -211,7 +212,7 @@
             200, "application/json",
             json({{"upstreams", List}, {"next_page", Next}}).dump());
       }) {
-  Server.bind("127.0.0.1:0");
+  Server.bind(At);
   Address = Server.address();
 }
 
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -98,7 +98,8 @@
 /// The platform's list of upstreams.
 class upstream_list_stand_in {
 public:
-  explicit upstream_list_stand_in(struct ev_loop *Loop);
+  explicit upstream_list_stand_in(struct ev_loop *Loop,
+                                  const std::string &At = "127.0.0.1:0");
   const std::string &address() const { return Address; }
   /// \p At: where callers are sent, as a proxy on the way.
   void put(const replica &Replica, const std::string &At,
