--- a/net/tcp_stream.cpp
+++ b/net/tcp_stream.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 tcp_stream::tcp_stream(struct ev_loop *Loop, int Socket)
-    : Loop(Loop), Socket(Socket), Connected(true),
+    : Socket(Socket), Connected(true),
       Watch(Loop, [this](int Events) { onReady(Events); }),
       Failure(Loop, [this] { fail(); }) {
   sendAtOnce(Socket);
@@ -56,7 +56,7 @@
 }
 
 tcp_stream::tcp_stream(struct ev_loop *Loop, const std::string &Address)
-    : Loop(Loop), Socket(connectTo(Address)), Connected(false),
+    : Socket(connectTo(Address)), Connected(false),
       Watch(Loop, [this](int Events) { onReady(Events); }),
       Failure(Loop, [this] { fail(); }) {
   if (Socket < 0)
--- a/net/tcp_stream.h
+++ b/net/tcp_stream.h
@@ -49,7 +49,6 @@
   void fail();
   void watch();
 
-  struct ev_loop *Loop;
   int Socket;
   bool Connected;
   bool Reading = true;
