--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -34,7 +34,8 @@
 }
 
 std::vector<upstream_view> views(std::initializer_list<double> Loads) {
-  static const char *Names[] = {"a", "b", "c", "d", "e", "f"};
+  static const char *Names[] = {"a", "b", "c", "d", "e", "f",
+                                "g", "h", "i", "j", "k", "l"};
   std::vector<upstream_view> Views;
   for (double Load : Loads)
     Views.push_back({.Id = Names[Views.size()], .Load = Load, .Slots = 10});
@@ -114,10 +115,12 @@
       Far += *chooseByAffinity(Views, Key) >= Near;
     BOOST_TEST((Near == 5 ? Far == 0 : Far > 0));
   }
-  // Not when all of them have clearly more to do.
+  // Not when all of them have clearly more to do than the other halls.
+  Views = views({40, 40, 40, 40, 40, 1, 1, 1, 1, 1, 1, 1});
   for (size_t I = 0; I < 5; ++I)
-    Views[I].Load = 40;
-  BOOST_TEST(*chooseByAffinity(Views, 7) == 5U);
+    Views[I].SameHall = true;
+  for (uint64_t Key = 0; Key < 50; ++Key)
+    BOOST_TEST(*chooseByAffinity(Views, Key) >= 5U);
 }
 
 BOOST_AUTO_TEST_CASE(gives_a_key_away_rather_than_let_it_wait) {
