A request without an upstream left ends at once; connections kept to a part

Cause: with every upstream out of reach, or at its limit, a request was tried again for ever in one call, as 'no connection' counted as a reason to go on: the process overran its stack. Ruled out: the balancer's or the proxy's doing (no upstream was asked). conclude() ends what has nothing left to try.

Gateways open no more than their part of an upstream's max_connections; requests beyond are refused as not run.

--- a/catalog/routing.cpp
+++ b/catalog/routing.cpp
@@ -219,8 +219,6 @@
 
 } // namespace
 
-std::string_view nameOf(route_kind Kind) { return KindNames[size_t(Kind)]; }
-
 absl::StatusOr<routing_config> readRouting(std::string_view Text) {
   auto Document = parseJson(Text, "routing");
   if (!Document.ok())
--- a/catalog/routing.h
+++ b/catalog/routing.h
@@ -94,8 +94,6 @@
 /// field and what is allowed.
 absl::StatusOr<routing_config> readRouting(std::string_view Text);
 
-std::string_view nameOf(route_kind Kind);
-
 /// A configuration with its look-ups prepared.
 class routing_table {
 public:
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -22,6 +22,8 @@
 constexpr double SilentTargets = 2;
 constexpr double SilentGaps = 1.5;
 constexpr double LeastPatience = 0.5;
+// Timers of the loop may fire a moment early.
+constexpr double TimerSlack = 1e-3;
 // A caller that does not read holds back its upstream from here on.
 constexpr size_t MostUnsent = 256 << 10;
 // Answers that are not events are held whole up to this.
@@ -195,7 +197,7 @@
     return onTimer();
   Upstream = choose();
   if (!Upstream)
-    return again(false, LastTrouble.empty() ? "no upstream" : LastTrouble);
+    return conclude(LastTrouble.empty() ? "no upstream" : LastTrouble);
   Connection = Connections.acquire(Upstream);
   Tried.insert(Upstream->Listed.Id);
   if (!Connection) {
@@ -243,14 +245,19 @@
     State.Pins.stay(Draw, Now);
 }
 
+// Seconds of silence after which the upstream is taken for dead.
+double forwarding::patience() const {
+  double Silence = HeadSent ? SilentGaps * Route->GapSeconds
+                            : SilentTargets * Route->TargetSeconds;
+  return std::max(Silence, LeastPatience);
+}
+
 void forwarding::armTimer() {
   double Now = steadySeconds();
   double At = EndsAt;
   bool MayMove = Route->repeatable() && Attempts < Route->MaxAttempts;
   if (MayMove && Connection) {
-    double Silence = HeadSent ? SilentGaps * Route->GapSeconds
-                              : SilentTargets * Route->TargetSeconds;
-    At = std::min(At, HeardAt + std::max(Silence, LeastPatience));
+    At = std::min(At, HeardAt + patience());
   }
   Timer.startOnce(std::max(0.0, At - Now));
 }
@@ -268,9 +275,7 @@
                   "the time for this request is over");
   }
   // Bytes have come since the timer was set.
-  double Silence = HeadSent ? SilentGaps * Route->GapSeconds
-                            : SilentTargets * Route->TargetSeconds;
-  if (!Connection || Now < HeardAt + std::max(Silence, LeastPatience) - 1e-3)
+  if (!Connection || Now < HeardAt + patience() - TimerSlack)
     return armTimer();
   // A slow answer is better than none: it is left only for another upstream.
   bool Elsewhere =
@@ -303,9 +308,15 @@
 void forwarding::again(bool WasRun, std::string_view Why) {
   MayHaveRun = MayHaveRun || WasRun;
   LastTrouble = Why;
-  bool Can = mayTryAgain(WasRun) && Why != std::string_view("no upstream");
-  if (Can && (Attempts == 0 || State.Budgets.at(Service).take()))
+  bool Can = mayTryAgain(WasRun) &&
+             (Attempts == 0 || State.Budgets.at(Service).take());
+  if (Can)
     return attempt();
+  conclude(Why);
+}
+
+// There is nothing left to try.
+void forwarding::conclude(std::string_view Why) {
   if (HeadSent)
     return over(Why, 0);
   if (Answer.Status != 0)
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -32,6 +32,7 @@
   upstream_table Upstreams;
   software_versions Versions;
   session_pins Pins;
+  uint32_t Gateways = 1; ///< That share the upstreams, this one included.
   retry_bounds RetryBounds;
   std::map<std::string, retry_budget> Budgets; ///< By service.
   std::mt19937_64 Random{1};
@@ -92,8 +93,10 @@
   bool asksLargerModel();
   bool mayTryAgain(bool WasRun) const;
   void again(bool WasRun, std::string_view Why);
+  void conclude(std::string_view Why);
   void giveUp(error_kind Kind, std::string_view Why);
   void onTimer();
+  double patience() const;
   void armTimer();
   void leaveUpstream();
   void passOn(std::string_view Bytes);
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -19,6 +19,9 @@
 constexpr double SessionMargin = 2;
 // How many share the bound on retries while control has not told.
 constexpr uint32_t UnknownGateways = 20;
+// To one upstream, when its service tells no limit, and at least.
+constexpr uint32_t UnlimitedConnections = 1000;
+constexpr uint32_t LeastConnections = 4;
 
 } // namespace
 
@@ -40,7 +43,7 @@
   State.Loop = Loop;
   State.Metrics = &Metrics;
   State.DataHall = Options.DataHall;
-  shareRetries(UnknownGateways);
+  shareBounds(UnknownGateways);
   State.Random.seed(randomIncarnation());
   State.Pins.setLifetime(Options.SessionSeconds * SessionMargin);
   Watch.OnAsk = [this](wire::watch &Ask) {
@@ -63,7 +66,7 @@
   Watch.OnStaying = [this](uint64_t Key) {
     State.Pins.heardStaying(Key, steadySeconds());
   };
-  Watch.OnGateways = [this](uint32_t Count) { shareRetries(Count); };
+  Watch.OnGateways = [this](uint32_t Count) { shareBounds(Count); };
   SweepTimer.startRepeating(SweepSeconds);
   ListTimer.startOnce(0);
 }
@@ -92,7 +95,8 @@
   State.Routing = std::make_shared<routing_table>(*std::move(Config));
 }
 
-void gateway_task::shareRetries(uint32_t Gateways) {
+void gateway_task::shareBounds(uint32_t Gateways) {
+  State.Gateways = Gateways;
   State.RetryBounds =
       retry_bounds::partOf(Options.RetryRatio, Options.RetrySlack, Gateways);
   for (auto &[Service, Budget] : State.Budgets)
@@ -144,6 +148,16 @@
   UpstreamConnections.erase(It);
 }
 
+// An upstream resets connections beyond its own limit, so each gateway keeps
+// to its part.
+uint32_t gateway_task::connectionsFor(const std::string &Service) const {
+  const routed_service *Spec =
+      State.Routing ? State.Routing->service(Service) : nullptr;
+  if (!Spec || Spec->MaxConnections == 0)
+    return UnlimitedConnections;
+  return std::max(LeastConnections, Spec->MaxConnections / State.Gateways);
+}
+
 // The one used last: the others can go when their time is over.
 upstream_connection *
 gateway_task::acquire(const std::shared_ptr<upstream> &Upstream) {
@@ -155,6 +169,8 @@
       return Last;
     Last->drop();
   }
+  if (Upstream->Connections >= connectionsFor(Upstream->Listed.Service))
+    return nullptr;
   State.Metrics->count("upstream_connections", "opened");
   auto Connection =
       std::make_unique<upstream_connection>(Loop, *this, Upstream);
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -68,7 +68,8 @@
   void takePage(const fetch_result &Result);
   void takeList();
   void takeRouting(uint64_t Version, const std::string &Document);
-  void shareRetries(uint32_t Gateways);
+  void shareBounds(uint32_t Gateways);
+  uint32_t connectionsFor(const std::string &Service) const;
   void forgetIdle(upstream_connection &Connection);
 
   struct ev_loop *Loop;
