--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -245,8 +245,10 @@
   *Notice->mutable_members() = Core.members().members();
   bool Sure = !Core.isLeader() || leads(steadySeconds());
   Notice->set_leader(Sure ? Core.leader() : 0);
-  if (Core.isLeader())
+  if (Core.isLeader()) {
     Notice->set_gateways(uint32_t(Gateways.gateways().size()));
+    Gateways.fillAddresses(Peer, *Notice);
+  }
   Gateways.fillStaying(Peer, steadySeconds(), *Notice);
   Server.send(Peer, Message);
 }
--- a/control/gateway_table.cpp
+++ b/control/gateway_table.cpp
@@ -1,7 +1,9 @@
 //===- gateway_table.cpp - What gateways hold and have seen ---------------===//
 
 #include "control/gateway_table.h"
+#include "base/digest.h"
 #include <algorithm>
+#include <set>
 
 namespace olivevalve {
 
@@ -10,6 +12,9 @@
 // Gateways ask twice a second; one silent for so long has left or has gone to
 // another control VM.
 constexpr double SilentSeconds = 10;
+// With more gateways each tells its work to those of its own data hall only:
+// what a gateway sends and hears must not grow with their number.
+constexpr size_t MostInOneCircle = 64;
 
 } // namespace
 
@@ -20,10 +25,12 @@
   gateway_record &Gateway = Gateways[Peer];
   Gateway = {.Node = Watch.node(),
              .DataHall = Watch.data_hall(),
+             .NewsAddress = Watch.news_address(),
              .Incarnation = Watch.incarnation(),
              .RoutingVersion = Watch.routing_version(),
              .RolloutsRevision = Watch.rollouts_revision(),
              .LastSeen = Now,
+             .GatewaysRevision = Watch.gateways_revision(),
              .ToldStayingAt = Gateway.ToldStayingAt};
   for (const wire::version_tally &Tally : Watch.tallies())
     Tallies[{Tally.service(), Tally.version()}][Watch.incarnation()] = {
@@ -44,6 +51,22 @@
   Gateway.ToldStayingAt = Now;
 }
 
+void gateway_table::fillAddresses(const std::string &Peer,
+                                  wire::notice &Notice) const {
+  const gateway_record &Asking = Gateways.at(Peer);
+  std::set<std::string> Addresses;
+  for (const auto &[Name, Each] : Gateways)
+    if (!Each.NewsAddress.empty() && (Gateways.size() <= MostInOneCircle ||
+                                      Each.DataHall == Asking.DataHall))
+      Addresses.insert(Each.NewsAddress);
+  uint64_t Revision = 1;
+  for (const std::string &Address : Addresses)
+    Revision = checksum(Address, Revision);
+  Notice.set_gateways_revision(Revision);
+  if (Revision != Asking.GatewaysRevision)
+    Notice.mutable_news_addresses()->Assign(Addresses.begin(), Addresses.end());
+}
+
 void gateway_table::forgetSilent(double Now) {
   while (!Staying.empty() && Staying.front().ToldAt + SilentSeconds < Now)
     Staying.pop_front();
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -22,10 +22,12 @@
 struct gateway_record {
   std::string Node;
   std::string DataHall;
+  std::string NewsAddress; ///< Where it hears of other gateways' work, or "".
   uint64_t Incarnation = 0;
   uint64_t RoutingVersion = 0;
   uint64_t RolloutsRevision = 0;
   double LastSeen = 0;
+  uint64_t GatewaysRevision = 0; ///< Of the addresses that it was told.
   double ToldStayingAt = 0; ///< Staying sessions up to then were told to it.
 };
 
@@ -37,6 +39,8 @@
   const gateway_record *find(const std::string &Peer) const;
   /// Fills in the sessions that gateways told since \p Peer was told last.
   void fillStaying(const std::string &Peer, double Now, wire::notice &Notice);
+  /// Fills in where gateways hear, if \p Peer was told something else.
+  void fillAddresses(const std::string &Peer, wire::notice &Notice) const;
   const std::map<std::string, gateway_record> &gateways() const {
     return Gateways;
   }
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -169,13 +169,17 @@
   gateway_options Gateway;
   int64_t Connections = int64_t(Gateway.MaxConnections);
   Addresses.read(Reader, "address", Gateway.Address, presence::Required);
+  Addresses.read(Reader, "news_address", Gateway.NewsAddress,
+                 presence::Optional);
   Reader.text("upstream_list", Gateway.UpstreamListAddress, presence::Required);
   if (!Gateway.UpstreamListAddress.empty() &&
       !isAddress(Gateway.UpstreamListAddress))
     Reader.fault("upstream_list", "must be IP:port");
   Reader.number("list_seconds", Gateway.ListSeconds, {0.1, 60});
-  Reader.number("retry_ratio", Gateway.RetryRatio, {0, 10});
-  Reader.number("retry_slack", Gateway.RetrySlack, {0, 1e6});
+  Reader.number("retry_ratio", Gateway.Retries.Ratio, {0, 10});
+  Reader.number("retry_slack", Gateway.Retries.Slack, {0, 1e6});
+  Reader.number("retry_window_seconds", Gateway.Retries.WindowSeconds,
+                {1, 600});
   Reader.number("session_seconds", Gateway.SessionSeconds, {0.1, 86400});
   Reader.integer("max_connections", Connections, {1, 60000});
   Gateway.MaxConnections = size_t(Connections);
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -5,7 +5,6 @@
 #include "base/digest.h"
 #include "base/log.h"
 #include "policy/model_choice.h"
-#include "policy/upstream_choice.h"
 #include <algorithm>
 
 namespace olivevalve {
@@ -33,16 +32,6 @@
 constexpr std::string_view RetryAfterSeconds = "0.3";
 constexpr std::string_view AnyModel = "*";
 
-uint64_t affinityKeyOf(const platform::model_request &Request) {
-  // The last part is the request's own.
-  uint64_t Key = 1;
-  for (size_t I = 0; I + 1 < Request.Parts.size(); ++I)
-    Key = checksum({reinterpret_cast<const char *>(&Request.Parts[I].Id),
-                    sizeof(Request.Parts[I].Id)},
-                   Key);
-  return Key;
-}
-
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -88,10 +77,8 @@
   double Deadline = Facts.DeadlineSeconds.value_or(NoDeadline);
   EndsAt = BegunAt + std::min(Deadline, Route->TimeoutSeconds);
   Service = pickService();
-  State.Budgets.try_emplace(Service, State.RetryBounds)
-      .first->second.requestSeen();
-  if (Facts.Model)
-    AffinityKey = affinityKeyOf(*Facts.Model);
+  State.Budgets.try_emplace(Service, State.RetryBounds, State.Gateways)
+      .first->second.requestSeen(BegunAt);
   if (choosesModel())
     ModelPlace = firstModel(Route->Sizes.size());
   attempt();
@@ -120,57 +107,13 @@
   return Shares.back().Service;
 }
 
-// The same at every gateway for all requests of a session.
-uint64_t forwarding::versionDraw() const {
-  return checksum(Facts.Session.empty() ? Facts.AttemptId : Facts.Session,
-                  checksum(Service));
-}
-
-std::shared_ptr<upstream> forwarding::choose() {
-  double Now = steadySeconds();
-  const std::string &Settled = State.Upstreams.settledVersion(Service);
-  const session_pin *Pin = Facts.Session.empty()
-                               ? nullptr
-                               : State.Pins.find(Service, Facts.Session, Now);
-  uint64_t Draw = versionDraw();
-  std::string Pinned = Pin ? Pin->Version : std::string();
-  if (!Pin && State.Pins.stays(Draw, Now))
-    Pinned = Settled;
-  const std::string &Wanted =
-      State.Versions.versionFor(Service, Settled, Pinned, Draw);
-  std::string_view Barred = State.Versions.barred(Service);
-  std::vector<std::shared_ptr<upstream>> Fit;
-  std::vector<std::shared_ptr<upstream>> Others;
-  for (const auto &Each : State.Upstreams.ofService(Service)) {
-    if (!Each->takesNew() || Tried.contains(Each->Listed.Id) ||
-        Each->Listed.Version == Barred)
-      continue;
-    (Each->Listed.Version == Wanted ? Fit : Others).push_back(Each);
-  }
-  // The session's memory is where it was served last.
-  if (Pin && Route->Sticky)
-    for (const auto &Each : Fit)
-      if (Each->Listed.Id == Pin->Upstream && !Each->suspect(Now) &&
-          Each->load(Now) < Each->Listed.Slots)
-        return Each;
-  return chooseAmong(Fit.empty() ? Others : Fit, Now);
-}
-
-std::shared_ptr<upstream>
-forwarding::chooseAmong(const std::vector<std::shared_ptr<upstream>> &Fit,
-                        double Now) {
-  std::vector<upstream_view> Views;
-  Views.reserve(Fit.size());
-  for (const auto &Each : Fit)
-    Views.push_back({.Id = Each->Listed.Id,
-                     .Load = Each->load(Now),
-                     .Slots = double(Each->Listed.Slots),
-                     .SameHall = Each->Listed.DataHall == State.DataHall,
-                     .Suspect = Each->suspect(Now)});
-  bool ByMemory = Route->Sticky && Facts.Model && Facts.Model->Parts.size() > 1;
-  auto Place = ByMemory ? chooseByAffinity(Views, AffinityKey + ModelPlace)
-                        : chooseLeastLoaded(Views, State.Random);
-  return Place ? Fit[*Place] : nullptr;
+selection_request forwarding::selectionAt(double Now) const {
+  return {.Service = Service,
+          .Route = *Route,
+          .Facts = Facts,
+          .Tried = Tried,
+          .ModelPlace = choosesModel() ? ModelPlace : Route->Sizes.size(),
+          .Now = Now};
 }
 
 bool forwarding::choosesModel() const {
@@ -182,10 +125,27 @@
 bool forwarding::asksLargerModel() {
   if (!choosesModel() || HeadSent || Confidence < 0 || !mayTryAgain(true))
     return false;
+  double Now = steadySeconds();
+  size_t Largest = Route->Sizes.size() - 1;
+  selection_request Request = selectionAt(Now);
+  Request.ModelPlace = Largest;
+  outlook Outlook = outlookFor(State, *Routing, Request);
   auto Larger = largerModel({.Models = Route->Sizes.size(),
                              .Place = ModelPlace,
-                             .Confidence = Confidence});
-  if (!Larger || !State.Budgets.at(Service).take())
+                             .Confidence = Confidence,
+                             .ReadTokens = Facts.Model->PromptTokens,
+                             .MadeTokens = likelyTokens(*Facts.Model),
+                             .BacklogSeconds = Outlook.BacklogSeconds,
+                             .InTime = Now + Outlook.FirstTokenSeconds <
+                                       BegunAt + Route->TargetSeconds});
+  logLine(log_level::Debug, "larger model weighed",
+          {{"id", Facts.AttemptId},
+           {"confidence", Confidence},
+           {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
+           {"backlog_s", Outlook.BacklogSeconds},
+           {"first_token_s", Outlook.FirstTokenSeconds},
+           {"asked", int64_t(Larger.has_value())}});
+  if (!Larger || !State.Budgets.at(Service).take(steadySeconds()))
     return false;
   ModelPlace = *Larger;
   return true;
@@ -195,7 +155,8 @@
   double Now = steadySeconds();
   if (left(Now) < LeastSeconds)
     return onTimer();
-  Upstream = choose();
+  selection_request Request = selectionAt(Now);
+  Upstream = select(State, *Routing, Request);
   if (!Upstream)
     return conclude(LastTrouble.empty() ? "no upstream" : LastTrouble);
   Connection = Connections.acquire(Upstream);
@@ -209,6 +170,14 @@
   if (choosesModel())
     Model = Route->Sizes[ModelPlace];
   LastUpstream = Upstream;
+  if (Facts.Model) {
+    prompt_work Work = promptWork(State, *Routing, Request);
+    State.Shares[Service].seen(workClassOf(Work.Prompt.Seconds),
+                               Work.WholeSeconds, Now);
+    PromptSeconds = Work.Prompt.Seconds;
+    Upstream->PromptSeconds += PromptSeconds;
+  }
+  State.Peers->changed(*Upstream);
   touchSession();
   platform::upstream_request Sent{.Instance = Upstream->Listed.Id,
                                   .DeadlineSeconds = left(Now)};
@@ -235,11 +204,14 @@
     return;
   double Now = steadySeconds();
   const std::string &Version = LastUpstream->Listed.Version;
-  State.Pins.touch(Service, Facts.Session, Version, LastUpstream->Listed.Id,
-                   Now);
+  State.Pins.touch(Service, Facts.Session,
+                   {.Version = Version,
+                    .Upstream = LastUpstream->Listed.Id,
+                    .Model = Model,
+                    .TouchedAt = Now});
   // The session may go on at another entry, which must know where it belongs
   // when a roll-out begins.
-  uint64_t Draw = versionDraw();
+  uint64_t Draw = versionDraw(Service, Facts);
   if (software_versions::isCanary(Draw) &&
       Version != State.Versions.target(Service))
     State.Pins.stay(Draw, Now);
@@ -278,8 +250,8 @@
   if (!Connection || Now < HeardAt + patience() - TimerSlack)
     return armTimer();
   // A slow answer is better than none: it is left only for another upstream.
-  bool Elsewhere =
-      mayTryAgain(true) && State.Budgets.at(Service).left() && choose();
+  bool Elsewhere = mayTryAgain(true) && State.Budgets.at(Service).left(Now) &&
+                   select(State, *Routing, selectionAt(Now));
   if (!Elsewhere)
     return Timer.startOnce(std::max(0.0, left(Now)));
   Upstream->failed(Now);
@@ -294,10 +266,20 @@
   if (Connection)
     Connection->drop();
   Connection = nullptr;
+  promptRead();
   --Upstream->InFlight;
+  State.Peers->changed(*Upstream);
   Upstream = nullptr;
 }
 
+// The upstream has read the prompt of the attempt in hand, or will not.
+void forwarding::promptRead() {
+  if (PromptSeconds == 0)
+    return;
+  Upstream->PromptSeconds -= std::exchange(PromptSeconds, 0);
+  State.Peers->changed(*Upstream);
+}
+
 bool forwarding::mayTryAgain(bool WasRun) const {
   return Attempts < Route->MaxAttempts && (!WasRun || Route->repeatable()) &&
          (!MayHaveRun || Route->repeatable()) &&
@@ -309,7 +291,7 @@
   MayHaveRun = MayHaveRun || WasRun;
   LastTrouble = Why;
   bool Can = mayTryAgain(WasRun) &&
-             (Attempts == 0 || State.Budgets.at(Service).take());
+             (Attempts == 0 || State.Budgets.at(Service).take(steadySeconds()));
   if (Can)
     return attempt();
   conclude(Why);
@@ -333,6 +315,12 @@
   NotRunAnswer = AnswerFacts.NotRun;
   bool Good = AnswerHead.Status >= 200 && AnswerHead.Status < 300;
   AnswerIsEvents = streaming() && Good;
+  if (AnswerIsEvents && Facts.Model)
+    State.Pace.firstToken(
+        Model.empty() ? Facts.Model->Model : Model,
+        modelCost(*Routing, *Route, Service, selectionAt(Now).ModelPlace),
+        Facts.Model->PromptTokens, Now - SentAt);
+  promptRead();
   if (HeadSent)
     return;
   Confidence = AnswerFacts.Confidence.value_or(-1);
@@ -346,6 +334,14 @@
   auto Keep = shared_from_this();
   Upstream->answered();
   countAnswer(false);
+  logLine(log_level::Info, "larger model asked",
+          {{"id", Facts.AttemptId},
+           {"confidence", Confidence},
+           {"upstream", Upstream->Listed.Id},
+           {"asked", Model},
+           {"asks", Route->Sizes[ModelPlace]},
+           {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
+           {"seconds_there", Now - SentAt}});
   leaveUpstream();
   Answer = {};
   attempt();
@@ -364,6 +360,7 @@
     return;
   if (!HeadSent) {
     HeadSent = true;
+    FirstEventAt = HeardAt;
     Caller->begin(Answer.Status, Answer.Reason, Answer.Lines);
     countAnswer(false);
     State.Metrics->record(measure::TimeToFirstToken, Route->Name,
@@ -485,24 +482,27 @@
   State.Metrics->count("requests", Status >= 200 && Status < 300 ? "served"
                                    : Status == 0                 ? "broken off"
                                                  : "not served");
-  logLine(log_level::Info, "request over",
-          {{"id", Facts.AttemptId},
-           {"route", Name},
-           {"routing", Routing ? int64_t(Routing->version()) : 0},
-           {"account", Account ? std::string_view(Account->Name) : ""},
-           {"session", Facts.Session},
-           {"service", Service},
-           {"upstream", LastUpstream ? LastUpstream->Listed.Id : ""},
-           {"version", LastUpstream ? LastUpstream->Listed.Version : ""},
-           {"model", Model},
-           {"confidence", Confidence},
-           {"attempts", int64_t(Attempts)},
-           {"trouble", LastTrouble},
-           {"may_have_run", int64_t(MayHaveRun)},
-           {"status", int64_t(Status)},
-           {"outcome", Outcome},
-           {"event_bytes", int64_t(EventBytes)},
-           {"seconds", steadySeconds() - BegunAt}});
+  logLine(
+      log_level::Info, "request over",
+      {{"id", Facts.AttemptId},
+       {"route", Name},
+       {"routing", Routing ? int64_t(Routing->version()) : 0},
+       {"account", Account ? std::string_view(Account->Name) : ""},
+       {"session", Facts.Session},
+       {"service", Service},
+       {"upstream", LastUpstream ? LastUpstream->Listed.Id : ""},
+       {"version", LastUpstream ? LastUpstream->Listed.Version : ""},
+       {"model", Model},
+       {"prompt_tokens", int64_t(Facts.Model ? Facts.Model->PromptTokens : 0)},
+       {"first_event_s", FirstEventAt > 0 ? FirstEventAt - SentAt : -1},
+       {"confidence", Confidence},
+       {"attempts", int64_t(Attempts)},
+       {"trouble", LastTrouble},
+       {"may_have_run", int64_t(MayHaveRun)},
+       {"status", int64_t(Status)},
+       {"outcome", Outcome},
+       {"event_bytes", int64_t(EventBytes)},
+       {"seconds", steadySeconds() - BegunAt}});
   OnOver(*this);
 }
 
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -10,34 +10,15 @@
 #define OLIVEVALVE_GATEWAY_FORWARDING_H
 
 #include "base/error.h"
-#include "base/metrics.h"
-#include "catalog/routing.h"
 #include "gateway/event_splitter.h"
-#include "gateway/session_pins.h"
-#include "gateway/software_versions.h"
+#include "gateway/gateway_state.h"
+#include "gateway/selection.h"
 #include "gateway/upstream_connection.h"
 #include "net/caller_connection.h"
-#include "policy/limits.h"
-#include <random>
 #include <set>
 
 namespace olivevalve {
 
-/// What all requests of a gateway share.
-struct gateway_state {
-  struct ev_loop *Loop = nullptr;
-  metrics *Metrics = nullptr;
-  std::string DataHall;
-  std::shared_ptr<const routing_table> Routing; ///< Null: not known yet.
-  upstream_table Upstreams;
-  software_versions Versions;
-  session_pins Pins;
-  uint32_t Gateways = 1; ///< That share the upstreams, this one included.
-  retry_bounds RetryBounds;
-  std::map<std::string, retry_budget> Budgets; ///< By service.
-  std::mt19937_64 Random{1};
-};
-
 /// Gives out connections to upstreams.
 class connection_source {
 public:
@@ -85,10 +66,7 @@
   bool authorise();
   const std::string &pickService();
   void attempt();
-  uint64_t versionDraw() const;
-  std::shared_ptr<upstream> choose();
-  std::shared_ptr<upstream>
-  chooseAmong(const std::vector<std::shared_ptr<upstream>> &Fit, double Now);
+  selection_request selectionAt(double Now) const;
   bool choosesModel() const;
   bool asksLargerModel();
   bool mayTryAgain(bool WasRun) const;
@@ -99,6 +77,7 @@
   double patience() const;
   void armTimer();
   void leaveUpstream();
+  void promptRead();
   void passOn(std::string_view Bytes);
   void deliver();
   void over(std::string_view Outcome, int Status);
@@ -121,7 +100,6 @@
   const route_spec *Route = nullptr;
   const caller_account *Account = nullptr;
   std::string Service;
-  uint64_t AffinityKey = 0;
 
   double BegunAt;
   double EndsAt;
@@ -131,13 +109,15 @@
   std::shared_ptr<upstream> Upstream;
   std::shared_ptr<upstream> LastUpstream; ///< Of the last attempt.
   upstream_connection *Connection = nullptr;
-  double Confidence = -1;  ///< Of the model in its answer, 0 to 1; -1: untold.
-  size_t ModelPlace = 0;   ///< Of the model asked, in the route's sizes.
-  std::string Model;       ///< Chosen by this gateway; empty: the caller's.
-  double SentAt = 0;       ///< The attempt in hand.
-  double HeardAt = 0;      ///< Last bytes of the answer in hand.
-  bool MayHaveRun = false; ///< Some attempt did, or perhaps did.
-  bool HeadSent = false;   ///< The caller has the head of its answer.
+  double Confidence = -1;   ///< Of the model in its answer, 0 to 1; -1: untold.
+  size_t ModelPlace = 0;    ///< Of the model asked, in the route's sizes.
+  std::string Model;        ///< Chosen by this gateway; empty: the caller's.
+  double PromptSeconds = 0; ///< Of the upstream's time; 0 once it has read.
+  double SentAt = 0;        ///< The attempt in hand.
+  double FirstEventAt = 0;  ///< Of the answer; 0: none yet.
+  double HeardAt = 0;       ///< Last bytes of the answer in hand.
+  bool MayHaveRun = false;  ///< Some attempt did, or perhaps did.
+  bool HeadSent = false;    ///< The caller has the head of its answer.
   bool AnswerIsEvents = false;
   bool NotRunAnswer = false;
   bool Finished = false;
--- /dev/null
+++ b/gateway/gateway_state.h
@@ -0,0 +1,40 @@
+//===- gateway_state.h - What all requests of a gateway share ---*- C++ -*-===//
+
+#ifndef OLIVEVALVE_GATEWAY_GATEWAY_STATE_H
+#define OLIVEVALVE_GATEWAY_GATEWAY_STATE_H
+
+#include "base/metrics.h"
+#include "catalog/routing.h"
+#include "gateway/peer_work.h"
+#include "gateway/session_pins.h"
+#include "gateway/software_versions.h"
+#include "gateway/upstream_table.h"
+#include "policy/retry_window.h"
+#include "policy/work_shares.h"
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace olivevalve {
+
+struct gateway_state {
+  struct ev_loop *Loop = nullptr;
+  metrics *Metrics = nullptr;
+  std::string DataHall;
+  std::shared_ptr<const routing_table> Routing; ///< Null: not known yet.
+  upstream_table Upstreams;
+  peer_work *Peers = nullptr; ///< What the other gateways have under way.
+  software_versions Versions;
+  session_pins Pins;
+  uint32_t Gateways = 1; ///< That share the upstreams, this one included.
+  retry_window_bounds RetryBounds;             ///< Of all gateways.
+  std::map<std::string, retry_window> Budgets; ///< By service.
+  std::map<std::string, work_shares> Shares;   ///< By service.
+  prompt_pace Pace;
+  std::mt19937_64 Random{1};
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_GATEWAY_GATEWAY_STATE_H
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -28,10 +28,13 @@
 gateway_task::gateway_task(link_context &Context, struct ev_loop *Loop,
                            metrics &Metrics, gateway_options NewOptions)
     : Loop(Loop), Options(std::move(NewOptions)),
+      Incarnation(randomIncarnation()),
+      Peers(Loop, State.Upstreams,
+            {.Incarnation = Incarnation, .Address = Options.NewsAddress}),
       Listener(Loop, [this](int Socket) { Callers.take(Socket); }),
       Watch(Context, Loop,
             {.Node = Options.Node,
-             .Incarnation = randomIncarnation(),
+             .Incarnation = Incarnation,
              .DataHall = Options.DataHall,
              .Seeds = Options.ControlSeeds}),
       ListClient(Loop), Callers(Loop, *this, Options.MaxConnections),
@@ -44,10 +47,12 @@
   State.Metrics = &Metrics;
   State.DataHall = Options.DataHall;
   shareBounds(UnknownGateways);
+  State.Peers = &Peers;
   State.Random.seed(randomIncarnation());
   State.Pins.setLifetime(Options.SessionSeconds * SessionMargin);
   Watch.OnAsk = [this](wire::watch &Ask) {
     Ask.set_stopping(Stopping);
+    Ask.set_news_address(Peers.address());
     State.Versions.fillTallies(Ask);
     for (uint64_t Key : State.Pins.takeUntold())
       Ask.add_staying(Key);
@@ -66,6 +71,9 @@
   Watch.OnStaying = [this](uint64_t Key) {
     State.Pins.heardStaying(Key, steadySeconds());
   };
+  Watch.OnNewsAddresses = [this](const std::vector<std::string> &Addresses) {
+    Peers.setGateways(Addresses);
+  };
   Watch.OnGateways = [this](uint32_t Count) { shareBounds(Count); };
   SweepTimer.startRepeating(SweepSeconds);
   ListTimer.startOnce(0);
@@ -97,10 +105,9 @@
 
 void gateway_task::shareBounds(uint32_t Gateways) {
   State.Gateways = Gateways;
-  State.RetryBounds =
-      retry_bounds::partOf(Options.RetryRatio, Options.RetrySlack, Gateways);
+  State.RetryBounds = Options.Retries;
   for (auto &[Service, Budget] : State.Budgets)
-    Budget.setBounds(State.RetryBounds);
+    Budget.setBounds(State.RetryBounds, Gateways);
 }
 
 void gateway_task::onRequest(caller_connection &Connection, http_head Head,
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -18,11 +18,11 @@
 struct gateway_options {
   std::string Node;
   std::string DataHall;
-  std::string Address;             ///< For callers.
+  std::string Address;     ///< For callers.
+  std::string NewsAddress; ///< For news of other gateways' work; or empty.
   std::string UpstreamListAddress; ///< The platform's list.
   std::vector<std::string> ControlSeeds;
-  double RetryRatio = 0.2;      ///< Retries for each request, of all gateways.
-  double RetrySlack = 20;       ///< Retries beside the ratio, of all gateways.
+  retry_window_bounds Retries;  ///< Of all gateways together.
   double SessionSeconds = 5;    ///< Requests of a session follow within this.
   double ListSeconds = 2;       ///< Between two questions for the list.
   size_t MaxConnections = 2500; ///< Of callers.
@@ -36,7 +36,7 @@
                gateway_options Options);
   ~gateway_task() override;
 
-  bool bind() { return Listener.bind(Options.Address); }
+  bool bind() { return Peers.bind() && Listener.bind(Options.Address); }
   std::string address() const { return Listener.address(); }
   bool ready() const { return State.Routing && ListKnown; }
   /// Answers say from now on that their connection closes.
@@ -74,7 +74,9 @@
 
   struct ev_loop *Loop;
   gateway_options Options;
+  uint64_t Incarnation;
   gateway_state State;
+  peer_work Peers;
   tcp_listener Listener;
   control_watch Watch;
   http_client ListClient;
--- /dev/null
+++ b/gateway/peer_work.cpp
@@ -0,0 +1,144 @@
+//===- peer_work.cpp - What all gateways have under way -------------------===//
+
+#include "gateway/peer_work.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// News go out at once after a pause and at most this often: two gateways that
+// choose within one interval may choose alike. With 32 gateways that is 60 KB/s
+// for each, at some 60 changes a second.
+constexpr double LeastInterval = 0.04;
+// With more gateways the interval grows, so that the bytes of each stay.
+constexpr double IntervalPerGateway = 0.00125;
+// All that is under way, in case news were lost.
+constexpr double WholeInterval = 1;
+// A gateway that has told nothing for so long is gone.
+constexpr double SilentSeconds = 3;
+constexpr double MsPerSecond = 1000;
+
+} // namespace
+
+void work_of_others::change(gateway_news &Gateway, uint64_t Upstream,
+                            upstream_work Work) {
+  upstream_work &Told = Gateway.Works[Upstream];
+  upstream_work &Sum = Sums[Upstream];
+  Sum.PromptSeconds += Work.PromptSeconds - Told.PromptSeconds;
+  Sum.InFlight += Work.InFlight - Told.InFlight;
+  Told = Work;
+  if (Work.InFlight == 0)
+    Gateway.Works.erase(Upstream);
+  if (Sum.InFlight == 0)
+    Sums.erase(Upstream);
+}
+
+void work_of_others::drop(gateway_news &Gateway) {
+  while (!Gateway.Works.empty())
+    change(Gateway, Gateway.Works.begin()->first, {});
+}
+
+void work_of_others::heard(const wire::work_news &News, double Now) {
+  gateway_news &Gateway = Gateways[News.gateway()];
+  if (News.sequence() <= Gateway.Sequence)
+    return;
+  Gateway.Sequence = News.sequence();
+  Gateway.HeardAt = Now;
+  if (News.whole())
+    drop(Gateway);
+  for (const wire::upstream_work &Work : News.works())
+    change(Gateway, Work.upstream(),
+           {.PromptSeconds =
+                Work.in_flight() == 0 ? 0 : Work.prompt_ms() / MsPerSecond,
+            .InFlight = Work.in_flight()});
+}
+
+void work_of_others::forgetSilent(double Now) {
+  for (auto It = Gateways.begin(); It != Gateways.end();) {
+    bool Silent = It->second.HeardAt + SilentSeconds < Now;
+    if (Silent)
+      drop(It->second);
+    It = Silent ? Gateways.erase(It) : std::next(It);
+  }
+}
+
+upstream_work work_of_others::at(uint64_t Upstream) const {
+  auto It = Sums.find(Upstream);
+  return It == Sums.end() ? upstream_work() : It->second;
+}
+
+peer_work::peer_work(struct ev_loop *Loop, const upstream_table &Upstreams,
+                     peer_work_options NewOptions)
+    : Upstreams(Upstreams), Options(std::move(NewOptions)),
+      Socket(Loop, [this](const std::string &From,
+                          std::string_view Bytes) { receive(From, Bytes); }),
+      Timer(Loop, [this] { tick(); }) {}
+
+bool peer_work::bind() {
+  if (Options.Address.empty())
+    return true;
+  Timer.startOnce(WholeInterval);
+  return Socket.bind(Options.Address);
+}
+
+void peer_work::setGateways(const std::vector<std::string> &Addresses) {
+  Gateways = {Addresses.begin(), Addresses.end()};
+  Gateways.erase(Socket.address());
+  logLine(log_level::Info, "gateways that tell their work",
+          {{"gateways", int64_t(Gateways.size())}});
+}
+
+void peer_work::changed(const upstream &Upstream) {
+  if (Gateways.empty())
+    return;
+  Changed.insert(Upstream.Place);
+  double Interval =
+      std::max(LeastInterval, IntervalPerGateway * double(Gateways.size()));
+  double Due = ToldAt + Interval - steadySeconds();
+  if (Changed.size() == 1)
+    Timer.startOnce(std::max(0.0, Due));
+}
+
+void peer_work::tick() {
+  double Now = steadySeconds();
+  Others.forgetSilent(Now);
+  tell(Now >= ToldWholeAt + WholeInterval);
+  Timer.startOnce(WholeInterval);
+}
+
+void peer_work::tell(bool Whole) {
+  wire::work_news News;
+  News.set_gateway(Options.Incarnation);
+  News.set_sequence(++Sequence);
+  News.set_whole(Whole);
+  for (const auto &[Id, Upstream] : Upstreams.all()) {
+    bool Told =
+        Whole ? Upstream->InFlight > 0 : Changed.contains(Upstream->Place);
+    if (!Told)
+      continue;
+    wire::upstream_work *Work = News.add_works();
+    Work->set_upstream(Upstream->Place);
+    Work->set_prompt_ms(uint32_t(Upstream->PromptSeconds * MsPerSecond));
+    Work->set_in_flight(Upstream->InFlight);
+  }
+  Changed.clear();
+  std::string Bytes = News.SerializeAsString();
+  for (const std::string &Gateway : Gateways)
+    Socket.send(Gateway, Bytes);
+  ToldAt = steadySeconds();
+  if (Whole)
+    ToldWholeAt = ToldAt;
+}
+
+void peer_work::receive(const std::string &From, std::string_view Bytes) {
+  wire::work_news News;
+  if (!Gateways.contains(From) ||
+      !News.ParseFromArray(Bytes.data(), int(Bytes.size())))
+    return;
+  Others.heard(News, steadySeconds());
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/gateway/peer_work.h
@@ -0,0 +1,86 @@
+//===- peer_work.h - What all gateways have under way -----------*- C++ -*-===//
+//
+// An upstream tells its load with an answer, so a gateway that asks it once in
+// some seconds knows nothing of the present. Each gateway tells the others what
+// it has under way, by datagram, as soon as that changes.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_GATEWAY_PEER_WORK_H
+#define OLIVEVALVE_GATEWAY_PEER_WORK_H
+
+#include "gateway/upstream_table.h"
+#include "net/datagram.h"
+#include "wire/wire.pb.h"
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace olivevalve {
+
+/// The work of other gateways, put together from what each told. Pure: times
+/// are passed in.
+class work_of_others {
+public:
+  /// Takes in what a gateway told.
+  void heard(const wire::work_news &News, double Now);
+  /// Drops what gateways told that have long said nothing.
+  void forgetSilent(double Now);
+  /// Of all others together. \p Upstream: digest of its incarnation's id.
+  upstream_work at(uint64_t Upstream) const;
+  size_t gateways() const { return Gateways.size(); }
+
+private:
+  struct gateway_news {
+    uint64_t Sequence = 0;
+    double HeardAt = 0;
+    std::unordered_map<uint64_t, upstream_work> Works;
+  };
+
+  void change(gateway_news &Gateway, uint64_t Upstream, upstream_work Work);
+  void drop(gateway_news &Gateway);
+
+  std::unordered_map<uint64_t, gateway_news> Gateways; ///< By incarnation.
+  std::unordered_map<uint64_t, upstream_work> Sums;    ///< By upstream.
+};
+
+struct peer_work_options {
+  uint64_t Incarnation = 0;
+  std::string Address; ///< "IP:port" for datagrams; empty: none are sent.
+};
+
+/// Tells the own work and hears that of the others.
+class peer_work {
+public:
+  peer_work(struct ev_loop *Loop, const upstream_table &Upstreams,
+            peer_work_options Options);
+
+  bool bind();
+  const std::string &address() const { return Socket.address(); }
+  /// Where the other gateways hear; others are not listened to.
+  void setGateways(const std::vector<std::string> &Addresses);
+  /// The own work at an upstream is not what it was.
+  void changed(const upstream &Upstream);
+  upstream_work at(uint64_t Upstream) const { return Others.at(Upstream); }
+
+private:
+  void receive(const std::string &From, std::string_view Bytes);
+  void tick();
+  void tell(bool Whole);
+
+  const upstream_table &Upstreams;
+  peer_work_options Options;
+  std::set<std::string> Gateways;
+  std::set<uint64_t> Changed; ///< Since the last news, by upstream.
+  work_of_others Others;
+  datagram_socket Socket;
+  timer Timer;
+  uint64_t Sequence = 0;
+  double ToldAt = 0;
+  double ToldWholeAt = 0;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_GATEWAY_PEER_WORK_H
--- /dev/null
+++ b/gateway/selection.h
@@ -0,0 +1,69 @@
+//===- selection.h - The upstream for one attempt ---------------*- C++ -*-===//
+//
+// Puts together what a gateway knows of the upstreams of a service, and of the
+// work of a request, for the decision in policy/.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_GATEWAY_SELECTION_H
+#define OLIVEVALVE_GATEWAY_SELECTION_H
+
+#include "gateway/gateway_state.h"
+#include "platform/headers.h"
+#include "policy/upstream_choice.h"
+#include <set>
+
+namespace olivevalve {
+
+/// The request that an upstream is wanted for.
+struct selection_request {
+  const std::string &Service;
+  const route_spec &Route;
+  const platform::caller_facts &Facts;
+  const std::set<std::string> &Tried; ///< Incarnations that are left out.
+  size_t ModelPlace = 0; ///< Of the model to ask, in the route's sizes.
+  double Now = 0;
+};
+
+/// The work of a prompt for the model at \p ModelPlace.
+struct prompt_work {
+  prompt_view Prompt;
+  double WholeSeconds = 0; ///< With the tokens that are made.
+};
+
+/// The same at every gateway for all requests of a session.
+uint64_t versionDraw(const std::string &Service,
+                     const platform::caller_facts &Facts);
+
+/// The name of the model at \p ModelPlace, or that which the caller named.
+std::string_view modelAt(const route_spec &Route,
+                         const platform::caller_facts &Facts,
+                         size_t ModelPlace);
+
+/// Its cost beside that of the route's smallest.
+double modelCost(const routing_table &Routing, const route_spec &Route,
+                 const std::string &Service, size_t ModelPlace);
+
+prompt_work promptWork(const gateway_state &State, const routing_table &Routing,
+                       const selection_request &Request);
+
+/// Tokens that the answer is expected to have.
+uint32_t likelyTokens(const platform::model_request &Model);
+
+/// What a request would meet if it were sent now.
+struct outlook {
+  double BacklogSeconds = 0;    ///< Of prompts, at an upstream on average.
+  double FirstTokenSeconds = 0; ///< Until the first token; 1e9: no upstream.
+};
+
+outlook outlookFor(gateway_state &State, const routing_table &Routing,
+                   const selection_request &Request);
+
+/// The upstream for the request's next attempt, or null when none may have it.
+std::shared_ptr<upstream> select(gateway_state &State,
+                                 const routing_table &Routing,
+                                 const selection_request &Request);
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_GATEWAY_SELECTION_H
--- a/gateway/session_pins.h
+++ b/gateway/session_pins.h
@@ -12,7 +12,8 @@
 
 struct session_pin {
   std::string Version;  ///< Software of the upstream.
-  std::string Upstream; ///< Incarnation that holds the session's memory.
+  std::string Upstream; ///< Incarnation that holds the session's memory,
+  std::string Model;    ///< for this model.
   double TouchedAt = 0;
 };
 
@@ -29,9 +30,8 @@
     return Fresh ? &It->second : nullptr;
   }
   void touch(const std::string &Service, const std::string &Session,
-             const std::string &Version, const std::string &Upstream,
-             double Now) {
-    Pins[keyOf(Service, Session)] = {Version, Upstream, Now};
+             session_pin Pin) {
+    Pins[keyOf(Service, Session)] = std::move(Pin);
   }
   /// A session that a canary must not take over; to be told to the others.
   void stay(uint64_t Key, double Now) {
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -1,6 +1,7 @@
 //===- upstream_table.cpp - Upstreams that an entry speaks to -------------===//
 
 #include "gateway/upstream_table.h"
+#include "base/digest.h"
 #include <algorithm>
 
 namespace olivevalve {
@@ -48,8 +49,12 @@
     Upstream->Listed = std::move(Listed);
     ++Versions[Upstream->Listed.Service][Upstream->Listed.Version];
     ByService[Upstream->Listed.Service].push_back(Upstream);
+    Upstream->Place = checksum(Upstream->Listed.Id);
     Next[Upstream->Listed.Id] = std::move(Upstream);
   }
+  for (auto &[Service, Upstreams] : ByService)
+    std::sort(Upstreams.begin(), Upstreams.end(),
+              [](const auto &A, const auto &B) { return A->Place < B->Place; });
   std::vector<std::shared_ptr<upstream>> Left;
   for (auto &[Id, Upstream] : ById)
     if (!Next.contains(Id)) {
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -20,11 +20,19 @@
 
 class upstream_connection;
 
+/// What gateways have under way at an upstream.
+struct upstream_work {
+  double PromptSeconds = 0; ///< Of its time, for prompts not read yet.
+  uint32_t InFlight = 0;
+};
+
 /// One incarnation.
 struct upstream {
   platform::listed_upstream Listed;
-  bool Gone = false; ///< Not listed any more.
+  bool Gone = false;  ///< Not listed any more.
+  uint64_t Place = 0; ///< In the order of the service, alike everywhere.
   uint32_t InFlight = 0;
+  double PromptSeconds = 0; ///< Of its time, for own prompts not read yet.
   uint32_t Connections = 0;
   std::vector<upstream_connection *> Idle;
 
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -129,6 +129,7 @@
   Watch->set_node(Options.Node);
   Watch->set_incarnation(Options.Incarnation);
   Watch->set_data_hall(Options.DataHall);
+  Watch->set_gateways_revision(GatewaysRevision);
   Watch->set_routing_version(RoutingVersion);
   Watch->set_rollouts_revision(RolloutsRevision);
   if (OnAsk)
@@ -173,6 +174,12 @@
     Gateways = Notice.gateways();
     OnGateways(Gateways);
   }
+  if (Notice.gateways_revision() > 0 &&
+      Notice.gateways_revision() != GatewaysRevision) {
+    GatewaysRevision = Notice.gateways_revision();
+    OnNewsAddresses(
+        {Notice.news_addresses().begin(), Notice.news_addresses().end()});
+  }
   if (From != Current)
     return;
   if (!Leader.empty() && Leader != Current) {
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -40,6 +40,8 @@
   std::function<void(uint64_t Key)> OnStaying;
   /// How many gateways there are, whenever that has changed.
   std::function<void(uint32_t Count)> OnGateways;
+  /// Where all of them hear of each other's work, whenever that has changed.
+  std::function<void(const std::vector<std::string> &)> OnNewsAddresses;
 
   uint64_t routingVersion() const { return RoutingVersion; }
   /// Seconds since a control VM was last heard; for logs.
@@ -69,6 +71,7 @@
   uint64_t RoutingVersion = 0;
   uint64_t RolloutsRevision = 0;
   uint32_t Gateways = 0;
+  uint64_t GatewaysRevision = 0;
   bool Leaderless = false; ///< The VM asked now does not know who leads.
   bool Lost = false;       ///< Logged as lost.
   timer Timer;
--- a/net/ip_address.cpp
+++ b/net/ip_address.cpp
@@ -2,6 +2,7 @@
 
 #include "net/ip_address.h"
 #include <arpa/inet.h>
+#include <array>
 #include <cstdlib>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,6 +20,13 @@
          1;
 }
 
+std::string formatIpAddress(const sockaddr_in &Address) {
+  std::array<char, INET_ADDRSTRLEN> Text{};
+  inet_ntop(AF_INET, &Address.sin_addr, Text.data(), Text.size());
+  return std::string(Text.data()) + ":" +
+         std::to_string(ntohs(Address.sin_port));
+}
+
 int listenOn(const std::string &Address, int Backlog, std::string &Bound) {
   sockaddr_in Where{};
   if (!parseIpAddress(Address, Where))
@@ -33,8 +41,7 @@
   }
   socklen_t Size = sizeof(Where);
   getsockname(Socket, Raw, &Size);
-  Bound = Address.substr(0, Address.rfind(':')) + ":" +
-          std::to_string(ntohs(Where.sin_port));
+  Bound = formatIpAddress(Where);
   return Socket;
 }
 
--- a/policy/limits.cpp
+++ b/policy/limits.cpp
@@ -10,12 +10,6 @@
 
 // A bucket holds what comes in this many seconds, and one token at least.
 constexpr double BurstSeconds = 2.0;
-// A little less than the shared ratio, for what gateways save beside it.
-constexpr double PartOfRatio = 0.94;
-// Of a shared slack, what all gateways together may save; the rest is for one
-// that has started anew and counts twice.
-constexpr double PartOfSlack = 0.8;
-constexpr double LeastSaved = 2;
 // Time constant of the rate meter, seconds.
 constexpr double MeterSeconds = 5.0;
 
@@ -34,11 +28,6 @@
   return true;
 }
 
-retry_bounds retry_bounds::partOf(double Ratio, double Slack, double Gateways) {
-  return {.Ratio = Ratio * PartOfRatio,
-          .Saved = std::max(LeastSaved, Slack * PartOfSlack / Gateways)};
-}
-
 void retry_budget::requestSeen() {
   Tokens = std::min(Bounds.Saved, Tokens + Bounds.Ratio);
 }
--- a/policy/limits.h
+++ b/policy/limits.h
@@ -27,10 +27,6 @@
 struct retry_bounds {
   double Ratio = 0.1; ///< Retries earned by each request.
   double Saved = 10;  ///< The most that is kept for later.
-
-  /// The part of one of \p Gateways in a bound that all of them share: of
-  /// \p Ratio retries a request, and \p Slack beside it.
-  static retry_bounds partOf(double Ratio, double Slack, double Gateways);
 };
 
 /// Allows retries as a share of requests, so that retries cannot multiply an
@@ -41,9 +37,6 @@
       : Bounds(Bounds), Tokens(Bounds.Saved / 2) {}
   void requestSeen();
   bool take();
-  /// True if take() would find one.
-  bool left() const { return Tokens >= 1; }
-  void setBounds(retry_bounds NewBounds) { Bounds = NewBounds; }
 
 private:
   retry_bounds Bounds;
--- a/policy/upstream_choice.cpp
+++ b/policy/upstream_choice.cpp
@@ -14,14 +14,24 @@
 // Loads that differ by less are taken for equal and drawn by lot: every entry
 // sees a load that is a moment old.
 constexpr double SameLoad = 0.02;
-// How far over the mean an upstream may be loaded and still get its keys, as a
-// factor and in requests.
-constexpr double AffinityFactor = 1.25;
-constexpr double AffinitySlack = 3;
-// With at least so many upstreams in the entry's own data hall their keys are
-// kept there: bytes between halls fell by two thirds with six in each. With
-// three in each the loads became uneven and more answers late.
-constexpr size_t LeastNear = 5;
+// A prompt that goes to upstreams kept for shorter ones makes these wait: that
+// counts as so many times its own time.
+constexpr double AmongShorter = 1;
+// The other way round it only takes a place there.
+constexpr double AmongLonger = 0.02;
+// Seconds that bytes to another data hall are worth.
+constexpr double OtherHallSeconds = 0.05;
+// A full upstream makes new requests wait for a place; how full it is weighs
+// little before that.
+constexpr double NearlyFull = 0.8;
+constexpr double SecondsWhenFull = 1.0;
+constexpr double SecondsByFill = 0.05;
+// How likely the upstream that comes first or second for a shared part still
+// has it in memory.
+constexpr double FirstKeeps = 0.7;
+constexpr double SecondKeeps = 0.3;
+// Gateways that choose at the same moment do not know of each other.
+constexpr double JitterSeconds = 0.01;
 
 double share(const upstream_view &Upstream) {
   return Upstream.Load / std::max(1.0, Upstream.Slots) +
@@ -57,37 +67,83 @@
   return Best;
 }
 
-std::optional<size_t>
-chooseByAffinity(const std::vector<upstream_view> &Upstreams, uint64_t Key) {
-  bool HeedSuspicion = anySound(Upstreams);
-  double Sum = 0;
-  size_t Count = 0;
-  size_t Near = 0;
-  for (const upstream_view &Upstream : Upstreams) {
-    if (HeedSuspicion && Upstream.Suspect)
+namespace {
+
+double fillSeconds(const upstream_view &Upstream) {
+  double Fill = Upstream.Load / std::max(1.0, Upstream.Slots);
+  double Over = std::max(0.0, Fill - NearlyFull) / (1 - NearlyFull);
+  return SecondsByFill * Fill + SecondsWhenFull * Over;
+}
+
+double misfitSeconds(class_fit Fit, const prompt_view &Prompt) {
+  switch (Fit) {
+  case class_fit::Own:
+    return 0;
+  case class_fit::Shorter:
+    return AmongShorter * Prompt.Seconds;
+  case class_fit::Longer:
+    return AmongLonger;
+  }
+  return 0;
+}
+
+/// The two upstreams of the own class that a shared part goes to first, by
+/// rendezvous: few parts move when an upstream comes or goes.
+struct keepers {
+  std::optional<size_t> First;
+  std::optional<size_t> Second;
+};
+
+keepers keepersOf(const std::vector<upstream_view> &Upstreams, uint64_t Key) {
+  keepers Keepers;
+  uint64_t FirstRank = 0;
+  uint64_t SecondRank = 0;
+  for (size_t I = 0; I < Upstreams.size(); ++I) {
+    if (Upstreams[I].Fit != class_fit::Own)
       continue;
-    Sum += Upstream.Load;
-    ++Count;
-    Near += Upstream.SameHall;
+    uint64_t Rank = checksum(Upstreams[I].Id, Key);
+    if (Rank > FirstRank) {
+      Keepers.Second = Keepers.First;
+      SecondRank = FirstRank;
+      Keepers.First = I;
+      FirstRank = Rank;
+    } else if (Rank > SecondRank) {
+      Keepers.Second = I;
+      SecondRank = Rank;
+    }
   }
-  if (Count == 0)
-    return std::nullopt;
-  double Bound = Sum / double(Count) * AffinityFactor + AffinitySlack;
-  bool NearFirst = Near >= LeastNear;
+  return Keepers;
+}
+
+} // namespace
+
+std::optional<size_t> chooseSoonest(const std::vector<upstream_view> &Upstreams,
+                                    const prompt_view &Prompt,
+                                    std::mt19937_64 &Random) {
+  bool HeedSuspicion = anySound(Upstreams);
+  keepers Keepers;
+  if (Prompt.SharedSeconds > 0)
+    Keepers = keepersOf(Upstreams, Prompt.SharedKey);
+  std::uniform_real_distribution<double> Jitter(0, JitterSeconds);
   std::optional<size_t> Best;
-  bool BestIsNear = false;
-  uint64_t BestRank = 0;
+  double Least = 0;
   for (size_t I = 0; I < Upstreams.size(); ++I) {
     const upstream_view &Upstream = Upstreams[I];
-    if ((HeedSuspicion && Upstream.Suspect) || Upstream.Load > Bound)
+    if (HeedSuspicion && Upstream.Suspect)
       continue;
-    uint64_t Rank = checksum(Upstream.Id, Key);
-    bool IsNear = NearFirst && Upstream.SameHall;
-    bool Better = IsNear == BestIsNear ? Rank > BestRank : IsNear;
-    if (!Best || Better) {
+    double Seconds = Upstream.PromptSeconds + fillSeconds(Upstream) +
+                     misfitSeconds(Upstream.Fit, Prompt) + Jitter(Random);
+    if (!Upstream.SameHall)
+      Seconds += OtherHallSeconds;
+    double Kept = Upstream.KeptSeconds;
+    if (Keepers.First == I)
+      Kept = std::max(Kept, FirstKeeps * Prompt.SharedSeconds);
+    else if (Keepers.Second == I)
+      Kept = std::max(Kept, SecondKeeps * Prompt.SharedSeconds);
+    Seconds -= Kept;
+    if (!Best || Seconds < Least) {
       Best = I;
-      BestIsNear = IsNear;
-      BestRank = Rank;
+      Least = Seconds;
     }
   }
   return Best;
--- a/policy/upstream_choice.h
+++ b/policy/upstream_choice.h
@@ -16,13 +16,27 @@
 
 namespace olivevalve {
 
+/// The class of prompts that an upstream is for, beside the request's own.
+enum class class_fit : uint8_t { Own, Shorter, Longer };
+
 /// What is known of one upstream that may be chosen.
 struct upstream_view {
   std::string_view Id;
-  double Load = 0;       ///< Requests that run or wait there, estimated.
-  double Slots = 1;      ///< Requests that it works on at once.
-  bool SameHall = false; ///< In the data hall of the entry.
-  bool Suspect = false;  ///< Failed lately: only if there is no other.
+  double Load = 0;          ///< Requests that run or wait there, estimated.
+  double Slots = 1;         ///< Requests that it works on at once.
+  bool SameHall = false;    ///< In the data hall of the entry.
+  bool Suspect = false;     ///< Failed lately: only if there is no other.
+  double PromptSeconds = 0; ///< Of its time, for prompts that it has to read.
+  /// Of its time for this prompt, saved by what it holds in memory.
+  double KeptSeconds = 0;
+  class_fit Fit = class_fit::Own;
+};
+
+/// The prompt of a request to a model.
+struct prompt_view {
+  double Seconds = 0;       ///< Of an upstream's time, to read all of it.
+  double SharedSeconds = 0; ///< For the part that other prompts begin with.
+  uint64_t SharedKey = 0;   ///< Names that part and the model.
 };
 
 /// The place of the upstream with the least load for its slots.
@@ -30,12 +44,12 @@
 chooseLeastLoaded(const std::vector<upstream_view> &Upstreams,
                   std::mt19937_64 &Random);
 
-/// The upstream that entries send \p Key to, unless it has clearly more to
-/// do than the others: then the next one in the key's own order. Those of the
-/// own data hall come first where there are enough of them. A key is the shared
-/// part of a prompt, whose memory is worth finding again.
-std::optional<size_t>
-chooseByAffinity(const std::vector<upstream_view> &Upstreams, uint64_t Key);
+/// The place of the upstream where the first token is expected soonest, at the
+/// least cost to the others. Gateways send the same shared part to the same
+/// upstream as long as that does not make it wait.
+std::optional<size_t> chooseSoonest(const std::vector<upstream_view> &Upstreams,
+                                    const prompt_view &Prompt,
+                                    std::mt19937_64 &Random);
 
 } // namespace olivevalve
 
--- a/tests/gateway_world.cpp
+++ b/tests/gateway_world.cpp
@@ -93,6 +93,7 @@
                    {"control_seeds", seeds()},
                    {"gateway",
                     {{"address", GatewayAddress.text()},
+                     {"news_address", "127.0.0.1:0"},
                      {"upstream_list", List->address()},
                      {"list_seconds", 0.2},
                      {"retry_ratio", 5},
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -2,12 +2,18 @@
 
 #include "boost/test/unit_test.hpp"
 #include "gateway/event_splitter.h"
+#include "gateway/peer_work.h"
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
 #include "gateway/upstream_table.h"
-#include "policy/limits.h"
 #include "policy/model_choice.h"
+#include "policy/retry_window.h"
 #include "policy/upstream_choice.h"
+#include "policy/work_shares.h"
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <random>
 #include <set>
 
 using namespace olivevalve;
@@ -90,58 +96,257 @@
   BOOST_TEST(!chooseLeastLoaded({}, Random).has_value());
 }
 
-BOOST_AUTO_TEST_CASE(keeps_a_key_where_it_is_and_moves_few_when_one_leaves) {
+BOOST_AUTO_TEST_CASE(sends_a_shared_part_to_one_place_and_moves_few_later) {
+  std::mt19937_64 Random(1);
   auto All = views({1, 1, 1, 1, 1, 1});
   auto Fewer = All;
   Fewer.pop_back();
   std::set<size_t> Used;
   for (uint64_t Key = 0; Key < 200; ++Key) {
-    size_t Place = *chooseByAffinity(All, Key);
-    BOOST_TEST(*chooseByAffinity(All, Key) == Place);
+    prompt_view Prompt{.Seconds = 0.3, .SharedSeconds = 0.2, .SharedKey = Key};
+    size_t Place = *chooseSoonest(All, Prompt, Random);
+    BOOST_TEST(*chooseSoonest(All, Prompt, Random) == Place);
     if (Place < Fewer.size())
-      BOOST_TEST(*chooseByAffinity(Fewer, Key) == Place);
+      BOOST_TEST(*chooseSoonest(Fewer, Prompt, Random) == Place);
     Used.insert(Place);
   }
   BOOST_TEST(Used.size() == All.size());
 }
 
-BOOST_AUTO_TEST_CASE(keeps_keys_in_the_own_data_hall_where_it_has_enough) {
-  auto Views = views({1, 1, 1, 1, 1, 1});
-  for (size_t Near : {size_t(2), size_t(5)}) {
-    for (size_t I = 0; I < Near; ++I)
-      Views[I].SameHall = true;
-    int Far = 0;
-    for (uint64_t Key = 0; Key < 200; ++Key)
-      Far += *chooseByAffinity(Views, Key) >= Near;
-    BOOST_TEST((Near == 5 ? Far == 0 : Far > 0));
-  }
-  // Not when all of them have clearly more to do than the other halls.
-  Views = views({40, 40, 40, 40, 40, 1, 1, 1, 1, 1, 1, 1});
-  for (size_t I = 0; I < 5; ++I)
-    Views[I].SameHall = true;
-  for (uint64_t Key = 0; Key < 50; ++Key)
-    BOOST_TEST(*chooseByAffinity(Views, Key) >= 5U);
+BOOST_AUTO_TEST_CASE(gives_a_shared_part_away_rather_than_let_it_wait) {
+  std::mt19937_64 Random(1);
+  auto Views = views({1, 1, 1});
+  prompt_view Prompt{.Seconds = 0.3, .SharedSeconds = 0.2, .SharedKey = 5};
+  size_t Home = *chooseSoonest(Views, Prompt, Random);
+  Views[Home].PromptSeconds = 1;
+  BOOST_TEST(*chooseSoonest(Views, Prompt, Random) != Home);
+  Views[Home].PromptSeconds = 0;
+  Views[Home].Suspect = true;
+  BOOST_TEST(*chooseSoonest(Views, Prompt, Random) != Home);
+  Views[Home].Suspect = false;
+  Views[Home].Load = Views[Home].Slots; // Full.
+  BOOST_TEST(*chooseSoonest(Views, Prompt, Random) != Home);
 }
 
-BOOST_AUTO_TEST_CASE(gives_a_key_away_rather_than_let_it_wait) {
+BOOST_AUTO_TEST_CASE(stays_in_the_own_data_hall_while_it_costs_little) {
+  std::mt19937_64 Random(1);
   auto Views = views({1, 1, 1});
-  uint64_t Key = 5;
-  size_t Home = *chooseByAffinity(Views, Key);
-  Views[Home].Load = 30;
-  BOOST_TEST(*chooseByAffinity(Views, Key) != Home);
-  Views[Home].Load = 1;
-  Views[Home].Suspect = true;
-  BOOST_TEST(*chooseByAffinity(Views, Key) != Home);
+  Views[1].SameHall = true;
+  prompt_view Prompt{.Seconds = 0.1};
+  for (int I = 0; I < 50; ++I)
+    BOOST_TEST(*chooseSoonest(Views, Prompt, Random) == 1U);
+  Views[1].PromptSeconds = 0.2;
+  BOOST_TEST(*chooseSoonest(Views, Prompt, Random) != 1U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_long_prompts_from_the_upstreams_of_short_ones) {
+  std::mt19937_64 Random(1);
+  auto Views = views({1, 1});
+  Views[0].Fit = class_fit::Shorter;
+  Views[1].PromptSeconds = 0.8; // Its own class is busy.
+  prompt_view Long{.Seconds = 1};
+  BOOST_TEST(*chooseSoonest(Views, Long, Random) == 1U);
+  Views[1].PromptSeconds = 1.2; // Too busy.
+  BOOST_TEST(*chooseSoonest(Views, Long, Random) == 0U);
+  // A short one goes to a free upstream of the longer ones at once.
+  Views = views({1, 1});
+  Views[0].PromptSeconds = 0.1;
+  Views[1].Fit = class_fit::Longer;
+  BOOST_TEST(*chooseSoonest(Views, {.Seconds = 0.02}, Random) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(goes_back_to_where_the_memory_of_the_session_is) {
+  std::mt19937_64 Random(1);
+  auto Views = views({1, 1, 1, 1});
+  Views[2].KeptSeconds = 0.2;
+  for (uint64_t Key = 0; Key < 50; ++Key)
+    BOOST_TEST(
+        *chooseSoonest(Views,
+                       {.Seconds = 0.3, .SharedSeconds = 0.1, .SharedKey = Key},
+                       Random) == 2U);
+  BOOST_TEST(!chooseSoonest({}, {}, Random).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(work_of_prompts)
+
+BOOST_AUTO_TEST_CASE(parts_the_upstreams_by_the_work_of_each_class) {
+  work_shares Shares;
+  BOOST_TEST(Shares.rangeOf(work_class::Huge, 10).Begin == 0U);
+  BOOST_TEST(Shares.rangeOf(work_class::Huge, 10).End == 10U);
+  Shares.seen(work_class::Tiny, 20, 0);
+  Shares.seen(work_class::Large, 60, 0);
+  Shares.seen(work_class::Huge, 20, 0);
+  size_t Next = 0;
+  std::array<size_t, WorkClasses> Sizes{};
+  for (size_t I = 0; I < WorkClasses; ++I) {
+    upstream_range Range = Shares.rangeOf(work_class(I), 100);
+    BOOST_TEST(Range.Begin == Next);
+    Sizes[I] = Range.End - Range.Begin;
+    Next = Range.End;
+  }
+  BOOST_TEST(Next == 100U);
+  BOOST_TEST((Sizes[0] >= 18 && Sizes[0] <= 23));
+  BOOST_TEST((Sizes[1] >= 1 && Sizes[1] <= 4));
+  BOOST_TEST((Sizes[2] >= 53 && Sizes[2] <= 60));
+}
+
+BOOST_AUTO_TEST_CASE(leaves_each_class_an_upstream_however_few_there_are) {
+  work_shares Shares;
+  Shares.seen(work_class::Huge, 100, 0);
+  for (size_t Count : {1, 2, 3, 9})
+    for (size_t I = 0; I < WorkClasses; ++I) {
+      upstream_range Range = Shares.rangeOf(work_class(I), Count);
+      BOOST_TEST(Range.Begin < Range.End);
+      BOOST_TEST(Range.End <= Count);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(forgets_old_work) {
+  work_shares Shares;
+  Shares.seen(work_class::Tiny, 1000, 0);
+  Shares.seen(work_class::Huge, 10, 300);
+  upstream_range Range = Shares.rangeOf(work_class::Huge, 100);
+  BOOST_TEST(Range.End - Range.Begin > 80U);
 }
 
-BOOST_AUTO_TEST_CASE(asks_the_largest_model_when_the_smallest_doubts_itself) {
+BOOST_AUTO_TEST_CASE(learns_the_pace_of_a_model_from_those_that_did_not_wait) {
+  prompt_pace Pace;
+  constexpr uint32_t Tokens = 10000;
+  BOOST_TEST(Pace.secondsFor("large", 10, Tokens) >
+             5 * Pace.secondsFor("small", 1, Tokens));
+  std::mt19937_64 Random(3);
+  constexpr double Real = 0.4;
+  for (int I = 0; I < 2000; ++I) {
+    bool Waited = Random() % 10 < 7;
+    Pace.firstToken("large", 10, Tokens, 0.05 + (Waited ? 5 * Real : Real));
+  }
+  BOOST_TEST(Pace.secondsFor("large", 10, Tokens) > 0.8 * Real);
+  BOOST_TEST(Pace.secondsFor("large", 10, Tokens) < 1.3 * Real);
+  // Reading takes longer than in proportion.
+  BOOST_TEST(Pace.secondsFor("large", 10, 2 * Tokens) >
+             2.1 * Pace.secondsFor("large", 10, Tokens));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(choice_of_a_model)
+
+constexpr model_answer Plan{
+    .Models = 3, .Confidence = 0.2, .ReadTokens = 12000, .MadeTokens = 384};
+constexpr model_answer Brief{
+    .Models = 3, .Confidence = 0.2, .ReadTokens = 800, .MadeTokens = 300};
+constexpr model_answer Tag{
+    .Models = 3, .Confidence = 0.2, .ReadTokens = 2400, .MadeTokens = 24};
+
+BOOST_AUTO_TEST_CASE(asks_the_largest_when_the_smallest_doubts_itself) {
   BOOST_TEST(firstModel(3) == 0U);
-  auto Next = [](size_t Place, double Confidence) {
-    return largerModel({.Models = 3, .Place = Place, .Confidence = Confidence});
+  for (model_answer Answer : {Plan, Brief, Tag}) {
+    BOOST_TEST(largerModel(Answer).value() == 2U);
+    Answer.Confidence = 0.8;
+    BOOST_TEST(!largerModel(Answer).has_value());
+    Answer.Confidence = 0.2;
+    Answer.Place = 2;
+    BOOST_TEST(!largerModel(Answer).has_value());
+  }
+  BOOST_TEST(poorChance(0) == 1);
+  BOOST_TEST(poorChance(1) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(asks_in_doubt_where_the_answer_is_long_for_its_prompt) {
+  auto AsksAt = [](model_answer Answer, double Confidence) {
+    Answer.Confidence = Confidence;
+    return largerModel(Answer).has_value();
+  };
+  BOOST_TEST(AsksAt(Brief, 0.6));
+  BOOST_TEST(AsksAt(Plan, 0.55));
+  BOOST_TEST(!AsksAt(Tag, 0.6));
+  BOOST_TEST(AsksAt(Tag, 0.4));
+}
+
+BOOST_AUTO_TEST_CASE(gives_up_the_shortest_answers_first_when_prompts_wait) {
+  auto AsksAt = [](model_answer Answer, double Backlog) {
+    Answer.BacklogSeconds = Backlog;
+    return largerModel(Answer).has_value();
   };
-  BOOST_TEST(*Next(0, 0.2) == 2U);
-  BOOST_TEST(!Next(0, 0.8).has_value());
-  BOOST_TEST(!Next(2, 0.2).has_value());
+  BOOST_TEST((AsksAt(Tag, 0.2) && AsksAt(Plan, 0.2) && AsksAt(Brief, 0.2)));
+  BOOST_TEST((!AsksAt(Tag, 0.6) && AsksAt(Plan, 0.6) && AsksAt(Brief, 0.6)));
+  BOOST_TEST((!AsksAt(Plan, 1.2) && AsksAt(Brief, 1.2)));
+  model_answer Late = Tag;
+  Late.InTime = false;
+  BOOST_TEST(!largerModel(Late).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(work_of_other_gateways)
+
+namespace {
+
+wire::work_news newsOf(uint64_t Gateway, uint64_t Sequence,
+                       bool Whole = false) {
+  wire::work_news News;
+  News.set_gateway(Gateway);
+  News.set_sequence(Sequence);
+  News.set_whole(Whole);
+  return News;
+}
+
+void add(wire::work_news &News, uint64_t Upstream, uint32_t PromptMs,
+         uint32_t InFlight) {
+  wire::upstream_work *Work = News.add_works();
+  Work->set_upstream(Upstream);
+  Work->set_prompt_ms(PromptMs);
+  Work->set_in_flight(InFlight);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(adds_up_and_the_last_news_of_each_counts) {
+  work_of_others Others;
+  auto First = newsOf(1, 1);
+  add(First, 7, 300, 2);
+  add(First, 8, 0, 1);
+  auto Second = newsOf(2, 5);
+  add(Second, 7, 200, 1);
+  Others.heard(First, 0);
+  Others.heard(Second, 0);
+  BOOST_TEST(Others.at(7).InFlight == 3U);
+  BOOST_TEST(std::abs(Others.at(7).PromptSeconds - 0.5) < 1e-9);
+  auto Later = newsOf(1, 2);
+  add(Later, 7, 0, 1);
+  Others.heard(Later, 1);
+  Others.heard(First, 1); // Overtaken on its way.
+  BOOST_TEST(Others.at(7).InFlight == 2U);
+  BOOST_TEST(Others.at(8).InFlight == 1U);
+  BOOST_TEST(Others.at(9).InFlight == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(lost_news_are_made_good_by_the_next_whole_ones) {
+  work_of_others Others;
+  auto First = newsOf(1, 1);
+  add(First, 7, 300, 2);
+  Others.heard(First, 0);
+  auto Whole = newsOf(1, 3, true);
+  add(Whole, 8, 100, 1);
+  Others.heard(Whole, 1);
+  BOOST_TEST(Others.at(7).InFlight == 0U);
+  BOOST_TEST(Others.at(8).InFlight == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(of_a_silent_gateway_is_forgotten) {
+  work_of_others Others;
+  auto First = newsOf(1, 1);
+  add(First, 7, 300, 2);
+  Others.heard(First, 0);
+  auto Second = newsOf(2, 1);
+  add(Second, 7, 100, 1);
+  Others.heard(Second, 4);
+  Others.forgetSilent(4.5);
+  BOOST_TEST(Others.gateways() == 1U);
+  BOOST_TEST(Others.at(7).InFlight == 1U);
+  BOOST_TEST(std::abs(Others.at(7).PromptSeconds - 0.1) < 1e-9);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -152,13 +357,19 @@
     keeps_what_it_knows_of_an_incarnation_and_names_those_gone) {
   upstream_table Table;
   Table.update({listed("i-1"), listed("i-2")});
-  auto First = Table.ofService("llm")[0];
+  auto First = Table.all().at("i-1");
   First->InFlight = 3;
   auto Left = Table.update({listed("i-1"), listed("i-3")});
   BOOST_REQUIRE(Left.size() == 1U);
   BOOST_TEST(Left[0]->Gone);
   BOOST_TEST(!Left[0]->takesNew());
-  BOOST_TEST(Table.ofService("llm")[0]->InFlight == 3U);
+  BOOST_TEST(Table.all().at("i-1")->InFlight == 3U);
+  // Every gateway has the upstreams in the same order.
+  upstream_table Other;
+  Other.update({listed("i-3"), listed("i-1")});
+  for (size_t I = 0; I < 2; ++I)
+    BOOST_TEST(Other.ofService("llm")[I]->Listed.Id ==
+               Table.ofService("llm")[I]->Listed.Id);
 }
 
 BOOST_AUTO_TEST_CASE(corrects_a_told_load_by_its_own_requests_since) {
@@ -236,7 +447,7 @@
 BOOST_AUTO_TEST_CASE(a_session_is_forgotten_some_time_after_its_last_request) {
   session_pins Pins;
   Pins.setLifetime(10);
-  Pins.touch("llm", "s", "v1", "i-1", 0);
+  Pins.touch("llm", "s", {.Version = "v1", .Upstream = "i-1"});
   BOOST_REQUIRE(Pins.find("llm", "s", 9));
   BOOST_TEST(Pins.find("llm", "s", 9)->Upstream == "i-1");
   BOOST_TEST(!Pins.find("ledger", "s", 9));
@@ -260,26 +471,86 @@
   BOOST_TEST(!Pins.stays(9, 1));
 }
 
-// Ten gateways that all see the worst: every request fails and is sent again as
-// often as the budget lets it, after a quiet time that saved up all it could.
-BOOST_AUTO_TEST_CASE(ten_budgets_together_keep_the_shared_bound) {
-  constexpr double Ratio = 0.9;
-  constexpr double Slack = 52;
-  constexpr int Gateways = 10;
-  constexpr int Requests = 400;
-  int Again = 0;
-  for (int I = 0; I < Gateways; ++I) {
-    retry_budget Budget(retry_bounds::partOf(Ratio, Slack, Gateways));
-    for (int J = 0; J < 1000; ++J)
-      Budget.requestSeen();
-    for (int J = 0; J < Requests / Gateways; ++J) {
-      Budget.requestSeen();
-      while (Budget.take())
-        ++Again;
-    }
+BOOST_AUTO_TEST_SUITE(retries_of_all_gateways)
+
+namespace {
+
+constexpr retry_window_bounds SharedBounds{
+    .Ratio = 0.9, .Slack = 52, .WindowSeconds = 10};
+
+struct sent_times {
+  std::vector<double> Requests;
+  std::vector<double> Retries;
+};
+
+size_t within(const std::vector<double> &Times, double From, double To) {
+  return size_t(std::count_if(Times.begin(), Times.end(),
+                              [&](double T) { return T > From && T <= To; }));
+}
+
+// Ten gateways; each sends every request again as often as it may.
+sent_times sendAllAgain(const std::vector<double> &Requests) {
+  constexpr uint32_t Gateways = 10;
+  std::vector<retry_window> Windows(Gateways,
+                                    retry_window(SharedBounds, Gateways));
+  sent_times Sent{.Requests = Requests};
+  for (size_t I = 0; I < Requests.size(); ++I) {
+    retry_window &Window = Windows[I % Gateways];
+    Window.requestSeen(Requests[I]);
+    while (Window.take(Requests[I]))
+      Sent.Retries.push_back(Requests[I]);
+  }
+  return Sent;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(keep_the_shared_bound_in_every_window) {
+  std::vector<double> Requests;
+  for (double T = 100; T < 130; T += 0.02)
+    Requests.push_back(T); // Steady,
+  for (double T = 145; T < 160; T += 0.3)
+    Requests.push_back(T); // few after a pause,
+  for (double T = 160; T < 175; T += 0.005)
+    Requests.push_back(T); // and a burst.
+  sent_times Sent = sendAllAgain(Requests);
+  for (double To = 100; To < 190; To += 0.13) {
+    double Allowed =
+        SharedBounds.Ratio *
+            double(within(Sent.Requests, To - SharedBounds.WindowSeconds, To)) +
+        SharedBounds.Slack;
+    BOOST_TEST(double(within(Sent.Retries, To - SharedBounds.WindowSeconds,
+                             To)) <= Allowed);
+  }
+  BOOST_TEST(double(Sent.Retries.size()) > 0.8 * double(Requests.size()));
+}
+
+// One of 32 gateways, at a few requests a second: every second one is sent
+// again, in no order. A bucket that holds what is left of the slack runs dry.
+BOOST_AUTO_TEST_CASE(suffice_at_a_gateway_with_few_requests) {
+  std::mt19937_64 Random(7);
+  retry_window Window(SharedBounds, 32);
+  int Refused = 0;
+  for (int I = 0; I < 1000; ++I) {
+    double Now = 50 + I / 7.0;
+    Window.requestSeen(Now);
+    if (Random() % 2 == 0)
+      Refused += !Window.take(Now);
   }
-  BOOST_TEST(Again <= Ratio * Requests + Slack);
-  BOOST_TEST(Again > 0.4 * Requests);
+  BOOST_TEST(Refused <= 2);
 }
 
+BOOST_AUTO_TEST_CASE(are_told_apart_from_those_of_an_earlier_window) {
+  retry_window Window({.Ratio = 0, .Slack = 10, .WindowSeconds = 10}, 1);
+  int Taken = 0;
+  while (Window.take(5))
+    ++Taken;
+  BOOST_TEST(Taken == 6);
+  BOOST_TEST(!Window.left(14.9));
+  BOOST_TEST(Window.left(16));
+  BOOST_TEST(Window.left(1e6));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
