Control asks for the list of upstreams; callers are held while a gateway starts

Ruled out: shorter elections; a VM that has just started must not vote for 0.7 s, as the leader it heard before may still hold its lease.

- platform/list_client gets the pages; control's leader asks every 0.9 s and tells gateways with its notices, they ask for themselves after 1.6 s without.
- A gateway holds callers for `start_seconds` after its start, and for a third of the time that the caller has at most; both are settings or named constants.

The tests of starts turn red with `start_seconds` 0 (one of them says so).

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -64,8 +64,11 @@
              [this](const std::string &Peer, const wire::envelope &Message) {
                receive(Peer, Message);
              }),
+      Upstreams(Loop, Options.UpstreamListAddress),
       NewsTimer(Loop, [this] { pushNotices(); }),
-      Timer(Loop, [this] { tick(); }) {}
+      Timer(Loop, [this] { tick(); }) {
+  Upstreams.OnChange = [this] { NewsTimer.startOnce(0); };
+}
 
 void control_task::receive(const std::string &Peer,
                            const wire::envelope &Message) {
@@ -248,6 +251,7 @@
   if (Core.isLeader()) {
     Notice->set_gateways(uint32_t(Gateways.gateways().size()));
     Gateways.fillAddresses(Peer, *Notice);
+    Upstreams.fill(Gateway.UpstreamsRevision, steadySeconds(), *Notice);
   }
   Gateways.fillStaying(Peer, steadySeconds(), *Notice);
   Server.send(Peer, Message);
@@ -301,6 +305,7 @@
     place(Now);
   if (leads(Now) && Now >= NextRollouts)
     driveRollouts(Now);
+  Upstreams.tick(Now, leads(Now));
   Metrics.gauge("log_bytes", double(Log->storage().logBytes()));
   Metrics.gauge("log_syncs", double(Log->storage().syncs()));
   Metrics.gauge("commit_index", double(Core.commitIndex()));
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -17,6 +17,7 @@
 #include "control/placer.h"
 #include "control/replicated_log.h"
 #include "control/rollout_driver.h"
+#include "control/upstream_news.h"
 
 namespace olivevalve {
 
@@ -25,6 +26,7 @@
   std::string OperatorAddress; ///< HTTP.
   std::vector<std::string> OperatorKeyDigests;
   size_t LoadsAtOnce = 2; ///< Versions that the weight store gives out at once.
+  std::string UpstreamListAddress; ///< Empty: gateways ask for themselves.
   replicated_log_options Log;
 };
 
@@ -87,6 +89,7 @@
   node_table Nodes;
   gateway_table Gateways;
   rollout_driver Rollouts;
+  upstream_news Upstreams;
   uint64_t LedTerm = 0;
   std::map<std::string, bool> GuardPending;
   std::vector<guard_report> Reports;
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -154,6 +154,8 @@
                  presence::Required);
   Reader.texts("operator_key_digests", Control.OperatorKeyDigests);
   Reader.text("data_folder", Control.Log.Folder, presence::Required);
+  Addresses.read(Reader, "upstream_list", Control.UpstreamListAddress,
+                 presence::Optional);
   Reader.number("replace_after_seconds", Control.Log.SilentSeconds, {1, 86400});
   Reader.integer("snapshot_bytes", SnapshotBytes, {1024, 1 << 30});
   Reader.integer("loads_at_once", LoadsAtOnce, {1, 1000});
@@ -180,6 +182,7 @@
   Reader.number("retry_slack", Gateway.Retries.Slack, {0, 1e6});
   Reader.number("retry_window_seconds", Gateway.Retries.WindowSeconds,
                 {1, 600});
+  Reader.number("start_seconds", Gateway.StartSeconds, {0, 600});
   Reader.number("session_seconds", Gateway.SessionSeconds, {0.1, 86400});
   Reader.integer("max_connections", Connections, {1, 60000});
   Gateway.MaxConnections = size_t(Connections);
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -30,6 +30,10 @@
 // When to come back after a refusal: another upstream or entry is usually free
 // within a fraction of a second.
 constexpr std::string_view RetryAfterSeconds = "0.3";
+constexpr std::string_view NoRouting = "no routing configuration is known yet";
+// Of the time that a caller has, the part that it may be held: enough is left
+// to be served elsewhere.
+constexpr double HeldPart = 0.33;
 constexpr std::string_view AnyModel = "*";
 
 std::string_view pathOf(std::string_view Target) {
@@ -65,9 +69,17 @@
 
 forwarding::~forwarding() { leaveUpstream(); }
 
+void forwarding::hold(double Seconds) {
+  Held = true;
+  double Deadline = Facts.DeadlineSeconds.value_or(NoDeadline);
+  Timer.startOnce(std::max(0.0, std::min(Seconds, Deadline * HeldPart)));
+}
+
 void forwarding::start() {
+  Held = false;
+  Routing = State.Routing;
   if (!Routing)
-    return giveUp(error_kind::NoLease, "no routing configuration is known yet");
+    return giveUp(error_kind::NoLease, NoRouting);
   const std::string *Host = Head.find("Host");
   Route = Host ? Routing->route(*Host, pathOf(Head.Target)) : nullptr;
   if (!Route)
@@ -236,6 +248,8 @@
 
 void forwarding::onTimer() {
   auto Keep = shared_from_this();
+  if (Held)
+    return giveUp(error_kind::NoLease, NoRouting);
   double Now = steadySeconds();
   if (left(Now) < LeastSeconds) {
     MayHaveRun = MayHaveRun || Connection;
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -41,6 +41,9 @@
   ~forwarding() override;
 
   void start();
+  /// Waits for start(), for \p Seconds at most and a part of the time that the
+  /// caller has; then it is refused.
+  void hold(double Seconds);
   /// Answers it without a try.
   void refuse(error_kind Kind, std::string_view Why) { giveUp(Kind, Why); }
   /// Ends it now: the process is about to stop.
@@ -120,6 +123,7 @@
   bool HeadSent = false;    ///< The caller has the head of its answer.
   bool AnswerIsEvents = false;
   bool NotRunAnswer = false;
+  bool Held = false; ///< Not started yet.
   bool Finished = false;
   kept_answer Answer;
   event_splitter Events;
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -13,8 +13,13 @@
 constexpr double SweepSeconds = 0.25;
 // After a refused or failed question for the list.
 constexpr double ListRetrySeconds = 0.4;
-constexpr double ListTimeoutSeconds = 1.5;
-constexpr int GoodStatus = 200;
+// The list may be so old. Nothing new may go to a leaving upstream some 3 s
+// after it is listed so; the rest is for the gateway's own question.
+constexpr double PatienceForList = 1.6;
+// At its start a gateway waits less.
+constexpr double FirstListSeconds = 1.4;
+// Gateways that miss control do not all ask the platform at once.
+constexpr double MostListJitter = 0.4;
 // Sessions are remembered a little longer than they may pause.
 constexpr double SessionMargin = 2;
 // How many share the bound on retries while control has not told.
@@ -37,7 +42,8 @@
              .Incarnation = Incarnation,
              .DataHall = Options.DataHall,
              .Seeds = Options.ControlSeeds}),
-      ListClient(Loop), Callers(Loop, *this, Options.MaxConnections),
+      List(Loop, Options.UpstreamListAddress),
+      Callers(Loop, *this, Options.MaxConnections),
       SweepTimer(Loop, [this] { sweep(); }),
       ListTimer(Loop, [this] { askForList(); }), Prepare(Loop, [this] {
         OverConnections.clear();
@@ -74,8 +80,16 @@
   Watch.OnNewsAddresses = [this](const std::vector<std::string> &Addresses) {
     Peers.setGateways(Addresses);
   };
+  Watch.OnUpstreams = [this](double Age, const wire::upstream_list *Told) {
+    hearList(Age, Told);
+  };
   Watch.OnGateways = [this](uint32_t Count) { shareBounds(Count); };
+  ServesBy = steadySeconds() + Options.StartSeconds;
   SweepTimer.startRepeating(SweepSeconds);
+  ListJitter =
+      std::uniform_real_distribution<double>(0, MostListJitter)(State.Random);
+  // As if it was had at the start: control may tell it soon.
+  ListHadAt = steadySeconds() - FirstListSeconds;
   ListTimer.startOnce(0);
 }
 
@@ -101,6 +115,7 @@
            {"routes", int64_t(Config->Routes.size())},
            {"accounts", int64_t(Config->Accounts.size())}});
   State.Routing = std::make_shared<routing_table>(*std::move(Config));
+  serveHeld();
 }
 
 void gateway_task::shareBounds(uint32_t Gateways) {
@@ -125,9 +140,22 @@
   Connection.answeredBy(Request);
   if (Draining)
     return Request->refuse(error_kind::Draining, "this entry is stopping");
+  if (!ready() && steadySeconds() < ServesBy) {
+    Held.push_back(Request);
+    return Request->hold(ServesBy - steadySeconds());
+  }
   Request->start();
 }
 
+// Callers that came while this gateway was starting.
+void gateway_task::serveHeld() {
+  if (!ready())
+    return;
+  for (const std::weak_ptr<forwarding> &Each : std::exchange(Held, {}))
+    if (auto Request = Each.lock(); Request && Requests.contains(Request.get()))
+      Request->start();
+}
+
 void gateway_task::onMalformed(int Status, std::string_view Why) {
   State.Metrics->count("requests", "malformed");
   logLine(log_level::Info, "request refused before it was whole",
@@ -199,43 +227,47 @@
   State.Metrics->gauge("open_requests", double(Requests.size()));
 }
 
+// Control tells the list; this gateway asks for itself when it has not been
+// told for a while.
 void gateway_task::askForList() {
-  ListBody.clear();
-  fetch_options Fetch;
-  Fetch.Url = "http://" + Options.UpstreamListAddress +
-              platform::upstreamPagePath(ListPage);
-  Fetch.TimeoutSeconds = ListTimeoutSeconds;
-  Fetch.OnBytes = [this](std::string_view Bytes) {
-    ListBody.append(Bytes);
-    return true;
-  };
-  Fetch.OnDone = [this](const fetch_result &Result) { takePage(Result); };
-  ListClient.start(std::move(Fetch));
+  double Now = steadySeconds();
+  double Due = ListHadAt + PatienceForList + ListJitter;
+  if (Now < Due)
+    return ListTimer.startOnce(Due - Now);
+  List.ask([this, Now](auto Listed) {
+    if (Listed) {
+      takeList(std::move(*Listed), Now);
+      Watch.forgetUpstreams();
+    }
+    ListTimer.startOnce(Listed ? Options.ListSeconds : ListRetrySeconds);
+  });
 }
 
-void gateway_task::takePage(const fetch_result &Result) {
-  absl::StatusOr<platform::upstream_page> Page =
-      platform::readUpstreamPage(ListBody);
-  if (Result.Status != GoodStatus || !Result.Error.empty() || !Page.ok()) {
-    logLine(log_level::Warning, "list of upstreams not had",
-            {{"status", int64_t(Result.Status)}, {"error", Result.Error}});
-    // The whole list anew: pages of two answers may not fit together.
-    ListSoFar.clear();
-    ListPage.clear();
-    return ListTimer.startOnce(ListRetrySeconds);
+void gateway_task::hearList(double Age, const wire::upstream_list *Told) {
+  double HadAt = steadySeconds() - Age;
+  if (!Told) {
+    ListHadAt = std::max(ListHadAt, HadAt);
+    return;
   }
-  std::move(Page->Upstreams.begin(), Page->Upstreams.end(),
-            std::back_inserter(ListSoFar));
-  ListPage = Page->NextPage;
-  if (!ListPage.empty())
-    return askForList();
-  takeList();
-  ListTimer.startOnce(Options.ListSeconds);
+  std::vector<platform::listed_upstream> Listed;
+  for (const wire::listed_upstream &Each : Told->upstreams())
+    Listed.push_back({.Id = Each.id(),
+                      .Service = Each.service(),
+                      .Address = Each.address(),
+                      .DataHall = Each.data_hall(),
+                      .Version = Each.version(),
+                      .Slots = Each.slots(),
+                      .Leaving = Each.leaving()});
+  takeList(std::move(Listed), HadAt);
 }
 
-void gateway_task::takeList() {
+void gateway_task::takeList(std::vector<platform::listed_upstream> Listed,
+                            double HadAt) {
+  if (HadAt < ListHadAt)
+    return;
+  ListHadAt = HadAt;
   size_t Before = State.Upstreams.all().size();
-  auto Left = State.Upstreams.update(std::exchange(ListSoFar, {}));
+  auto Left = State.Upstreams.update(std::move(Listed));
   if (!ListKnown || Before != State.Upstreams.all().size() || !Left.empty())
     logLine(log_level::Info, "upstreams changed",
             {{"listed", int64_t(State.Upstreams.all().size())},
@@ -244,6 +276,7 @@
   for (const auto &Upstream : Left)
     for (upstream_connection *Idle : std::vector(Upstream->Idle))
       Idle->drop();
+  serveHeld();
 }
 
 void gateway_task::drain() {
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -10,7 +10,7 @@
 
 #include "gateway/forwarding.h"
 #include "lease/control_watch.h"
-#include "net/http_client.h"
+#include "platform/list_client.h"
 #include <unordered_map>
 
 namespace olivevalve {
@@ -22,7 +22,11 @@
   std::string NewsAddress; ///< For news of other gateways' work; or empty.
   std::string UpstreamListAddress; ///< The platform's list.
   std::vector<std::string> ControlSeeds;
-  retry_window_bounds Retries;  ///< Of all gateways together.
+  retry_window_bounds Retries; ///< Of all gateways together.
+  /// How long after its start callers are held until the configuration is
+  /// known. It takes 1.2 s after all VMs lost power at once, as control has to
+  /// elect.
+  double StartSeconds = 2.5;
   double SessionSeconds = 5;    ///< Requests of a session follow within this.
   double ListSeconds = 2;       ///< Between two questions for the list.
   size_t MaxConnections = 2500; ///< Of callers.
@@ -63,10 +67,11 @@
   upstream_connection *
   acquire(const std::shared_ptr<upstream> &Upstream) override;
 
+  void serveHeld();
   void sweep();
   void askForList();
-  void takePage(const fetch_result &Result);
-  void takeList();
+  void hearList(double Age, const wire::upstream_list *Told);
+  void takeList(std::vector<platform::listed_upstream> Listed, double HadAt);
   void takeRouting(uint64_t Version, const std::string &Document);
   void shareBounds(uint32_t Gateways);
   uint32_t connectionsFor(const std::string &Service) const;
@@ -79,18 +84,19 @@
   peer_work Peers;
   tcp_listener Listener;
   control_watch Watch;
-  http_client ListClient;
+  platform::list_client List;
   caller_pool Callers;
   std::unordered_map<upstream_connection *,
                      std::unique_ptr<upstream_connection>>
       UpstreamConnections;
   std::unordered_map<forwarding *, std::shared_ptr<forwarding>> Requests;
+  std::vector<std::weak_ptr<forwarding>> Held; ///< Until ready().
+  double ServesBy = 0; ///< Requests are held until then.
   // Freed before the next wait: neither may go inside its own callback.
   std::vector<std::unique_ptr<upstream_connection>> OverConnections;
   std::vector<std::shared_ptr<forwarding>> OverRequests;
-  std::vector<platform::listed_upstream> ListSoFar;
-  std::string ListPage;
-  std::string ListBody;
+  double ListHadAt = 0;  ///< When the platform was asked for it.
+  double ListJitter = 0; ///< Seconds.
   bool ListKnown = false;
   bool Stopping = false;
   bool Draining = false; ///< New requests are refused.
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -130,6 +130,7 @@
   Watch->set_incarnation(Options.Incarnation);
   Watch->set_data_hall(Options.DataHall);
   Watch->set_gateways_revision(GatewaysRevision);
+  Watch->set_upstreams_revision(UpstreamsRevision);
   Watch->set_routing_version(RoutingVersion);
   Watch->set_rollouts_revision(RolloutsRevision);
   if (OnAsk)
@@ -137,6 +138,18 @@
   linkTo(Current).send(Message);
 }
 
+void control_watch::hearUpstreams(const wire::notice &Notice) {
+  uint64_t Revision = Notice.upstreams_revision();
+  if (Revision == 0 || !OnUpstreams)
+    return;
+  // Told by a notice on its way while an older question was answered.
+  if (Revision != UpstreamsRevision && !Notice.has_upstreams())
+    return;
+  UpstreamsRevision = Revision;
+  OnUpstreams(Notice.upstreams_age(),
+              Notice.has_upstreams() ? &Notice.upstreams() : nullptr);
+}
+
 void control_watch::receive(const std::string &From,
                             const wire::notice &Notice) {
   double Now = steadySeconds();
@@ -180,6 +193,7 @@
     OnNewsAddresses(
         {Notice.news_addresses().begin(), Notice.news_addresses().end()});
   }
+  hearUpstreams(Notice);
   if (From != Current)
     return;
   if (!Leader.empty() && Leader != Current) {
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -42,11 +42,16 @@
   std::function<void(uint32_t Count)> OnGateways;
   /// Where all of them hear of each other's work, whenever that has changed.
   std::function<void(const std::vector<std::string> &)> OnNewsAddresses;
+  /// The platform's list of upstreams is known up to \p Age seconds ago; the
+  /// list itself comes if it has changed, else null.
+  std::function<void(double Age, const wire::upstream_list *)> OnUpstreams;
 
   uint64_t routingVersion() const { return RoutingVersion; }
   /// Seconds since a control VM was last heard; for logs.
   double silence() const;
   void setSeeds(std::vector<std::string> Seeds);
+  /// The list that control told last is not held any more.
+  void forgetUpstreams() { UpstreamsRevision = 0; }
 
 private:
   void tick();
@@ -54,6 +59,7 @@
   void askAll();
   void send();
   void receive(const std::string &From, const wire::notice &Notice);
+  void hearUpstreams(const wire::notice &Notice);
   void moveOn();
   std::vector<std::string> known() const;
   client_link &linkTo(const std::string &Address);
@@ -72,6 +78,7 @@
   uint64_t RolloutsRevision = 0;
   uint32_t Gateways = 0;
   uint64_t GatewaysRevision = 0;
+  uint64_t UpstreamsRevision = 0;
   bool Leaderless = false; ///< The VM asked now does not know who leads.
   bool Lost = false;       ///< Logged as lost.
   timer Timer;
--- a/tests/gateway_world.cpp
+++ b/tests/gateway_world.cpp
@@ -69,6 +69,7 @@
        {{"address", Added.Ip + ":" + std::to_string(NodePort)},
         {"operator_address", Added.Ip + ":" + std::to_string(OperatorPort)},
         {"data_folder", Added.Folder},
+        {"upstream_list", List->address()},
         {"may_start_group", MayStartGroup},
         {"tolerated_losses", 2},
         {"replace_after_seconds", 1.5}}}};
@@ -85,7 +86,7 @@
   return *(Replicas[Id] = std::move(Replica));
 }
 
-void gateway_world::startGateway(const std::string &Name) {
+void gateway_world::startGateway(const std::string &Name, const json &Changes) {
   json Settings = {{"node", Name},
                    {"data_hall", "charguia"},
                    {"health_address", GatewayHealth.text()},
@@ -98,6 +99,7 @@
                      {"list_seconds", 0.2},
                      {"retry_ratio", 5},
                      {"retry_slack", 1000}}}};
+  Settings["gateway"].update(Changes.is_null() ? json::object() : Changes);
   Gateway = std::make_unique<daemon_process>(Name, Folder.path(), Settings);
   Gateway->start();
 }
@@ -211,9 +213,13 @@
   LastId = nextId();
   Request.Path = Path;
   Request.Key = "";
-  for (std::string Line :
-       {"Host: a.example", "X-Credential: k1", "X-Deadline-Ms: 5000"})
+  for (std::string Line : {"Host: a.example", "X-Credential: k1"})
     Request.Headers.push_back(Line);
+  bool OwnDeadline = std::any_of(
+      Request.Headers.begin(), Request.Headers.end(),
+      [](const auto &Line) { return Line.starts_with("X-Deadline-Ms"); });
+  if (!OwnDeadline)
+    Request.Headers.push_back("X-Deadline-Ms: 5000");
   Request.Headers.push_back("X-Attempt-Id: " + LastId);
   return begin(GatewayAddress.text(), std::move(Request));
 }
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -30,7 +30,8 @@
   /// A control VM that joins later, under a new address.
   seeded_control &addControl(bool MayStartGroup);
   replica &addReplica(replica_options Options);
-  void startGateway(const std::string &Name);
+  /// \p Changes: to the gateway's usual settings.
+  void startGateway(const std::string &Name, const json &Changes = {});
   void untilGatewayReady(const std::string &Name);
   /// The routing with the usual routes, under the next version.
   json usualRouting();
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -300,6 +300,93 @@
   BOOST_TEST(Stranger.runs() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(is_learnt_from_control_by_gateways_that_cannot_ask) {
+  gateway_world World;
+  World.addReplica({.Id = "i-1"});
+  BOOST_REQUIRE_EQUAL(World.putRouting(World.usualRouting()).Status, 200);
+  reserved_address Nobody;
+  World.startGateway("gateway-1", {{"upstream_list", Nobody.text()}});
+  World.untilGatewayReady("gateway-1");
+  BOOST_TEST(World.request("/safe/x", {.Method = "GET"}).Status == 200);
+  World.addReplica({.Id = "i-2"});
+  World.List->remove("i-1");
+  World.until("the new one is served by", [&] {
+    World.request("/safe/x", {.Method = "GET"});
+    return World.Replicas["i-2"]->runs() > 0;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(is_asked_for_by_gateways_when_control_is_gone) {
+  served_world World;
+  for (auto &Node : World.Seeded)
+    Node->Process->kill();
+  World.addReplica({.Id = "i-3"});
+  World.until("the new one is served by", [&] {
+    World.request("/safe/x", {.Method = "GET"});
+    return World.Replicas["i-3"]->runs() > 0;
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(starts)
+
+namespace {
+
+// Replicas are there, control has a routing and is down.
+void stopControl(gateway_world &World) {
+  World.addReplica({.Id = "i-1"});
+  World.untilVoters(3);
+  BOOST_REQUIRE_EQUAL(World.putRouting(World.usualRouting()).Status, 200);
+  for (auto &Node : World.Seeded)
+    Node->Process->kill();
+}
+
+bool listens(gateway_world &World) {
+  return World.request("/unsafe/x", {.Headers = {"X-Deadline-Ms: 300"}})
+             .Status == 503;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(hold_callers_until_the_routing_is_known) {
+  gateway_world World;
+  stopControl(World);
+  World.startGateway("gateway-1", {{"start_seconds", 120}});
+  World.until("it listens", [&] { return listens(World); });
+  auto Held = World.beginRequest("/unsafe/x", {.Headers = {"X-Deadline-Ms: "
+                                                           "100000"}});
+  std::string Id = World.LastId;
+  for (auto &Node : World.Seeded)
+    Node->Process->start();
+  World.until("the held caller is answered", [&] { return Held->Done; });
+  BOOST_TEST(Held->Status == 200);
+  BOOST_TEST(World.Replicas["i-1"]->runs(Id) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(do_not_hold_callers_who_cannot_wait) {
+  gateway_world World;
+  stopControl(World);
+  World.startGateway("gateway-1", {{"start_seconds", 120}});
+  World.until("it listens", [&] { return listens(World); });
+  // A third of its time, then it may still go to another gateway.
+  caller_answer Answer =
+      World.request("/unsafe/x", {.Headers = {"X-Deadline-Ms: 900"}});
+  BOOST_TEST(Answer.Status == 503);
+  BOOST_TEST(!Answer.header("retry-after").empty());
+  BOOST_TEST(World.Replicas["i-1"]->runs(World.LastId) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(turn_callers_away_when_control_stays_silent) {
+  gateway_world World;
+  stopControl(World);
+  World.startGateway("gateway-1", {{"start_seconds", 0}});
+  World.until("it listens", [&] {
+    return World.request("/unsafe/x", {.Headers = {"X-Deadline-Ms: 100000"}})
+               .Status == 503;
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(stops)
