--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -12,7 +12,7 @@
 // that is well filled: 0.12 ms beside 9 us, measured by single requests.
 constexpr uint32_t ReadTokensPerMade = 10;
 // Of a session's prompt, what the upstream that served it last still has.
-constexpr double SessionKept = 0.7;
+constexpr double SessionKept = 1.75;
 
 // From sending to the first token beside the prompt, on a free upstream.
 constexpr double FixedSeconds = 0.05;
@@ -157,6 +157,7 @@
   double Seconds = SecondsFor(Model.PromptTokens);
   return {.Prompt = {.Seconds = Seconds,
                      .SharedSeconds = SecondsFor(sharedTokens(Model)),
+                     .SharedTokens = sharedTokens(Model),
                      .SharedKey = sharedKey(Model, Request.ModelPlace)},
           .WholeSeconds =
               Seconds + SecondsFor(ReadTokensPerMade * likelyTokens(Model))};
--- a/policy/upstream_choice.cpp
+++ b/policy/upstream_choice.cpp
@@ -20,7 +20,7 @@
 // The other way round it only takes a place there.
 constexpr double AmongLonger = 0.02;
 // Seconds that bytes to another data hall are worth.
-constexpr double OtherHallSeconds = 0.05;
+constexpr double OtherHallSeconds = 0.03;
 // A full upstream makes new requests wait for a place; how full it is weighs
 // little before that.
 constexpr double NearlyFull = 0.8;
@@ -28,8 +28,10 @@
 constexpr double SecondsByFill = 0.05;
 // How likely the upstream that comes first or second for a shared part still
 // has it in memory.
-constexpr double FirstKeeps = 0.7;
-constexpr double SecondKeeps = 0.3;
+constexpr double FirstKeeps = 1.75;
+constexpr double SecondKeeps = 0.75;
+// What it is worth beside the time that a shared token is not read again.
+constexpr double SecondsPerTokenKept = 8e-6;
 // Gateways that choose at the same moment do not know of each other.
 constexpr double JitterSeconds = 0.01;
 
@@ -124,6 +126,8 @@
   keepers Keepers;
   if (Prompt.SharedSeconds > 0)
     Keepers = keepersOf(Upstreams, Prompt.SharedKey);
+  double Shared =
+      Prompt.SharedSeconds + SecondsPerTokenKept * Prompt.SharedTokens;
   std::uniform_real_distribution<double> Jitter(0, JitterSeconds);
   std::optional<size_t> Best;
   double Least = 0;
@@ -137,9 +141,9 @@
       Seconds += OtherHallSeconds;
     double Kept = Upstream.KeptSeconds;
     if (Keepers.First == I)
-      Kept = std::max(Kept, FirstKeeps * Prompt.SharedSeconds);
+      Kept = std::max(Kept, FirstKeeps * Shared);
     else if (Keepers.Second == I)
-      Kept = std::max(Kept, SecondKeeps * Prompt.SharedSeconds);
+      Kept = std::max(Kept, SecondKeeps * Shared);
     Seconds -= Kept;
     if (!Best || Seconds < Least) {
       Best = I;
--- a/policy/upstream_choice.h
+++ b/policy/upstream_choice.h
@@ -34,9 +34,10 @@
 
 /// The prompt of a request to a model.
 struct prompt_view {
-  double Seconds = 0;       ///< Of an upstream's time, to read all of it.
-  double SharedSeconds = 0; ///< For the part that other prompts begin with.
-  uint64_t SharedKey = 0;   ///< Names that part and the model.
+  double Seconds = 0;        ///< Of an upstream's time, to read all of it.
+  double SharedSeconds = 0;  ///< For the part that other prompts begin with.
+  uint32_t SharedTokens = 0; ///< Of that part.
+  uint64_t SharedKey = 0;    ///< Names that part and the model.
 };
 
 /// The place of the upstream with the least load for its slots.
--- a/policy/work_shares.cpp
+++ b/policy/work_shares.cpp
@@ -10,7 +10,7 @@
 
 // Upper ends of the classes, in seconds of an upstream: each is some times the
 // one before, so that within a class nobody waits much longer than he works.
-constexpr std::array<double, WorkClasses - 1> ClassEnds = {0.04, 0.15, 0.5};
+constexpr std::array<double, WorkClasses - 1> ClassEnds = {0.1, 1.2, 1e9};
 // Of the cheapest model, until it is learnt.
 constexpr double FirstGuess = 3e-6;
 // What a first token takes beside the prompt.
