--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -78,9 +78,8 @@
 }
 
 size_t proxy::connections() const {
-  return size_t(
-      std::count_if(Connections.begin(), Connections.end(),
-                    [](const auto &Each) { return !Each->Dead; }));
+  return size_t(std::count_if(Connections.begin(), Connections.end(),
+                              [](const auto &Each) { return !Each->Dead; }));
 }
 
 void proxy::set(proxy_fault NewFault) {
