--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -207,6 +207,12 @@
 BOOST_AUTO_TEST_CASE(send_nothing_unsafe_where_the_last_request_broke) {
   served_world World;
   World.Paths["i-1"]->set(proxy_fault::Cut);
+  // A request on its way over a connection that ends may have run, and says
+  // nothing of the upstream. The gateway has seen the ends that came before a
+  // request that it answers itself.
+  World.until("its connections are closed",
+              [&] { return World.Paths["i-1"]->connections() == 0; });
+  BOOST_TEST(World.request("/nowhere/x").Status == 404);
   int Lost = 0;
   double Until = steadySeconds() + 4;
   World.until("some seconds are over", [&] {
