Prompts go where they are kept; the larger model by worth against its price and time

The larger model could not be asked more, as shared parts were read again: classes by prompt length moved with the work, so one part had several homes, and a first guess of the pace, a third of what these upstreams need, took hundreds of answers to mend.

Ruled out: the slope of confidence.

--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -128,6 +128,16 @@
           .Now = Now};
 }
 
+request_size forwarding::size() const {
+  return {.ReadTokens = Facts.Model->PromptTokens,
+          .MadeTokens = likelyTokens(*Facts.Model),
+          .Priority = Route->Priority};
+}
+
+uint32_t forwarding::priority() const {
+  return Account && Account->Priority ? *Account->Priority : Route->Priority;
+}
+
 bool forwarding::choosesModel() const {
   return Facts.Model && Facts.Model->Model == AnyModel && !Route->Sizes.empty();
 }
@@ -142,19 +152,25 @@
   selection_request Request = selectionAt(Now);
   Request.ModelPlace = Largest;
   outlook Outlook = outlookFor(State, *Routing, Request);
-  auto Larger = largerModel({.Models = Route->Sizes.size(),
-                             .Place = ModelPlace,
-                             .Confidence = Confidence,
-                             .ReadTokens = Facts.Model->PromptTokens,
-                             .MadeTokens = likelyTokens(*Facts.Model),
-                             .BacklogSeconds = Outlook.BacklogSeconds,
-                             .InTime = Now + Outlook.FirstTokenSeconds <
-                                       BegunAt + Route->TargetSeconds});
+  auto Larger = largerModel(
+      {.Models = Route->Sizes.size(),
+       .Place = ModelPlace,
+       .Confidence = Confidence,
+       .Size = size(),
+       .LargestCost = costOf(*Routing, *Route, Service, Largest),
+       .LargestSeconds = Outlook.UpstreamSeconds,
+       .WorthOfSecond =
+           worthOfSecond(State.Earnings[Service].perSecond(),
+                         Outlook.BacklogSeconds, Route->TargetSeconds),
+       .InTime =
+           Now + Outlook.FirstTokenSeconds < BegunAt + Route->TargetSeconds});
   logLine(log_level::Debug, "larger model weighed",
           {{"id", Facts.AttemptId},
            {"confidence", Confidence},
            {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
            {"backlog_s", Outlook.BacklogSeconds},
+           {"upstream_s", Outlook.UpstreamSeconds},
+           {"earned_per_s", State.Earnings[Service].perSecond()},
            {"first_token_s", Outlook.FirstTokenSeconds},
            {"asked", int64_t(Larger.has_value())}});
   if (!Larger || !State.Budgets.at(Service).take(steadySeconds()))
@@ -184,10 +200,14 @@
   LastUpstream = Upstream;
   if (Facts.Model) {
     prompt_work Work = promptWork(State, *Routing, Request);
-    State.Shares[Service].seen(workClassOf(Work.Prompt.Seconds),
-                               Work.WholeSeconds, Now);
-    PromptSeconds = Work.Prompt.Seconds;
+    if (Attempts == 1)
+      State.Earnings[Service].earned(worthOf(size()), Work.WholeSeconds);
+    PromptSeconds = readSeconds(State, *Routing, Request, Work, *Upstream);
     Upstream->PromptSeconds += PromptSeconds;
+    Pieces = std::move(Work.Pieces);
+    KeptTokens = State.Memory.kept(Upstream->Place, Pieces);
+    State.Memory.sent(Upstream->Place, Pieces);
+    State.Peers->sent(*Upstream, Pieces);
   }
   State.Peers->changed(*Upstream);
   touchSession();
@@ -197,8 +217,7 @@
     Sent.Account = Account->Name;
   Sent.Model = Model;
   Sent.LastEvent = Events.lastId();
-  Sent.Priority =
-      Account && Account->Priority ? *Account->Priority : Route->Priority;
+  Sent.Priority = priority();
   Sent.TellPriority = Facts.Model.has_value();
   SentAt = HeardAt = Now;
   NotRunAnswer = AnswerIsEvents = false;
@@ -280,12 +299,23 @@
   if (Connection)
     Connection->drop();
   Connection = nullptr;
+  if (PromptSeconds != 0)
+    State.Memory.unsure(Upstream->Place, unkeptPieces());
   promptRead();
   --Upstream->InFlight;
   State.Peers->changed(*Upstream);
   Upstream = nullptr;
 }
 
+// Of the prompt of the attempt in hand, what the upstream was not known to
+// keep.
+std::span<const prompt_piece> forwarding::unkeptPieces() const {
+  std::span<const prompt_piece> Rest = Pieces;
+  for (uint32_t Tokens = 0; Tokens < KeptTokens; Rest = Rest.subspan(1))
+    Tokens += Rest.front().Tokens;
+  return Rest;
+}
+
 // The upstream has read the prompt of the attempt in hand, or will not.
 void forwarding::promptRead() {
   if (PromptSeconds == 0)
@@ -334,7 +364,7 @@
     State.Pace.firstToken(
         Model.empty() ? Facts.Model->Model : Model,
         modelCost(*Routing, *Route, Service, selectionAt(Now).ModelPlace),
-        Facts.Model->PromptTokens, Now - SentAt);
+        Facts.Model->PromptTokens, KeptTokens, Now - SentAt);
   promptRead();
   if (HeadSent)
     return;
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -15,7 +15,9 @@
 #include "gateway/selection.h"
 #include "gateway/upstream_connection.h"
 #include "net/caller_connection.h"
+#include "policy/model_choice.h"
 #include <set>
+#include <span>
 
 namespace olivevalve {
 
@@ -71,6 +73,8 @@
   void attempt();
   selection_request selectionAt(double Now) const;
   bool choosesModel() const;
+  request_size size() const;
+  uint32_t priority() const;
   bool asksLargerModel();
   bool mayTryAgain(bool WasRun) const;
   void again(bool WasRun, std::string_view Why);
@@ -81,6 +85,7 @@
   void armTimer();
   void leaveUpstream();
   void promptRead();
+  std::span<const prompt_piece> unkeptPieces() const;
   void passOn(std::string_view Bytes);
   void deliver();
   void over(std::string_view Outcome, int Status);
@@ -116,11 +121,13 @@
   size_t ModelPlace = 0;    ///< Of the model asked, in the route's sizes.
   std::string Model;        ///< Chosen by this gateway; empty: the caller's.
   double PromptSeconds = 0; ///< Of the upstream's time; 0 once it has read.
-  double SentAt = 0;        ///< The attempt in hand.
-  double FirstEventAt = 0;  ///< Of the answer; 0: none yet.
-  double HeardAt = 0;       ///< Last bytes of the answer in hand.
-  bool MayHaveRun = false;  ///< Some attempt did, or perhaps did.
-  bool HeadSent = false;    ///< The caller has the head of its answer.
+  std::vector<prompt_piece> Pieces; ///< Of the prompt, for the model asked.
+  uint32_t KeptTokens = 0;          ///< Of them, expected at the upstream.
+  double SentAt = 0;                ///< The attempt in hand.
+  double FirstEventAt = 0;          ///< Of the answer; 0: none yet.
+  double HeardAt = 0;               ///< Last bytes of the answer in hand.
+  bool MayHaveRun = false;          ///< Some attempt did, or perhaps did.
+  bool HeadSent = false;            ///< The caller has the head of its answer.
   bool AnswerIsEvents = false;
   bool NotRunAnswer = false;
   bool OtherIncarnation = false; ///< Declined by whoever has the address now.
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -9,8 +9,10 @@
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
 #include "gateway/upstream_table.h"
+#include "policy/model_choice.h"
+#include "policy/prompt_memory.h"
+#include "policy/prompt_pace.h"
 #include "policy/retry_window.h"
-#include "policy/work_shares.h"
 #include <map>
 #include <memory>
 #include <random>
@@ -30,8 +32,9 @@
   uint32_t Gateways = 1; ///< That share the upstreams, this one included.
   retry_window_bounds RetryBounds;             ///< Of all gateways.
   std::map<std::string, retry_window> Budgets; ///< By service.
-  std::map<std::string, work_shares> Shares;   ///< By service.
+  std::map<std::string, earnings> Earnings;    ///< By service.
   prompt_pace Pace;
+  prompt_memory Memory; ///< Of all upstreams.
   std::mt19937_64 Random{1};
 };
 
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -80,6 +80,10 @@
   Watch.OnNewsAddresses = [this](const std::vector<std::string> &Addresses) {
     Peers.setGateways(Addresses);
   };
+  Peers.OnSent = [this](uint64_t Upstream,
+                        std::span<const prompt_piece> Pieces) {
+    State.Memory.sent(Upstream, Pieces);
+  };
   Watch.OnUpstreams = [this](double Age, const wire::upstream_list *Told) {
     hearList(Age, Told);
   };
@@ -114,6 +118,9 @@
           {{"version", int64_t(Version)},
            {"routes", int64_t(Config->Routes.size())},
            {"accounts", int64_t(Config->Accounts.size())}});
+  for (const routed_service &Service : Config->Services)
+    if (Service.Engine)
+      State.Memory.setRoom(Service.Engine->CacheTokens);
   State.Routing = std::make_shared<routing_table>(*std::move(Config));
   serveHeld();
 }
@@ -283,9 +290,11 @@
             {{"listed", int64_t(State.Upstreams.all().size())},
              {"left", int64_t(Left.size())}});
   ListKnown = true;
-  for (const auto &Upstream : Left)
+  for (const auto &Upstream : Left) {
+    State.Memory.forget(Upstream->Place);
     for (upstream_connection *Idle : std::vector(Upstream->Idle))
       Idle->drop();
+  }
   serveHeld();
 }
 
--- a/gateway/peer_work.cpp
+++ b/gateway/peer_work.cpp
@@ -20,6 +20,8 @@
 // A gateway that has told nothing for so long is gone.
 constexpr double SilentSeconds = 3;
 constexpr double MsPerSecond = 1000;
+// Of one message: some 40 bytes each, and a datagram takes 1,400.
+constexpr int MostPromptsTold = 25;
 
 } // namespace
 
@@ -102,6 +104,22 @@
     Timer.startOnce(std::max(0.0, Due));
 }
 
+// The last part is the request's own: its key is of no use to others, but it
+// takes room.
+void peer_work::sent(const upstream &Upstream,
+                     std::span<const prompt_piece> Pieces) {
+  if (Gateways.empty() || Pieces.empty() ||
+      Untold.prompts_size() >= MostPromptsTold)
+    return;
+  wire::prompt_sent *Sent = Untold.add_prompts();
+  Sent->set_upstream(Upstream.Place);
+  for (const prompt_piece &Piece : Pieces.first(Pieces.size() - 1)) {
+    Sent->add_keys(Piece.Key);
+    Sent->add_tokens(Piece.Tokens);
+  }
+  Sent->set_rest(Pieces.back().Tokens);
+}
+
 void peer_work::tick() {
   double Now = steadySeconds();
   Others.forgetSilent(Now);
@@ -114,6 +132,7 @@
   News.set_gateway(Options.Incarnation);
   News.set_sequence(++Sequence);
   News.set_whole(Whole);
+  News.mutable_prompts()->Swap(Untold.mutable_prompts());
   for (const auto &[Id, Upstream] : Upstreams.all()) {
     bool Told =
         Whole ? Upstream->InFlight > 0 : Changed.contains(Upstream->Place);
@@ -139,6 +158,18 @@
       !News.ParseFromArray(Bytes.data(), int(Bytes.size())))
     return;
   Others.heard(News, steadySeconds());
+  if (!OnSent)
+    return;
+  std::vector<prompt_piece> Pieces;
+  for (const wire::prompt_sent &Sent : News.prompts()) {
+    Pieces.clear();
+    int Known = std::min(Sent.keys_size(), Sent.tokens_size());
+    for (int I = 0; I < Known; ++I)
+      Pieces.push_back({.Key = Sent.keys(I), .Tokens = Sent.tokens(I)});
+    // Named by what nobody asks for.
+    Pieces.push_back({.Key = ++NamedRests, .Tokens = Sent.rest()});
+    OnSent(Sent.upstream(), Pieces);
+  }
 }
 
 } // namespace olivevalve
--- a/gateway/peer_work.h
+++ b/gateway/peer_work.h
@@ -11,8 +11,11 @@
 
 #include "gateway/upstream_table.h"
 #include "net/datagram.h"
+#include "policy/prompt_memory.h"
 #include "wire/wire.pb.h"
+#include <functional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -60,9 +63,13 @@
   const std::string &address() const { return Socket.address(); }
   /// Where the other gateways hear; others are not listened to.
   void setGateways(const std::vector<std::string> &Addresses);
+  /// A prompt went to an upstream.
+  void sent(const upstream &Upstream, std::span<const prompt_piece> Pieces);
   /// The own work at an upstream is not what it was.
   void changed(const upstream &Upstream);
   upstream_work at(uint64_t Upstream) const { return Others.at(Upstream); }
+  /// Another gateway has sent a prompt to an upstream.
+  std::function<void(uint64_t Upstream, std::span<const prompt_piece>)> OnSent;
 
 private:
   void receive(const std::string &From, std::string_view Bytes);
@@ -73,10 +80,12 @@
   peer_work_options Options;
   std::set<std::string> Gateways;
   std::set<uint64_t> Changed; ///< Since the last news, by upstream.
+  wire::work_news Untold;     ///< Prompts sent since the last news.
   work_of_others Others;
   datagram_socket Socket;
   timer Timer;
   uint64_t Sequence = 0;
+  uint64_t NamedRests = 0; ///< Rests of others' prompts, counted.
   double ToldAt = 0;
   double ToldWholeAt = 0;
 };
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// What the upstream that served a session last saves of its prompt's time: it
-// still has it 7 times in 10, and what it saves also helps those behind.
-constexpr double SessionKept = 0.7 * WeightOfSaved;
 constexpr double NoUpstream = 1e9;
 
 /// The part that other prompts begin with; the last part is the request's own.
@@ -21,13 +18,16 @@
   return Tokens;
 }
 
-uint64_t sharedKey(const platform::model_request &Request, size_t ModelPlace) {
-  uint64_t Key = 1 + ModelPlace;
-  for (size_t I = 0; I + 1 < Request.Parts.size(); ++I)
-    Key = checksum({reinterpret_cast<const char *>(&Request.Parts[I].Id),
-                    sizeof(Request.Parts[I].Id)},
+std::vector<prompt_piece> piecesOf(const platform::model_request &Request,
+                                   std::string_view Model) {
+  std::vector<prompt_piece> Pieces;
+  uint64_t Key = checksum(Model);
+  for (const platform::prompt_part &Part : Request.Parts) {
+    Key = checksum({reinterpret_cast<const char *>(&Part.Id), sizeof(Part.Id)},
                    Key);
-  return Key;
+    Pieces.push_back({.Key = Key, .Tokens = Part.Tokens});
+  }
+  return Pieces;
 }
 
 /// Upstreams that may have the request, those of the wanted software first.
@@ -57,12 +57,6 @@
   return Found;
 }
 
-class_fit fitOf(size_t Place, upstream_range OwnClass) {
-  if (Place < OwnClass.Begin)
-    return class_fit::Shorter;
-  return Place < OwnClass.End ? class_fit::Own : class_fit::Longer;
-}
-
 std::vector<upstream_view>
 viewsOf(const gateway_state &State, const selection_request &Request,
         const std::vector<std::shared_ptr<upstream>> &Upstreams) {
@@ -85,16 +79,15 @@
 }
 
 std::shared_ptr<upstream> pick(gateway_state &State,
+                               const routing_table &Routing,
                                const selection_request &Request,
                                std::vector<std::shared_ptr<upstream>> Upstreams,
-                               upstream_range OwnClass, const prompt_work &Work,
-                               const session_pin *Pin) {
+                               const prompt_work &Work) {
   std::vector<upstream_view> Views = viewsOf(State, Request, Upstreams);
-  for (size_t I = 0; I < Views.size(); ++I) {
-    Views[I].Fit = fitOf(I, OwnClass);
-    if (Pin && Views[I].Id == Pin->Upstream && Request.Route.Sticky)
-      Views[I].KeptSeconds = SessionKept * Work.Prompt.Seconds;
-  }
+  for (size_t I = 0; I < Views.size(); ++I)
+    if (Request.Facts.Model)
+      Views[I].ReadSeconds =
+          readSeconds(State, Routing, Request, Work, *Upstreams[I]);
   for (size_t I = Views.size(); I-- > 0;)
     if (Request.Tried.contains(Upstreams[I]->Listed.Id)) {
       Views.erase(Views.begin() + ptrdiff_t(I));
@@ -124,19 +117,21 @@
              : std::string_view(Facts.Model->Model);
 }
 
-double modelCost(const routing_table &Routing, const route_spec &Route,
-                 const std::string &Service, size_t ModelPlace) {
+double costOf(const routing_table &Routing, const route_spec &Route,
+              const std::string &Service, size_t ModelPlace) {
   const routed_service *Spec = Routing.service(Service);
   if (!Spec || !Spec->Engine || ModelPlace >= Route.Sizes.size())
-    return 1;
-  auto CostOf = [&](const std::string &Name) {
-    for (const model_cost &Model : Spec->Engine->Models)
-      if (Model.Name == Name)
-        return Model.CostPerThousandTokens;
-    return 0.0;
-  };
-  double Smallest = CostOf(Route.Sizes.front());
-  double Cost = CostOf(Route.Sizes[ModelPlace]);
+    return 0;
+  for (const model_cost &Model : Spec->Engine->Models)
+    if (Model.Name == Route.Sizes[ModelPlace])
+      return Model.CostPerThousandTokens;
+  return 0;
+}
+
+double modelCost(const routing_table &Routing, const route_spec &Route,
+                 const std::string &Service, size_t ModelPlace) {
+  double Smallest = costOf(Routing, Route, Service, 0);
+  double Cost = costOf(Routing, Route, Service, ModelPlace);
   return Smallest > 0 && Cost > 0 ? Cost / Smallest : 1;
 }
 
@@ -152,14 +147,26 @@
     return State.Pace.secondsFor(Name, Cost, Tokens);
   };
   double Seconds = SecondsFor(Model.PromptTokens);
+  std::vector<prompt_piece> Pieces = piecesOf(Model, Name);
+  uint64_t SharedKey = Pieces.size() > 1 ? Pieces[Pieces.size() - 2].Key : 0;
   return {.Prompt = {.Seconds = Seconds,
                      .SharedSeconds = SecondsFor(sharedTokens(Model)),
-                     .SharedTokens = sharedTokens(Model),
-                     .SharedKey = sharedKey(Model, Request.ModelPlace)},
+                     .SharedKey = SharedKey},
+          .Pieces = std::move(Pieces),
           .WholeSeconds =
               Seconds + SecondsFor(ReadTokensPerMade * likelyTokens(Model))};
 }
 
+double readSeconds(const gateway_state &State, const routing_table &Routing,
+                   const selection_request &Request, const prompt_work &Work,
+                   const upstream &Upstream) {
+  return State.Pace.secondsFor(
+      std::string(modelAt(Request.Route, Request.Facts, Request.ModelPlace)),
+      modelCost(Routing, Request.Route, Request.Service, Request.ModelPlace),
+      Request.Facts.Model->PromptTokens,
+      State.Memory.kept(Upstream.Place, Work.Pieces));
+}
+
 uint32_t likelyTokens(const platform::model_request &Model) {
   return std::max(
       1U, Model.LikelyOutputTokens.value_or(Model.MostOutputTokens / 2));
@@ -178,10 +185,13 @@
   }
   Outlook.BacklogSeconds /= double(std::max<size_t>(1, Sound));
   std::shared_ptr<upstream> Upstream = select(State, Routing, Request);
+  prompt_work Work = promptWork(State, Routing, Request);
+  double Read = Upstream ? readSeconds(State, Routing, Request, Work, *Upstream)
+                         : Work.Prompt.Seconds;
+  Outlook.UpstreamSeconds = Read + Work.WholeSeconds - Work.Prompt.Seconds;
   Outlook.FirstTokenSeconds =
       Upstream ? FirstTokenSeconds + Upstream->PromptSeconds +
-                     State.Peers->at(Upstream->Place).PromptSeconds +
-                     promptWork(State, Routing, Request).Prompt.Seconds
+                     State.Peers->at(Upstream->Place).PromptSeconds + Read
                : NoUpstream;
   return Outlook;
 }
@@ -195,20 +205,11 @@
                       : State.Pins.find(Request.Service, Session, Request.Now);
   candidates Found = candidatesFor(State, Request, Pin);
   prompt_work Work = promptWork(State, Routing, Request);
-  if (Pin &&
-      Pin->Model != modelAt(Request.Route, Request.Facts, Request.ModelPlace))
-    Pin = nullptr;
-  upstream_range OwnClass{0, Found.Wanted.size()};
-  auto Shares = State.Shares.find(Request.Service);
-  if (Request.Facts.Model && Shares != State.Shares.end())
-    OwnClass = Shares->second.rangeOf(workClassOf(Work.Prompt.Seconds),
-                                      Found.Wanted.size());
   std::shared_ptr<upstream> Chosen =
-      pick(State, Request, std::move(Found.Wanted), OwnClass, Work, Pin);
+      pick(State, Routing, Request, std::move(Found.Wanted), Work);
   if (Chosen)
     return Chosen;
-  size_t Others = Found.Others.size();
-  return pick(State, Request, std::move(Found.Others), {0, Others}, Work, Pin);
+  return pick(State, Routing, Request, std::move(Found.Others), Work);
 }
 
 } // namespace olivevalve
--- a/gateway/selection.h
+++ b/gateway/selection.h
@@ -28,7 +28,8 @@
 /// The work of a prompt for the model at \p ModelPlace.
 struct prompt_work {
   prompt_view Prompt;
-  double WholeSeconds = 0; ///< With the tokens that are made.
+  std::vector<prompt_piece> Pieces; ///< For this model, in their order.
+  double WholeSeconds = 0;          ///< With the tokens that are made.
 };
 
 /// The same at every gateway for all requests of a session.
@@ -40,6 +41,10 @@
                          const platform::caller_facts &Facts,
                          size_t ModelPlace);
 
+/// Its cost for 1,000 tokens made; 0: not told.
+double costOf(const routing_table &Routing, const route_spec &Route,
+              const std::string &Service, size_t ModelPlace);
+
 /// Its cost beside that of the route's smallest.
 double modelCost(const routing_table &Routing, const route_spec &Route,
                  const std::string &Service, size_t ModelPlace);
@@ -47,12 +52,18 @@
 prompt_work promptWork(const gateway_state &State, const routing_table &Routing,
                        const selection_request &Request);
 
+/// Of an upstream's time, to read what it does not keep of the prompt.
+double readSeconds(const gateway_state &State, const routing_table &Routing,
+                   const selection_request &Request, const prompt_work &Work,
+                   const upstream &Upstream);
+
 /// Tokens that the answer is expected to have.
 uint32_t likelyTokens(const platform::model_request &Model);
 
 /// What a request would meet if it were sent now.
 struct outlook {
   double BacklogSeconds = 0;    ///< Of prompts, at an upstream on average.
+  double UpstreamSeconds = 0;   ///< Of an upstream's time, with what it makes.
   double FirstTokenSeconds = 0; ///< Until the first token; 1e9: no upstream.
 };
 
--- a/policy/upstream_choice.cpp
+++ b/policy/upstream_choice.cpp
@@ -14,24 +14,20 @@
 // Loads that differ by less are taken for equal and drawn by lot: every entry
 // sees a load that is a moment old.
 constexpr double SameLoad = 0.02;
-// A prompt that goes to upstreams kept for shorter ones makes these wait: that
-// counts as so many times its own time.
-constexpr double AmongShorter = 1;
-// The other way round it only takes a place there.
-constexpr double AmongLonger = 0.02;
 // Seconds that bytes to another data hall are worth.
-constexpr double OtherHallSeconds = 0.03;
+constexpr double OtherHallSeconds = 0.1;
 // A full upstream makes new requests wait for a place; how full it is weighs
 // little before that.
 constexpr double NearlyFull = 0.8;
 constexpr double SecondsWhenFull = 1.0;
 constexpr double SecondsByFill = 0.05;
-// How likely the upstream that comes first or second for a shared part still
-// has it in memory, weighed.
-constexpr double FirstKeeps = 0.7 * WeightOfSaved;
-constexpr double SecondKeeps = 0.3 * WeightOfSaved;
-// What it is worth beside the time that a shared token is not read again.
-constexpr double SecondsPerTokenKept = 8e-6;
+// A second of reading counts for so many of waiting: all who come behind wait
+// for it too.
+constexpr double WeightOfReading = 2.5;
+// What is kept nowhere goes to the upstream that comes first or second for it:
+// gateways that choose at the same moment choose alike.
+constexpr double FirstKeeps = 0.7 * WeightOfReading;
+constexpr double SecondKeeps = 0.3 * WeightOfReading;
 // Gateways that choose at the same moment do not know of each other.
 constexpr double JitterSeconds = 0.01;
 
@@ -77,20 +73,8 @@
   return SecondsByFill * Fill + SecondsWhenFull * Over;
 }
 
-double misfitSeconds(class_fit Fit, const prompt_view &Prompt) {
-  switch (Fit) {
-  case class_fit::Own:
-    return 0;
-  case class_fit::Shorter:
-    return AmongShorter * Prompt.Seconds;
-  case class_fit::Longer:
-    return AmongLonger;
-  }
-  return 0;
-}
-
-/// The two upstreams of the own class that a shared part goes to first, by
-/// rendezvous: few parts move when an upstream comes or goes.
+/// The two upstreams that a shared part goes to first, by rendezvous: few parts
+/// move when an upstream comes or goes.
 struct keepers {
   std::optional<size_t> First;
   std::optional<size_t> Second;
@@ -101,8 +85,6 @@
   uint64_t FirstRank = 0;
   uint64_t SecondRank = 0;
   for (size_t I = 0; I < Upstreams.size(); ++I) {
-    if (Upstreams[I].Fit != class_fit::Own)
-      continue;
     uint64_t Rank = checksum(Upstreams[I].Id, Key);
     if (Rank > FirstRank) {
       Keepers.Second = Keepers.First;
@@ -126,8 +108,11 @@
   keepers Keepers;
   if (Prompt.SharedSeconds > 0)
     Keepers = keepersOf(Upstreams, Prompt.SharedKey);
-  double Shared =
-      Prompt.SharedSeconds + SecondsPerTokenKept * Prompt.SharedTokens;
+  double LeastRead = Prompt.Seconds;
+  for (const upstream_view &Upstream : Upstreams)
+    LeastRead = std::min(LeastRead, Upstream.ReadSeconds);
+  double Unkept =
+      std::max(0.0, LeastRead - (Prompt.Seconds - Prompt.SharedSeconds));
   std::uniform_real_distribution<double> Jitter(0, JitterSeconds);
   std::optional<size_t> Best;
   double Least = 0;
@@ -136,15 +121,13 @@
     if (HeedSuspicion && Upstream.Suspect)
       continue;
     double Seconds = Upstream.PromptSeconds + fillSeconds(Upstream) +
-                     misfitSeconds(Upstream.Fit, Prompt) + Jitter(Random);
+                     WeightOfReading * Upstream.ReadSeconds + Jitter(Random);
     if (!Upstream.SameHall)
       Seconds += OtherHallSeconds;
-    double Kept = Upstream.KeptSeconds;
     if (Keepers.First == I)
-      Kept = std::max(Kept, FirstKeeps * Shared);
+      Seconds -= FirstKeeps * Unkept;
     else if (Keepers.Second == I)
-      Kept = std::max(Kept, SecondKeeps * Shared);
-    Seconds -= Kept;
+      Seconds -= SecondKeeps * Unkept;
     if (!Best || Seconds < Least) {
       Best = I;
       Least = Seconds;
--- a/policy/upstream_choice.h
+++ b/policy/upstream_choice.h
@@ -16,9 +16,6 @@
 
 namespace olivevalve {
 
-/// The class of prompts that an upstream is for, beside the request's own.
-enum class class_fit : uint8_t { Own, Shorter, Longer };
-
 /// What is known of one upstream that may be chosen.
 struct upstream_view {
   std::string_view Id;
@@ -27,21 +24,15 @@
   bool SameHall = false;    ///< In the data hall of the entry.
   bool Suspect = false;     ///< Failed lately: only if there is no other.
   double PromptSeconds = 0; ///< Of its time, for prompts that it has to read.
-  /// Of its time for this prompt, saved by what it holds in memory.
-  double KeptSeconds = 0;
-  class_fit Fit = class_fit::Own;
+  /// Of its time, to read of this prompt what it does not keep.
+  double ReadSeconds = 0;
 };
 
-/// A second that an upstream need not read counts for so many: all who wait
-/// behind gain it too.
-constexpr double WeightOfSaved = 2.5;
-
 /// The prompt of a request to a model.
 struct prompt_view {
-  double Seconds = 0;        ///< Of an upstream's time, to read all of it.
-  double SharedSeconds = 0;  ///< For the part that other prompts begin with.
-  uint32_t SharedTokens = 0; ///< Of that part.
-  uint64_t SharedKey = 0;    ///< Names that part and the model.
+  double Seconds = 0;       ///< Of an upstream's time, to read all of it.
+  double SharedSeconds = 0; ///< For the part that other prompts begin with.
+  uint64_t SharedKey = 0;   ///< Names that part and the model.
 };
 
 /// The place of the upstream with the least load for its slots.
