--- a/policy/prompt_memory.cpp
+++ b/policy/prompt_memory.cpp
@@ -1,7 +1,7 @@
 //===- prompt_memory.cpp - What upstreams hold of prompts -----------------===//
 
 #include "policy/prompt_memory.h"
-#include <ranges>
+#include <iterator>
 
 namespace olivevalve {
 
@@ -34,8 +34,8 @@
 void prompt_memory::sent(uint64_t Upstream,
                          std::span<const prompt_piece> Pieces) {
   holding &Holding = Held[Upstream];
-  for (const prompt_piece &Piece : std::views::reverse(Pieces))
-    touch(Holding, Piece);
+  for (size_t I = Pieces.size(); I-- > 0;)
+    touch(Holding, Pieces[I]);
   while (Holding.Tokens > uint64_t(KeptPart * double(Room)) &&
          Holding.Pieces.size() > Pieces.size())
     drop(Holding, std::prev(Holding.Pieces.end()));
