--- /dev/null
+++ b/gateway/answering.cpp
@@ -0,0 +1,249 @@
+//===- answering.cpp - One request's answer on its way back ---------------===//
+//
+// The half of forwarding that hears upstreams and gives callers their answer.
+//
+//===----------------------------------------------------------------------===//
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "gateway/forwarding.h"
+
+namespace olivevalve {
+
+namespace {
+
+// A caller that does not read holds back its upstream from here on.
+constexpr size_t MostUnsent = 256 << 10;
+// Answers that are not events are held whole up to this.
+constexpr size_t MostHeldAnswer = 16 << 20;
+// When to come back after a refusal: another upstream or entry is usually free
+// within a fraction of a second.
+constexpr std::string_view RetryAfterSeconds = "0.3";
+
+std::string_view troubleOf(broken_at Where) {
+  switch (Where) {
+  case broken_at::Connecting:
+    return "no connection";
+  case broken_at::Reused:
+    return "resting connection closed";
+  case broken_at::Waiting:
+    return "closed before the answer";
+  case broken_at::Answering:
+    return "closed in the answer";
+  case broken_at::Garbled:
+    return "not an answer";
+  }
+  return "";
+}
+
+} // namespace
+
+void forwarding::onAnswerHead(const http_head &AnswerHead,
+                              const platform::answer_facts &AnswerFacts) {
+  double Now = steadySeconds();
+  HeardAt = Now;
+  if (AnswerFacts.Load)
+    Upstream->heardLoad(*AnswerFacts.Load, Now);
+  NotRunAnswer = AnswerFacts.NotRun;
+  OtherIncarnation = AnswerFacts.OtherIncarnation;
+  bool Good = AnswerHead.Status >= 200 && AnswerHead.Status < 300;
+  AnswerIsEvents = streaming() && Good;
+  if (AnswerIsEvents && Facts.Model)
+    State.Pace.firstToken(
+        Model.empty() ? Facts.Model->Model : Model,
+        modelCost(*Routing, *Route, Service, selectionAt(Now).ModelPlace),
+        Facts.Model->PromptTokens, KeptTokens, Now - SentAt);
+  promptRead();
+  if (HeadSent)
+    return;
+  Confidence = AnswerFacts.Confidence.value_or(-1);
+  Answer = {.Status = AnswerHead.Status, .Reason = AnswerHead.Reason};
+  for (const head_line &Line : AnswerHead.Lines)
+    if (!sameHeader(Line.Name, "Content-Length") &&
+        !platform::belongsToConnection(AnswerHead, Line.Name))
+      Answer.Lines.push_back(Line);
+  if (!AnswerIsEvents || !asksLargerModel())
+    return;
+  auto Keep = shared_from_this();
+  Upstream->answered();
+  countAnswer(false);
+  logLine(log_level::Info, "larger model asked",
+          {{"id", Facts.AttemptId},
+           {"confidence", Confidence},
+           {"upstream", Upstream->Listed.Id},
+           {"asked", Model},
+           {"asks", Route->Sizes[ModelPlace]},
+           {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
+           {"seconds_there", Now - SentAt}});
+  leaveUpstream();
+  Answer = {};
+  attempt();
+}
+
+void forwarding::onAnswerBytes(std::string_view Bytes) {
+  HeardAt = steadySeconds();
+  if (AnswerIsEvents)
+    return passOn(Events.take(Bytes));
+  if (Answer.Body.size() + Bytes.size() <= MostHeldAnswer)
+    Answer.Body.append(Bytes);
+}
+
+void forwarding::passOn(std::string_view Bytes) {
+  if (Bytes.empty() || !Caller)
+    return;
+  if (!HeadSent) {
+    HeadSent = true;
+    FirstEventAt = HeardAt;
+    Caller->begin(Answer.Status, Answer.Reason, Answer.Lines);
+    countAnswer(false);
+    State.Metrics->record(measure::TimeToFirstToken, Route->Name,
+                          HeardAt - BegunAt);
+  }
+  EventBytes += Bytes.size();
+  Caller->write(Bytes);
+  if (Connection && Caller && Caller->unsent() > MostUnsent)
+    Connection->setReading(false);
+}
+
+void forwarding::onCallerDrained() {
+  if (Connection)
+    Connection->setReading(true);
+}
+
+void forwarding::onAnswerEnd() {
+  auto Keep = shared_from_this();
+  Connection = nullptr; // Free again, or closed.
+  Upstream->answered();
+  if (AnswerIsEvents) {
+    passOn(Events.takeRest());
+    if (!HeadSent)
+      return deliver();
+    leaveUpstream();
+    Caller->finish();
+    return over("served", Answer.Status);
+  }
+  if (NotRunAnswer) {
+    if (OtherIncarnation) {
+      Upstream->leave();
+      --Attempts; // The one that was meant has ended.
+      Answer = {};
+    }
+    leaveUpstream();
+    return again(false, "refused by the upstream");
+  }
+  bool Failed = Answer.Status >= 500;
+  countAnswer(Failed);
+  MayHaveRun = true;
+  if (Failed && Route->repeatable()) {
+    leaveUpstream();
+    return again(true, "failed at the upstream");
+  }
+  if (HeadSent) {
+    leaveUpstream();
+    return over("refused while going on", 0);
+  }
+  deliver();
+}
+
+void forwarding::onBroken(broken_at Where) {
+  auto Keep = shared_from_this();
+  Connection = nullptr;
+  bool Sent = Where != broken_at::Connecting;
+  // A resting connection may be closed by an upstream that is well.
+  if (Where != broken_at::Reused)
+    Upstream->failed(steadySeconds());
+  if (Sent && Where != broken_at::Reused)
+    countAnswer(true);
+  if (Where == broken_at::Reused)
+    Tried.erase(Upstream->Listed.Id);
+  // The head of a broken answer is none.
+  if (!HeadSent)
+    Answer = {};
+  leaveUpstream();
+  if (!Sent)
+    --Attempts; // It reached no upstream.
+  again(Sent, troubleOf(Where));
+}
+
+void forwarding::countAnswer(bool Failed) {
+  if (!Upstream)
+    return;
+  State.Versions.count(Service, Upstream->Listed.Version, Failed,
+                       steadySeconds() - SentAt);
+}
+
+/// The answer that is held, as the upstream gave it.
+void forwarding::deliver() {
+  leaveUpstream();
+  if (Caller)
+    Caller->reply(Answer.Status, Answer.Reason, Answer.Lines, Answer.Body);
+  over(Answer.Status < 400 ? "served" : "answered by the upstream",
+       Answer.Status);
+}
+
+void forwarding::giveUp(error_kind Kind, std::string_view Why) {
+  leaveUpstream();
+  const error_answer &Told = answerFor(Kind);
+  std::vector<head_line> Lines = {
+      {"Content-Type", "application/json"},
+      {"X-Olivevalve-Outcome", std::string(nameOf(Told.Outcome))}};
+  if (Told.HttpStatus == 503)
+    Lines.push_back({"Retry-After", std::string(RetryAfterSeconds)});
+  if (Caller)
+    Caller->reply(Told.HttpStatus, Told.Code, Lines, errorBody(Kind, Why));
+  over(Why, Told.HttpStatus);
+}
+
+void forwarding::onCallerGone() {
+  auto Keep = shared_from_this();
+  Caller = nullptr;
+  leaveUpstream();
+  over("caller gone", 0);
+}
+
+void forwarding::cut() {
+  auto Keep = shared_from_this();
+  leaveUpstream();
+  over("cut by the stop", 0);
+}
+
+void forwarding::over(std::string_view Outcome, int Status) {
+  if (std::exchange(Finished, true))
+    return;
+  Timer.stop();
+  touchSession();
+  // Whoever holds half an answer must see that it is not whole.
+  if (Status == 0 && Caller)
+    Caller->breakOff();
+  Caller = nullptr;
+  std::string_view Name = Route ? std::string_view(Route->Name) : "none";
+  State.Metrics->count("requests", Status >= 200 && Status < 300 ? "served"
+                                   : Status == 0                 ? "broken off"
+                                                 : "not served");
+  logLine(
+      log_level::Info, "request over",
+      {{"id", Facts.AttemptId},
+       {"route", Name},
+       {"routing", Routing ? int64_t(Routing->version()) : 0},
+       {"account", Account ? std::string_view(Account->Name) : ""},
+       {"session", Facts.Session},
+       {"service", Service},
+       {"upstream", LastUpstream ? LastUpstream->Listed.Id : ""},
+       {"version", LastUpstream ? LastUpstream->Listed.Version : ""},
+       {"model", Model},
+       {"prompt_tokens", int64_t(Facts.Model ? Facts.Model->PromptTokens : 0)},
+       {"kept_tokens", int64_t(KeptTokens)},
+       {"expected_first_s", ExpectedSeconds},
+       {"first_event_s", FirstEventAt > 0 ? FirstEventAt - SentAt : -1},
+       {"confidence", Confidence},
+       {"attempts", int64_t(Attempts)},
+       {"trouble", LastTrouble},
+       {"may_have_run", int64_t(MayHaveRun)},
+       {"status", int64_t(Status)},
+       {"outcome", Outcome},
+       {"event_bytes", int64_t(EventBytes)},
+       {"seconds", steadySeconds() - BegunAt}});
+  OnOver(*this);
+}
+
+} // namespace olivevalve
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -71,6 +71,8 @@
   bool authorise();
   const std::string &pickService();
   void attempt();
+  void expectPrompt(const selection_request &Request);
+  void send(double Now);
   selection_request selectionAt(double Now) const;
   bool choosesModel() const;
   request_size size() const;
@@ -123,6 +125,7 @@
   double PromptSeconds = 0; ///< Of the upstream's time; 0 once it has read.
   std::vector<prompt_piece> Pieces; ///< Of the prompt, for the model asked.
   uint32_t KeptTokens = 0;          ///< Of them, expected at the upstream.
+  double ExpectedSeconds = 0;       ///< From sending to the first token.
   double SentAt = 0;                ///< The attempt in hand.
   double FirstEventAt = 0;          ///< Of the answer; 0: none yet.
   double HeardAt = 0;               ///< Last bytes of the answer in hand.
--- a/gateway/session_pins.h
+++ b/gateway/session_pins.h
@@ -11,9 +11,7 @@
 namespace olivevalve {
 
 struct session_pin {
-  std::string Version;  ///< Software of the upstream.
-  std::string Upstream; ///< Incarnation that holds the session's memory,
-  std::string Model;    ///< for this model.
+  std::string Version; ///< Software of the upstream.
   double TouchedAt = 0;
 };
 
