--- /dev/null
+++ b/tests/control_path.h
@@ -0,0 +1,103 @@
+//===- control_path.h - A narrow link between gateways and control -*- C++
+//-*-===//
+//
+// Carries messages between gateways and one control VM, one after the other at
+// a set speed or with a set delay, as a link does that others fill. Gateways
+// are told that it is the leader, so that they stay with it.
+//
+//===----------------------------------------------------------------------===//
+
+#ifndef OLIVEVALVE_TESTS_CONTROL_PATH_H
+#define OLIVEVALVE_TESTS_CONTROL_PATH_H
+
+#include "base/clock.h"
+#include "net/link.h"
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace olivevalve {
+
+class control_path {
+public:
+  /// \p Target: where the control VM listens.
+  control_path(struct ev_loop *Loop, std::string Target)
+      : Loop(Loop), Target(std::move(Target)),
+        Front(Context, Loop,
+              [this](const std::string &Peer, const wire::envelope &Message) {
+                toControl(Peer, Message);
+              }),
+        Later(Loop, [this] { deliver(); }) {
+    Front.bind("127.0.0.1:0");
+  }
+
+  std::string address() const { return Front.address(); }
+
+  double BytesPerSecond = 0; ///< Towards gateways; 0: no limit.
+  double DelaySeconds = 0;   ///< Towards gateways, of each message.
+  size_t Bytes = 0;          ///< That control has sent to gateways.
+
+private:
+  struct waiting {
+    std::string Peer;
+    wire::envelope Message;
+    double DueAt = 0;
+  };
+
+  void toControl(const std::string &Peer, const wire::envelope &Message) {
+    std::unique_ptr<client_link> &Link = Links[Peer];
+    if (!Link) {
+      Link = std::make_unique<client_link>(
+          Context, Loop, Peer, [this, Peer](const wire::envelope &Answer) {
+            toGateway(Peer, Answer);
+          });
+      Link->connect(Target);
+    }
+    Link->send(Message);
+  }
+
+  void toGateway(const std::string &Peer, wire::envelope Message) {
+    size_t Size = Message.ByteSizeLong();
+    Bytes += Size;
+    if (Message.has_notice())
+      putInPlaceOfLeader(*Message.mutable_notice());
+    double Now = steadySeconds();
+    double Took = BytesPerSecond > 0 ? double(Size) / BytesPerSecond : 0;
+    FreeAt = std::max(FreeAt, Now) + Took;
+    Queue.push_back({Peer, std::move(Message), FreeAt + DelaySeconds});
+    if (!Later.active())
+      deliver();
+  }
+
+  void putInPlaceOfLeader(wire::notice &Notice) const {
+    Notice.clear_members();
+    if (Notice.leader() == 0)
+      return;
+    wire::member *Self = Notice.add_members();
+    Self->set_id(Notice.leader());
+    Self->set_address(address());
+    Self->set_voter(true);
+  }
+
+  void deliver() {
+    double Now = steadySeconds();
+    for (; !Queue.empty() && Queue.front().DueAt <= Now; Queue.pop_front())
+      Front.send(Queue.front().Peer, Queue.front().Message);
+    if (!Queue.empty())
+      Later.startOnce(Queue.front().DueAt - Now);
+  }
+
+  struct ev_loop *Loop;
+  std::string Target;
+  link_context Context;
+  server_link Front;
+  std::map<std::string, std::unique_ptr<client_link>> Links; ///< By gateway.
+  std::deque<waiting> Queue;
+  double FreeAt = 0; ///< When the link has carried all that it was given.
+  timer Later;
+};
+
+} // namespace olivevalve
+
+#endif // OLIVEVALVE_TESTS_CONTROL_PATH_H
--- a/tests/gateway_world.cpp
+++ b/tests/gateway_world.cpp
@@ -87,11 +87,23 @@
 }
 
 void gateway_world::startGateway(const std::string &Name, const json &Changes) {
+  startWith(seeds(), Name, Changes);
+}
+
+void gateway_world::startGatewayBehind(const std::string &Control,
+                                       const std::string &Name,
+                                       const json &Changes) {
+  startWith({{"operator_addresses", {Control}}, {"port", portOf(Control)}},
+            Name, Changes);
+}
+
+void gateway_world::startWith(const json &Seeds, const std::string &Name,
+                              const json &Changes) {
   json Settings = {{"node", Name},
                    {"data_hall", "charguia"},
                    {"health_address", GatewayHealth.text()},
                    {"unready_seconds", 0.3},
-                   {"control_seeds", seeds()},
+                   {"control_seeds", Seeds},
                    {"gateway",
                     {{"address", GatewayAddress.text()},
                      {"news_address", "127.0.0.1:0"},
@@ -137,6 +149,20 @@
           {"accounts", {{{"name", "dispatch"}, {"keys", {"k1"}}}}}};
 }
 
+json gateway_world::largeRouting(int Routes) {
+  json Routing = usualRouting();
+  for (int I = 0; I < Routes; ++I) {
+    json Route = Routing["routes"][0];
+    std::string Number = std::to_string(I);
+    Route["name"] = "more-" + Number;
+    Route["path_prefix"] = "/r" + Number + "/";
+    // As long as those of real deployments, some 300 bytes.
+    Route["note"] = std::string(100, 'n');
+    Routing["routes"].push_back(std::move(Route));
+  }
+  return Routing;
+}
+
 caller_answer gateway_world::operatorCall(const std::string &Method,
                                           const std::string &Path,
                                           const std::string &Body) {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -32,9 +32,14 @@
   replica &addReplica(replica_options Options);
   /// \p Changes: to the gateway's usual settings.
   void startGateway(const std::string &Name, const json &Changes = {});
+  /// The same, but it finds control at one address only.
+  void startGatewayBehind(const std::string &Control, const std::string &Name,
+                          const json &Changes = {});
   void untilGatewayReady(const std::string &Name);
   /// The routing with the usual routes, under the next version.
   json usualRouting();
+  /// The same with so many routes more, "/r0/", "/r1/" and so on.
+  json largeRouting(int Routes);
   /// Sends it to control VMs in turn until one takes it.
   caller_answer putRouting(const json &Routing);
   caller_answer operatorCall(const std::string &Method, const std::string &Path,
@@ -44,6 +49,10 @@
   size_t voters();
   void untilVoters(size_t Count);
   seeded_control *leaderOf();
+  /// Where nodes connect to this control VM.
+  std::string nodeAddressOf(const seeded_control &Node) const {
+    return Node.Ip + ":" + std::to_string(NodePort);
+  }
 
   std::shared_ptr<caller_answer> beginRequest(const std::string &Path,
                                               caller_request Request = {});
@@ -63,6 +72,8 @@
 
 private:
   json seeds();
+  void startWith(const json &Seeds, const std::string &Name,
+                 const json &Changes);
   std::vector<std::unique_ptr<reserved_address>> Ports;
   int NodePort = 0;
   int OperatorPort = 0;
--- a/tests/proxy.cpp
+++ b/tests/proxy.cpp
@@ -182,8 +182,11 @@
   if (Connection.Dead)
     return;
   bool Throttled = Fault == proxy_fault::Slow || Fault == proxy_fault::Drip;
+  bool ClientStalls = Fault == proxy_fault::ClientStalls;
   auto EventsFor = [&](const direction &In, const direction &Out) {
-    int Events = In.Pending.size() < MostPending ? EV_READ : 0;
+    bool Takes = In.Pending.size() < MostPending &&
+                 !(ClientStalls && &In == &Connection.ToClient);
+    int Events = Takes ? EV_READ : 0;
     return Events | (!Out.Pending.empty() && !Throttled ? EV_WRITE : 0);
   };
   Connection.ClientWatch.start(
--- a/tests/proxy.h
+++ b/tests/proxy.h
@@ -20,9 +20,10 @@
   Hole,         ///< Nothing passes, nothing is closed.
   HoleToServer, ///< Only what comes from clients is swallowed.
   HoleToClient,
-  HalfClose, ///< What clients send ends, as if they had shut it down.
-  Drip,      ///< A few bytes at a time.
-  Slow,      ///< Everything comes late.
+  HalfClose,    ///< What clients send ends, as if they had shut it down.
+  Drip,         ///< A few bytes at a time.
+  Slow,         ///< Everything comes late.
+  ClientStalls, ///< Nothing is taken from the server: its queue fills.
 };
 
 class proxy {
