--- a/control/upstream_news.cpp
+++ b/control/upstream_news.cpp
@@ -27,6 +27,7 @@
   Entry.set_version(Listed.Version);
   Entry.set_slots(Listed.Slots);
   Entry.set_leaving(Listed.Leaving);
+  Entry.set_started_ms(Listed.StartedMs);
   return Entry;
 }
 
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -267,7 +267,8 @@
                          .DataHall = Each.data_hall(),
                          .Version = Each.version(),
                          .Slots = Each.slots(),
-                         .Leaving = Each.leaving()};
+                         .Leaving = Each.leaving(),
+                         .StartedMs = Each.started_ms()};
   std::vector<platform::listed_upstream> List;
   for (auto &[Id, Each] : Listed)
     List.push_back(std::move(Each));
@@ -280,10 +281,15 @@
   ListHadAt = std::max(ListHadAt, HadAt);
   size_t Before = State.Upstreams.all().size();
   auto Left = State.Upstreams.update(std::move(Listed));
+  auto Restarted =
+      std::count_if(Left.begin(), Left.end(), [this](const auto &Upstream) {
+        return State.Upstreams.all().contains(Upstream->Listed.Id);
+      });
   if (!ListKnown || Before != State.Upstreams.all().size() || !Left.empty())
     logLine(log_level::Info, "upstreams changed",
             {{"listed", int64_t(State.Upstreams.all().size())},
              {"left", int64_t(Left.size())},
+             {"restarted", int64_t(Restarted)},
              {"age_s", steadySeconds() - HadAt},
              {"held_age_s", HeldAge}});
   ListKnown = true;
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -41,6 +41,30 @@
   ++Strikes;
 }
 
+// Without a start the id alone tells: upstreams of before never told one.
+std::shared_ptr<upstream>
+upstream_table::incarnationOf(platform::listed_upstream Listed) const {
+  auto It = ById.find(Listed.Id);
+  if (It != ById.end()) {
+    uint64_t Known = It->second->Listed.StartedMs;
+    bool Late = Listed.StartedMs != 0 && Listed.StartedMs < Known;
+    bool Again = Known != 0 && Listed.StartedMs > Known;
+    if (Late)
+      return It->second;
+    if (!Again) {
+      Listed.StartedMs = std::max(Listed.StartedMs, Known);
+      It->second->Listed = std::move(Listed);
+      return It->second;
+    }
+  }
+  auto New = std::make_shared<upstream>();
+  // Told and remembered under its place: what was of the start before does not
+  // count for this one, however late it comes.
+  New->Place = checksum(Listed.Id, Listed.StartedMs);
+  New->Listed = std::move(Listed);
+  return New;
+}
+
 std::vector<std::shared_ptr<upstream>>
 upstream_table::update(std::vector<platform::listed_upstream> List) {
   std::map<std::string, std::shared_ptr<upstream>> Next;
@@ -48,22 +72,19 @@
   Places.clear();
   std::map<std::string, std::map<std::string, int>> Versions;
   for (platform::listed_upstream &Listed : List) {
-    auto It = ById.find(Listed.Id);
-    auto Upstream =
-        It == ById.end() ? std::make_shared<upstream>() : It->second;
-    Upstream->Listed = std::move(Listed);
+    auto Upstream = incarnationOf(std::move(Listed));
     ++Versions[Upstream->Listed.Service][Upstream->Listed.Version];
     ByService[Upstream->Listed.Service].push_back(Upstream);
-    Upstream->Place = checksum(Upstream->Listed.Id);
     Places.insert(Upstream->Place);
-    Next[Upstream->Listed.Id] = std::move(Upstream);
+    std::string Id = Upstream->Listed.Id;
+    Next[Id] = std::move(Upstream);
   }
   for (auto &[Service, Upstreams] : ByService)
     std::sort(Upstreams.begin(), Upstreams.end(),
               [](const auto &A, const auto &B) { return A->Place < B->Place; });
   std::vector<std::shared_ptr<upstream>> Left;
   for (auto &[Id, Upstream] : ById)
-    if (!Next.contains(Id)) {
+    if (auto It = Next.find(Id); It == Next.end() || It->second != Upstream) {
       Upstream->Gone = true;
       Left.push_back(Upstream);
     }
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -62,7 +62,10 @@
 
 class upstream_table {
 public:
-  /// Takes in a whole list. Returns what is gone since the last one.
+  /// Takes in a whole list. Returns what is gone since the last one, also what
+  /// has started again under its id: that is another upstream, of which nothing
+  /// is known. An entry with an earlier start than one seen before is late and
+  /// changes nothing.
   std::vector<std::shared_ptr<upstream>>
   update(std::vector<platform::listed_upstream> List);
   const std::vector<std::shared_ptr<upstream>> &
@@ -82,6 +85,9 @@
   void unsettleVersion(const std::string &Service, const std::string &Version);
 
 private:
+  std::shared_ptr<upstream>
+  incarnationOf(platform::listed_upstream Listed) const;
+
   std::map<std::string, std::shared_ptr<upstream>> ById;
   std::map<std::string, std::vector<std::shared_ptr<upstream>>> ByService;
   std::map<std::string, std::string> Settled;
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -105,7 +105,13 @@
   void put(const replica &Replica, const std::string &At,
            const std::string &State = "ready");
   void remove(const std::string &Id) { Entries.erase(Id); }
-  int Refusals = 0; ///< So many of the next questions get 429.
+  /// Anything in the place of an entry, as another writer may leave it.
+  void putRaw(const std::string &Key, const json &Entry) {
+    Entries[Key] = Entry;
+  }
+  json entryOf(const std::string &Id) const { return Entries.at(Id); }
+  std::string Garbage; ///< Put before the entries of each page as it is.
+  int Refusals = 0;    ///< So many of the next questions get 429.
   int Questions = 0;
 
 private:
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -497,6 +497,48 @@
                Table.ofService("llm")[I]->Listed.Id);
 }
 
+// An upstream may start again under its id. It holds nothing of before then,
+// and what comes late of the start before must not count for it.
+BOOST_AUTO_TEST_CASE(knows_nothing_of_one_that_has_started_again) {
+  auto Started = [](uint64_t StartedMs, bool Leaving = false) {
+    platform::listed_upstream Listed = listed("i-1");
+    Listed.StartedMs = StartedMs;
+    Listed.Leaving = Leaving;
+    return Listed;
+  };
+  upstream_table Table;
+  Table.update({Started(1000)});
+  auto First = Table.all().at("i-1");
+  First->failed(0);
+  First->heardLoad({.Running = 6, .Waiting = 1, .Slots = 8}, 0);
+  // No start told, or the same: it is the same.
+  BOOST_TEST(Table.update({Started(0)}).empty());
+  BOOST_TEST(Table.update({Started(1000)}).empty());
+  BOOST_TEST((Table.all().at("i-1") == First));
+
+  auto Left = Table.update({Started(2000)});
+  BOOST_REQUIRE(Left.size() == 1U);
+  BOOST_TEST((Left[0] == First));
+  BOOST_TEST(First->Gone);
+  auto Second = Table.all().at("i-1");
+  BOOST_TEST(Second->takesNew());
+  BOOST_TEST(!Second->unproven(0.1));
+  BOOST_TEST(Second->load(0.1) == 0);
+  // Memory and told work go by the place.
+  BOOST_TEST(Second->Place != First->Place);
+  BOOST_TEST(Table.has(Second->Place));
+  BOOST_TEST(!Table.has(First->Place));
+
+  // A list from before changes nothing back, also where it says that it leaves.
+  BOOST_TEST(Table.update({Started(1000, true)}).empty());
+  BOOST_TEST((Table.all().at("i-1") == Second));
+  BOOST_TEST(Second->takesNew());
+  // Gateways that hear of it first now agree on its place.
+  upstream_table Other;
+  Other.update({Started(2000)});
+  BOOST_TEST(Other.all().at("i-1")->Place == Second->Place);
+}
+
 BOOST_AUTO_TEST_CASE(corrects_a_told_load_by_its_own_requests_since) {
   upstream Upstream;
   Upstream.InFlight = 2;
