--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -254,6 +254,8 @@
   const routing_book &Routing = Log->state().routing();
   if (Routing.version() <= RoutingNews.version())
     return;
+  if (auto Config = Api->routing().takeRead(Routing.document()))
+    return RoutingNews.take(*Config);
   auto Config = readRouting(Routing.document());
   if (!Config.ok()) {
     // Checked before it was agreed on, so this is a newer form of documents.
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -27,7 +27,7 @@
   uint64_t RoutingVersion = 0;
   uint64_t RolloutsRevision = 0;
   double LastSeen = 0;
-  double WatchSentAt = 0; ///< Its last question, by its own clock.
+  double WatchSentAt = 0;         ///< Its last question, by its own clock.
   uint64_t UpstreamsRevision = 0; ///< Of the list that it was told.
   uint64_t GatewaysRevision = 0;  ///< Of the addresses that it was told.
   double ToldStayingAt = 0; ///< Staying sessions up to then were told to it.
--- a/control/operator_api.h
+++ b/control/operator_api.h
@@ -23,6 +23,7 @@
   std::string address() const { return Server.address(); }
   void drain() { Server.stopListening(); }
   bool idle() const { return Server.openExchanges() == 0; }
+  routing_api &routing() { return Routing; }
 
 private:
   using exchange = std::shared_ptr<http_exchange>;
--- a/control/routing_api.cpp
+++ b/control/routing_api.cpp
@@ -6,6 +6,7 @@
 #include "base/fields.h"
 #include "base/log.h"
 #include "catalog/routing.h"
+#include <utility>
 
 namespace olivevalve {
 
@@ -132,9 +133,19 @@
            {"held", int64_t(Log.state().routing().version())}});
   wire::command Command;
   *Command.mutable_routing() = changeTo(Config->Version, Exchange->body());
+  ReadDocument = Exchange->body();
+  LastRead = *std::move(Config);
   propose(Exchange, std::move(Command));
 }
 
+std::optional<routing_config>
+routing_api::takeRead(const std::string &Document) {
+  if (!LastRead || ReadDocument != Document)
+    return std::nullopt;
+  ReadDocument.clear();
+  return std::exchange(LastRead, std::nullopt);
+}
+
 // Told by what differs from the last one in the log, committed or not: entries
 // before it come first at every VM, or neither comes. A change of one route in
 // 1,400 is 0.5 KB in the log and to each other VM then, where the document is
--- a/control/routing_api.h
+++ b/control/routing_api.h
@@ -10,9 +10,11 @@
 #define OLIVEVALVE_CONTROL_ROUTING_API_H
 
 #include "absl/status/status.h"
+#include "catalog/routing.h"
 #include "control/replicated_log.h"
 #include "net/http_server.h"
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace olivevalve {
@@ -21,6 +23,9 @@
 public:
   explicit routing_api(replicated_log &Log) : Log(Log) {}
 
+  /// The configuration in \p Document if it was the last that an operator sent
+  /// here: reading 5,000 routes anew takes 40 ms of a core.
+  std::optional<routing_config> takeRead(const std::string &Document);
   /// Takes the exchange if its path is one of these calls.
   bool handle(const std::shared_ptr<http_exchange> &Exchange);
 
@@ -45,6 +50,8 @@
 
   replicated_log &Log;
   proposed Proposed;
+  std::string ReadDocument; ///< Of which LastRead is.
+  std::optional<routing_config> LastRead;
 };
 
 } // namespace olivevalve
