--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -119,6 +119,9 @@
 } // namespace
 
 int main(int Count, const char **Values) {
+  // Ends a process that does not handle it yet. The settings are about to be
+  // read anyhow.
+  std::signal(SIGHUP, SIG_IGN);
   arguments Arguments = readArguments(Count, Values);
   auto Settings = loadSettings(Arguments.Settings);
   if (!Settings.ok())
--- a/tests/gateway_world.cpp
+++ b/tests/gateway_world.cpp
@@ -97,20 +97,34 @@
             Name, Changes);
 }
 
+json gateway_world::gatewaySettings(const json &Seeds, const std::string &Name,
+                                    const reserved_address &Address,
+                                    const reserved_address &Health) {
+  return {{"node", Name},
+          {"data_hall", "charguia"},
+          {"health_address", Health.text()},
+          {"unready_seconds", 0.3},
+          {"control_seeds", Seeds},
+          {"gateway",
+           {{"address", Address.text()},
+            {"news_address", "127.0.0.1:0"},
+            {"upstream_list", List->address()},
+            {"list_seconds", 0.2},
+            {"retry_ratio", 5},
+            {"retry_slack", 1000}}}};
+}
+
+std::unique_ptr<daemon_process>
+gateway_world::makeGateway(const std::string &Name,
+                           const reserved_address &Address,
+                           const reserved_address &Health) {
+  return std::make_unique<daemon_process>(
+      Name, Folder.path(), gatewaySettings(seeds(), Name, Address, Health));
+}
+
 void gateway_world::startWith(const json &Seeds, const std::string &Name,
                               const json &Changes) {
-  json Settings = {{"node", Name},
-                   {"data_hall", "charguia"},
-                   {"health_address", GatewayHealth.text()},
-                   {"unready_seconds", 0.3},
-                   {"control_seeds", Seeds},
-                   {"gateway",
-                    {{"address", GatewayAddress.text()},
-                     {"news_address", "127.0.0.1:0"},
-                     {"upstream_list", List->address()},
-                     {"list_seconds", 0.2},
-                     {"retry_ratio", 5},
-                     {"retry_slack", 1000}}}};
+  json Settings = gatewaySettings(Seeds, Name, GatewayAddress, GatewayHealth);
   Settings["gateway"].update(Changes.is_null() ? json::object() : Changes);
   Gateway = std::make_unique<daemon_process>(Name, Folder.path(), Settings);
   Gateway->start();
@@ -165,9 +179,10 @@
 
 caller_answer gateway_world::operatorCall(const std::string &Method,
                                           const std::string &Path,
-                                          const std::string &Body) {
+                                          const std::string &Body,
+                                          double Seconds) {
   caller_answer Answer;
-  double End = steadySeconds() + 20;
+  double End = steadySeconds() + Seconds;
   for (size_t Turn = 0; steadySeconds() < End; ++Turn) {
     seeded_control &Node = *Seeded[Turn % Seeded.size()];
     std::string Address = Node.Ip + ":" + std::to_string(OperatorPort);
@@ -191,8 +206,8 @@
   return Answer;
 }
 
-caller_answer gateway_world::putRouting(const json &Routing) {
-  return operatorCall("POST", "/v1/routing", Routing.dump());
+caller_answer gateway_world::putRouting(const json &Routing, double Seconds) {
+  return operatorCall("POST", "/v1/routing", Routing.dump(), Seconds);
 }
 
 json gateway_world::statusOf(const seeded_control &Node) {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -41,9 +41,9 @@
   /// The same with so many routes more, "/r0/", "/r1/" and so on.
   json largeRouting(int Routes);
   /// Sends it to control VMs in turn until one takes it.
-  caller_answer putRouting(const json &Routing);
+  caller_answer putRouting(const json &Routing, double Seconds = 20);
   caller_answer operatorCall(const std::string &Method, const std::string &Path,
-                             const std::string &Body);
+                             const std::string &Body, double Seconds = 20);
   /// What a control VM says of itself; empty if it does not answer.
   json statusOf(const seeded_control &Node);
   size_t voters();
@@ -70,8 +70,16 @@
   uint64_t RoutingVersion = 0;
   std::string LastId; ///< Of the last request.
 
+  /// A further gateway, not started.
+  std::unique_ptr<daemon_process> makeGateway(const std::string &Name,
+                                              const reserved_address &Address,
+                                              const reserved_address &Health);
+
 private:
   json seeds();
+  json gatewaySettings(const json &Seeds, const std::string &Name,
+                       const reserved_address &Address,
+                       const reserved_address &Health);
   void startWith(const json &Seeds, const std::string &Name,
                  const json &Changes);
   std::vector<std::unique_ptr<reserved_address>> Ports;
--- a/tests/unit/routing_changes_test.cpp
+++ b/tests/unit/routing_changes_test.cpp
@@ -41,11 +41,11 @@
            .Services = {{"s0", uint32_t(1 + Random() % 2)}}});
   std::vector<std::string> Keys = {"k0", "k1", "k2", "k3"};
   std::shuffle(Keys.begin(), Keys.end(), Random);
-  for (int I = 0; I < 2; ++I)
+  for (size_t I = 0; I < 2; ++I)
     if (!OneIn(4))
       Config.Accounts.push_back(
           {.Name = OneIn(3) ? "same" : "c" + std::to_string(I),
-           .Keys = {Keys[size_t(2 * I)], Keys[size_t(2 * I + 1)]}});
+           .Keys = {Keys[2 * I], Keys[2 * I + 1]}});
   Config.Limits.BodyBytes = 1 + Random() % 2;
   return Config;
 }
