A VM that comes to lead tells changes, not the whole, to gateways at versions that it has not seen

Each VM looks after them once a second now, and a version between two that were seen is served by what changed after the one before it; where a part was changed and changed back in between the digest does not fit and the whole is asked for.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -18,6 +18,10 @@
 // A bad version is to get nothing new within seconds: gateways tell what they
 // saw twice a second, and it is judged as often.
 constexpr double RolloutSeconds = 0.25;
+// A VM that comes to lead tells changes and not the whole to gateways at
+// versions from then on. Reading 5,000 routes takes 40 ms of a core: 4% at
+// worst.
+constexpr double FollowSeconds = 1;
 // Cells of estimates in one grant, at some 60 bytes each: a node that keeps up
 // gets 3 KB a second at most, under its bound of 4 KB; one that has none yet
 // gets more with its first grant.
@@ -266,6 +270,10 @@
     place(Now);
   if (leads(Now) && Now >= NextRollouts)
     driveRollouts(Now);
+  if (Now >= NextFollow) {
+    NextFollow = Now + FollowSeconds;
+    followRouting();
+  }
   Upstreams.tick(Now, leads(Now));
   Metrics.gauge("log_bytes", double(Log->storage().logBytes()));
   Metrics.gauge("log_syncs", double(Log->storage().syncs()));
--- a/control/gateway_news.cpp
+++ b/control/gateway_news.cpp
@@ -41,7 +41,6 @@
   Server.send(Peer, Message);
 }
 
-// Only when a gateway asks: a control VM that none asks has nothing to prepare.
 void control_task::followRouting() {
   const routing_book &Routing = Log->state().routing();
   if (Routing.version() <= RoutingNews.version())
--- a/control/routing_news.cpp
+++ b/control/routing_news.cpp
@@ -89,9 +89,12 @@
   Digest = NextDigest;
 }
 
+// Also for a version between two that were seen here: what changed after the
+// one before it holds what changed after it, unless a part was changed and
+// changed back in between. Then the digest does not fit and the whole is asked
+// for.
 bool routing_news::knowsChangesSince(uint64_t Held) const {
-  return std::any_of(Changes.begin(), Changes.end(),
-                     [&](const change &Each) { return Each.Version == Held; });
+  return !Changes.empty() && Held >= Changes.front().Version;
 }
 
 routing_news::transfer routing_news::makeTransfer(uint64_t Held) const {
--- a/tests/unit/routing_changes_test.cpp
+++ b/tests/unit/routing_changes_test.cpp
@@ -79,16 +79,23 @@
 }
 
 /// Asks as a gateway does until nothing more comes; the number of pieces.
-int bringUpToDate(routing_news &News, routing_copy &Copy) {
+/// Counts in \p Damaged how often the whole had to be asked for.
+int bringUpToDate(routing_news &News, routing_copy &Copy,
+                  int *Damaged = nullptr) {
+  bool WantsWhole = false;
   for (int Pieces = 0;; ++Pieces) {
     wire::routing_ask Ask;
-    Ask.set_held_version(Copy.version());
+    Ask.set_held_version(WantsWhole ? 0 : Copy.version());
     Ask.set_version(Copy.comingVersion());
     Ask.set_piece(Copy.nextPiece());
-    auto Piece = News.piece(Ask);
-    if (!Piece)
+    if (Copy.version() == News.version())
       return Pieces;
-    piece_result Result = Copy.take(*Piece);
+    piece_result Result = Copy.take(*News.piece(Ask));
+    if (Damaged && Result == piece_result::Damaged) {
+      ++*Damaged;
+      WantsWhole = true;
+      continue;
+    }
     BOOST_REQUIRE(
         (Result == piece_result::Kept || Result == piece_result::InForce));
   }
@@ -128,6 +135,34 @@
   }
 }
 
+// A new leader has seen some versions only, not those that gateways hold.
+BOOST_AUTO_TEST_CASE(tells_changes_to_holders_of_versions_it_has_not_seen) {
+  std::mt19937_64 Random(12);
+  routing_news Seen;
+  routing_news Seldom;
+  routing_copy Copy;
+  int Rounds = 0;
+  int Damaged = 0;
+  for (int Round = 1; Round <= FuzzRounds / 10; ++Round) {
+    routing_config Config = randomConfig(Random, uint64_t(Round) * 3);
+    Seen.take(Config);
+    if (Random() % 3 != 0) {
+      bringUpToDate(Seen, Copy);
+      continue;
+    }
+    Seldom.take(Config);
+    bool Known = Copy.version() >= 3 && Rounds++ > 0;
+    wire::routing_ask Ask;
+    Ask.set_held_version(Copy.version());
+    BOOST_REQUIRE((!Known || Seldom.piece(Ask)->since() == Copy.version()));
+    bringUpToDate(Seldom, Copy, &Damaged);
+    BOOST_REQUIRE_EQUAL(lookUps(*Copy.table()), lookUps(routing_table(Config)));
+  }
+  // Parts that were changed and changed back: common here, with two values
+  // each.
+  BOOST_TEST(Damaged < Rounds);
+}
+
 BOOST_AUTO_TEST_CASE(costs_what_a_change_costs) {
   routing_news News;
   routing_copy Copy;
