--- a/control/control_task.h
+++ b/control/control_task.h
@@ -101,8 +101,8 @@
   double NextGuard = 0;
   double NextPlacement = 0;
   double NextRollouts = 0;
-  double NextFollow = 0; ///< When the routing's parts are looked after again.
-  double ToldAt = 0;          ///< Gateways, of changes.
+  double NextFollow = 0; ///< When the newest routing is read into parts again.
+  double ToldAt = 0;     ///< Gateways, of changes.
   uint64_t TellsRouting = 0;  ///< Version that gateways were told last.
   uint64_t TellsRollouts = 0; ///< Revision that gateways were told last.
   bool PlacementPending = false;
--- a/control/routing_news.cpp
+++ b/control/routing_news.cpp
@@ -16,8 +16,8 @@
 constexpr size_t MostChanges = 256;
 // Names in all of them together, some 60 bytes each: 3 MB.
 constexpr size_t MostNames = 50000;
-// Ways that are kept for gateways that go them just now. A whole of 5,000
-// routes is some 0.7 MB; gateways are at a few versions at a time.
+// Kept for gateways that are asking for their pieces. The whole of 5,000 routes
+// is some 0.5 MB; gateways are at a few versions at a time.
 constexpr size_t MostTransfers = 16;
 constexpr size_t MostTransferBytes = 12 << 20;
 
@@ -127,8 +127,8 @@
   return Made;
 }
 
-// A way that was begun is kept while it is gone, also when a newer version is
-// there: with ten changes a second one that starts anew would never end.
+// One that was begun is kept to its end, also when a newer version is there:
+// with ten changes a second a large one that starts anew would never end.
 routing_news::transfer &routing_news::transferFor(uint64_t Held,
                                                   uint64_t Target) {
   auto Find = [&](uint64_t To) {
--- a/control/routing_news.h
+++ b/control/routing_news.h
@@ -39,9 +39,9 @@
     uint64_t Version = 0; ///< That it led to.
     std::set<std::string> Names;
   };
-  /// The way from one version to another, for every gateway that goes it.
+  /// All pieces from one version to another, for every gateway that asks.
   struct transfer {
-    uint64_t Held = 0; ///< Asked for by who holds this.
+    uint64_t Held = 0; ///< The version of the gateways that ask for it.
     uint64_t Version = 0;
     size_t Bytes = 0;
     std::vector<wire::routing_piece> Pieces;
--- a/lease/routing_fetch.cpp
+++ b/lease/routing_fetch.cpp
@@ -62,7 +62,9 @@
     WantsWhole = false;
     break;
   case piece_result::Damaged:
-    // The open question keeps its pause: what is wrong may be wrong again.
+    // The whole is asked for at once. If that is damaged too, it may be so
+    // again: the open question keeps its pause.
+    Open = WantsWhole;
     WantsWhole = true;
     break;
   }
