--- a/ledger/text_patch.cpp
+++ b/ledger/text_patch.cpp
@@ -11,8 +11,8 @@
 // A range has to save more than a step costs.
 constexpr size_t LeastRange = 24;
 
-/// Where the piece that begins at \p At ends: before an opening brace or after a
-/// closing one.
+/// Where the piece that begins at \p At ends: before an opening brace or after
+/// a closing one.
 size_t endOfPiece(std::string_view Text, size_t At) {
   size_t Brace = Text.find_first_of("{}", At + 1);
   if (Brace == std::string_view::npos)
