--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -91,6 +91,8 @@
   ~settings_watch() {
     ev_stat_stop(Loop, &File);
     ev_signal_stop(Loop, &Hangup);
+    // Else it would end the process in the midst of its last steps.
+    std::signal(SIGHUP, SIG_IGN);
   }
   settings_watch(const settings_watch &) = delete;
   settings_watch &operator=(const settings_watch &) = delete;
