A gateway that stood still asks what has changed before it chooses upstreams

Cause: a process that was stopped and woken finds its wait interrupted, so that timers run in a turn in which no descriptor was looked at, and takes the callers' requests that lie in its sockets before any news. It chose by the list of before: 10 of 20 requests went to an upstream that had left 5 s earlier. The same interrupted turn took an upstream for silent whose answer had come: a request ran twice.

Mend: pause_watch tells that the loop did not turn for 1 s. Attempts are held until the leader has answered a question asked since and the list is as fresh as in ordinary times, 1 s at most; then a gateway that is cut off serves on. A timer that is over 0.2 s late lets the descriptors go first, and descriptors come before timers in one turn.

--- a/base/loop.cpp
+++ b/base/loop.cpp
@@ -1,31 +1,63 @@
 //===- loop.cpp - Watchers of the event loop ------------------------------===//
 
 #include "base/loop.h"
+#include "base/clock.h"
+#include <utility>
 
 namespace olivevalve {
 
+namespace {
+
+// Timers have libev's usual priority, 0.
+constexpr int BeforeTimers = 1;
+// Of a timer, in seconds. A busy loop is late by some hundredths.
+constexpr double FarTooLate = 0.2;
+
+} // namespace
+
 timer::timer(struct ev_loop *Loop, std::function<void()> Callback)
     : Loop(Loop), Callback(std::move(Callback)) {
   ev_timer_init(
       &Watcher,
       [](struct ev_loop *, ev_timer *W, int) {
-        static_cast<timer *>(W->data)->Callback();
+        static_cast<timer *>(W->data)->due();
       },
       0, 0);
   Watcher.data = this;
 }
 
-void timer::startOnce(double Seconds) {
+void timer::start(double Seconds) {
   ev_timer_stop(Loop, &Watcher);
-  ev_now_update(Loop);
-  ev_timer_set(&Watcher, Seconds, 0);
+  ev_timer_set(&Watcher, Seconds, Interval);
   ev_timer_start(Loop, &Watcher);
 }
 
+void timer::startOnce(double Seconds) {
+  Interval = 0;
+  Deferred = false;
+  DueAt = steadySeconds() + Seconds;
+  ev_now_update(Loop);
+  start(Seconds);
+}
+
 void timer::startRepeating(double Seconds) {
-  ev_timer_stop(Loop, &Watcher);
-  ev_timer_set(&Watcher, Seconds, Seconds);
-  ev_timer_start(Loop, &Watcher);
+  Interval = Seconds;
+  Deferred = false;
+  DueAt = steadySeconds() + Seconds;
+  start(Seconds);
+}
+
+// A process that wakes finds its wait interrupted: timers are due in a turn in
+// which no descriptor was looked at.
+void timer::due() {
+  double Now = steadySeconds();
+  if (!Deferred && Now > DueAt + FarTooLate) {
+    Deferred = true;
+    return start(0);
+  }
+  Deferred = false;
+  DueAt = Now + Interval;
+  Callback();
 }
 
 descriptor_watch::descriptor_watch(struct ev_loop *Loop,
@@ -37,6 +69,7 @@
         static_cast<descriptor_watch *>(W->data)->Callback(Events);
       },
       -1, EV_READ);
+  ev_set_priority(&Watcher, BeforeTimers);
   Watcher.data = this;
 }
 
@@ -46,6 +79,27 @@
   ev_io_start(Loop, &Watcher);
 }
 
+pause_watch::pause_watch(struct ev_loop *Loop, double LeastSeconds,
+                         std::function<void(double)> Callback)
+    : Loop(Loop), LeastSeconds(LeastSeconds), LastTurn(steadySeconds()),
+      Callback(std::move(Callback)) {
+  ev_check_init(&Watcher, [](struct ev_loop *, ev_check *W, int) {
+    static_cast<pause_watch *>(W->data)->turn();
+  });
+  ev_set_priority(&Watcher, EV_MAXPRI);
+  Watcher.data = this;
+  ev_check_start(Loop, &Watcher);
+}
+
+pause_watch::~pause_watch() { ev_check_stop(Loop, &Watcher); }
+
+void pause_watch::turn() {
+  double Now = steadySeconds();
+  double Seconds = Now - std::exchange(LastTurn, Now);
+  if (Seconds >= LeastSeconds)
+    Callback(Seconds);
+}
+
 before_wait::before_wait(struct ev_loop *Loop, std::function<void()> Callback)
     : Loop(Loop), Callback(std::move(Callback)) {
   ev_prepare_init(&Watcher, [](struct ev_loop *, ev_prepare *W, int) {
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -35,25 +35,31 @@
 
 } // namespace
 
-forwarding::forwarding(gateway_state &State, connection_source &Connections,
+forwarding::forwarding(gateway_state &State, forwarding_host &Host,
                        caller_connection &NewCaller, http_head NewHead,
                        std::string NewBody, end_handler OnOver)
-    : State(State), Connections(Connections), Caller(&NewCaller),
-      Head(std::move(NewHead)), Body(std::move(NewBody)),
-      OnOver(std::move(OnOver)), Facts(platform::readCaller(Head)),
-      BegunAt(steadySeconds()), EndsAt(BegunAt),
-      Timer(State.Loop, [this] { onTimer(); }) {}
+    : State(State), Host(Host), Caller(&NewCaller), Head(std::move(NewHead)),
+      Body(std::move(NewBody)), OnOver(std::move(OnOver)),
+      Facts(platform::readCaller(Head)), BegunAt(steadySeconds()),
+      EndsAt(BegunAt), Timer(State.Loop, [this] { onTimer(); }) {}
 
 forwarding::~forwarding() { leaveUpstream(); }
 
-void forwarding::hold(double Seconds) {
-  Held = true;
+void forwarding::hold(double Seconds, std::string_view Why) {
+  HeldFor = Why;
   double Deadline = Facts.DeadlineSeconds.value_or(NoDeadline);
-  Timer.startOnce(std::max(0.0, std::min(Seconds, Deadline * HeldPart)));
+  double Most = Attempts > 0 ? left(steadySeconds()) : Deadline * HeldPart;
+  Timer.startOnce(std::max(0.0, std::min(Seconds, Most)));
+}
+
+void forwarding::resume() {
+  HeldFor = {};
+  return Route ? attempt() : start();
 }
 
 void forwarding::start() {
-  Held = false;
+  if (Host.holds(*this))
+    return;
   Routing = State.Routing;
   if (!Routing)
     return giveUp(error_kind::NoLease, NoRouting);
@@ -163,11 +169,13 @@
   double Now = steadySeconds();
   if (left(Now) < LeastSeconds)
     return onTimer();
+  if (Host.holds(*this))
+    return;
   selection_request Request = selectionAt(Now);
   Upstream = select(State, *Routing, Request);
   if (!Upstream)
     return conclude(LastTrouble.empty() ? "no upstream" : LastTrouble);
-  Connection = Connections.acquire(Upstream);
+  Connection = Host.acquire(Upstream);
   Tried.insert(Upstream->Listed.Id);
   if (!Connection) {
     Upstream = nullptr;
@@ -255,8 +263,8 @@
 
 void forwarding::onTimer() {
   auto Keep = shared_from_this();
-  if (Held)
-    return giveUp(error_kind::NoLease, NoRouting);
+  if (!HeldFor.empty())
+    return conclude(HeldFor, error_kind::NoLease);
   double Now = steadySeconds();
   if (left(Now) < LeastSeconds) {
     MayHaveRun = MayHaveRun || Connection;
@@ -330,12 +338,12 @@
 }
 
 // There is nothing left to try.
-void forwarding::conclude(std::string_view Why) {
+void forwarding::conclude(std::string_view Why, error_kind NotRun) {
   if (HeadSent)
     return over(Why, 0);
   if (Answer.Status != 0)
     return deliver();
-  giveUp(MayHaveRun ? error_kind::OutcomeUnknown : error_kind::NoUpstream, Why);
+  giveUp(MayHaveRun ? error_kind::OutcomeUnknown : NotRun, Why);
 }
 
 } // namespace olivevalve
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -21,10 +21,15 @@
 
 namespace olivevalve {
 
-/// Gives out connections to upstreams.
-class connection_source {
+class forwarding;
+
+/// Where requests are at home.
+class forwarding_host {
 public:
-  virtual ~connection_source() = default;
+  virtual ~forwarding_host() = default;
+  /// True: \p Request is held, and resumed when this gateway knows enough to
+  /// choose an upstream.
+  virtual bool holds(forwarding &Request) = 0;
   /// One that is idle, or a new one; null when none may be opened.
   virtual upstream_connection *
   acquire(const std::shared_ptr<upstream> &Upstream) = 0;
@@ -37,15 +42,16 @@
   /// Told once, when the request has its final answer or none can be given.
   using end_handler = std::function<void(forwarding &)>;
 
-  forwarding(gateway_state &State, connection_source &Connections,
+  forwarding(gateway_state &State, forwarding_host &Host,
              caller_connection &Caller, http_head Head, std::string Body,
              end_handler OnOver);
   ~forwarding() override;
 
   void start();
-  /// Waits for start(), for \p Seconds at most and a part of the time that the
-  /// caller has; then it is refused.
-  void hold(double Seconds);
+  /// Waits for resume(), for \p Seconds at most and, before its first attempt,
+  /// a part of the time that the caller has. Then it ends, told \p Why.
+  void hold(double Seconds, std::string_view Why);
+  void resume();
   /// Answers it without a try.
   void refuse(error_kind Kind, std::string_view Why) { giveUp(Kind, Why); }
   /// Ends it now: the process is about to stop.
@@ -80,7 +86,8 @@
   bool asksLargerModel();
   bool mayTryAgain(bool WasRun) const;
   void again(bool WasRun, std::string_view Why);
-  void conclude(std::string_view Why);
+  void conclude(std::string_view Why,
+                error_kind NotRun = error_kind::NoUpstream);
   void giveUp(error_kind Kind, std::string_view Why);
   void onTimer();
   double patience() const;
@@ -100,7 +107,7 @@
   double left(double Now) const { return EndsAt - Now; }
 
   gateway_state &State;
-  connection_source &Connections;
+  forwarding_host &Host;
   caller_connection *Caller;
   http_head Head;
   std::string Body;
@@ -136,7 +143,7 @@
   bool AnswerIsEvents = false;
   bool NotRunAnswer = false;
   bool OtherIncarnation = false; ///< Declined by whoever has the address now.
-  bool Held = false;             ///< Not started yet.
+  std::string_view HeldFor;      ///< Why it waits; empty: it does not.
   bool Finished = false;
   kept_answer Answer;
   event_splitter Events;
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -20,6 +20,19 @@
 constexpr double FirstListSeconds = 1.4;
 // Gateways that miss control do not all ask the platform at once.
 constexpr double MostListJitter = 0.4;
+// The oldest list in ordinary times: a gateway asks the platform by then.
+constexpr double FreshListSeconds = PatienceForList + MostListJitter;
+// A gateway that stood still for so long may have missed an upstream's leave:
+// with a fresh list at the start of the pause, new work stops in time after a
+// shorter one. The loop wakes each SweepSeconds at least.
+constexpr double PauseSeconds = 1;
+// Then it serves on with what it holds, as one that is cut off does: control
+// and the platform both answer within some 0.1 s where they can be reached.
+constexpr double UncheckedSeconds = 1;
+constexpr std::string_view NotKnownYet =
+    "no routing configuration is known yet";
+constexpr std::string_view StoodStill =
+    "this entry stood still and does not know yet what has changed";
 // Sessions are remembered a little longer than they may pause.
 constexpr double SessionMargin = 2;
 // How many share the bound on retries while control has not told.
@@ -45,10 +58,14 @@
       List(Loop, Options.UpstreamListAddress),
       Callers(Loop, *this, Options.MaxConnections),
       SweepTimer(Loop, [this] { sweep(); }),
-      ListTimer(Loop, [this] { askForList(); }), Prepare(Loop, [this] {
-        OverConnections.clear();
-        OverRequests.clear();
-      }) {
+      ListTimer(Loop, [this] { askForList(); }),
+      UncheckedTimer(Loop, [this] { serveHeld(); }),
+      Prepare(Loop,
+              [this] {
+                OverConnections.clear();
+                OverRequests.clear();
+              }),
+      Pauses(Loop, PauseSeconds, [this](double Seconds) { woke(Seconds); }) {
   State.Loop = Loop;
   State.Metrics = &Metrics;
   State.DataHall = Options.DataHall;
@@ -136,20 +153,62 @@
   Connection.answeredBy(Request);
   if (Draining)
     return Request->refuse(error_kind::Draining, "this entry is stopping");
-  if (!ready() && steadySeconds() < ServesBy) {
-    Held.push_back(Request);
-    return Request->hold(ServesBy - steadySeconds());
-  }
   Request->start();
 }
 
-// Callers that came while this gateway was starting.
+// Requests that came, or want another upstream, while this gateway starts or
+// has just woken.
+bool gateway_task::holds(forwarding &Request) {
+  double Now = steadySeconds();
+  bool Starting = !ready() && Now < ServesBy;
+  if (!Starting && isCurrent())
+    return false;
+  Held.push_back(Request.weak_from_this());
+  if (Starting)
+    Request.hold(ServesBy - Now, NotKnownYet);
+  else
+    Request.hold(2 * UncheckedSeconds, StoodStill); // Resumed before.
+  return true;
+}
+
 void gateway_task::serveHeld() {
-  if (!ready())
+  if (!ready() || !isCurrent())
     return;
   for (const std::weak_ptr<forwarding> &Each : std::exchange(Held, {}))
     if (auto Request = Each.lock(); Request && Requests.contains(Request.get()))
-      Request->start();
+      Request->resume();
+}
+
+// Callers' requests that lay in the sockets would go where it was right to send
+// them before the pause: 20 of 20 were shared out between an upstream that had
+// left 5 s earlier and one that had not.
+void gateway_task::woke(double Seconds) {
+  WokeAt = steadySeconds();
+  UncheckedTimer.startOnce(UncheckedSeconds);
+  logLine(log_level::Warning, "this process stood still",
+          {{"seconds", Seconds},
+           {"list_age_s", WokeAt - ListHadAt},
+           {"routing", int64_t(Watch.routingVersion())},
+           {"open_requests", int64_t(Requests.size())}});
+}
+
+bool gateway_task::isCurrent() {
+  if (WokeAt == 0)
+    return true;
+  double Now = steadySeconds();
+  bool Checked =
+      Watch.currentAt() >= WokeAt && Now - ListHadAt <= FreshListSeconds;
+  if (!Checked && Now < WokeAt + UncheckedSeconds)
+    return false;
+  logLine(Checked ? log_level::Info : log_level::Warning,
+          Checked ? "what has changed meanwhile is known"
+                  : "serving on with what was known before the pause",
+          {{"seconds", Now - WokeAt},
+           {"list_age_s", Now - ListHadAt},
+           {"routing", int64_t(Watch.routingVersion())},
+           {"held", int64_t(Held.size())}});
+  WokeAt = 0;
+  return true;
 }
 
 void gateway_task::onMalformed(int Status, std::string_view Why) {
@@ -248,7 +307,7 @@
   double HadAt = steadySeconds() - Age;
   if (!Told) {
     ListHadAt = std::max(ListHadAt, HadAt);
-    return;
+    return serveHeld();
   }
   // The own question came later: what control lists now, it will tell to have
   // changed.
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -34,7 +34,7 @@
 
 class gateway_task : public caller_host,
                      public upstream_connections,
-                     public connection_source {
+                     public forwarding_host {
 public:
   gateway_task(link_context &Context, struct ev_loop *Loop, metrics &Metrics,
                gateway_options Options);
@@ -67,7 +67,10 @@
   upstream_connection *
   acquire(const std::shared_ptr<upstream> &Upstream) override;
 
+  bool holds(forwarding &Request) override;
   void serveHeld();
+  void woke(double Seconds);
+  bool isCurrent();
   void sweep();
   void askForList();
   void hearList(double Age, const wire::upstream_list *Told);
@@ -90,8 +93,9 @@
                      std::unique_ptr<upstream_connection>>
       UpstreamConnections;
   std::unordered_map<forwarding *, std::shared_ptr<forwarding>> Requests;
-  std::vector<std::weak_ptr<forwarding>> Held; ///< Until ready().
+  std::vector<std::weak_ptr<forwarding>> Held; ///< Until this is current.
   double ServesBy = 0; ///< Requests are held until then.
+  double WokeAt = 0;   ///< What is known is from before; 0: it is current.
   // Freed before the next wait: neither may go inside its own callback.
   std::vector<std::unique_ptr<upstream_connection>> OverConnections;
   std::vector<std::shared_ptr<forwarding>> OverRequests;
@@ -102,7 +106,9 @@
   bool Draining = false; ///< New requests are refused.
   timer SweepTimer;
   timer ListTimer;
+  timer UncheckedTimer;
   before_wait Prepare;
+  pause_watch Pauses;
 };
 
 } // namespace olivevalve
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -217,6 +217,11 @@
   }
   if (!Told.empty())
     Members = std::move(Told);
+  double SentAt = Notice.watch_sent_at() + Notice.watch_held();
+  if (From == Leader && SentAt >= LeaderSaidAt) {
+    LeaderSaidAt = SentAt;
+    LeaderVersion = Notice.routing_version();
+  }
   // A VM that has just started may not have caught up: what it tells first
   // could be long out of date.
   bool Trusted = routingVersion() > 0 || From == Leader ||
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -48,6 +48,11 @@
   std::function<void(double Age, const wire::upstream_list *)> OnUpstreams;
 
   uint64_t routingVersion() const { return Routing.copy().version(); }
+  /// When the leader said what this node has in force, on this node's steady
+  /// clock and no later than it did; 0: it has named a newer routing since.
+  double currentAt() const {
+    return routingVersion() >= LeaderVersion ? LeaderSaidAt : 0;
+  }
   /// Seconds since a control VM was last heard; for logs.
   double silence() const;
   void setSeeds(std::vector<std::string> Seeds);
@@ -75,8 +80,10 @@
   std::string Current;
   double StartedAt;
   double AskedAt = 0;
-  double HeardAt = 0; ///< From the VM that is asked now.
-  double LastHeard;   ///< From any.
+  double HeardAt = 0;         ///< From the VM that is asked now.
+  double LastHeard;           ///< From any.
+  double LeaderSaidAt = 0;    ///< Its newest notice was sent then or later.
+  uint64_t LeaderVersion = 0; ///< Of the routing, in that notice.
   routing_fetch Routing;
   uint64_t RolloutsRevision = 0;
   uint32_t Gateways = 0;
