The smaller model's answer is kept until the larger one has given something

Cause: a gateway that asked a larger model let go of the smaller one's answer, which was ready, before the larger one's upstream had taken the request. Where that one refused, broke off or stayed silent, or no upstream was left, the caller got a refusal or nothing; and the refusal said 'not run' though the smaller model had run it. Also, an upstream's 'not run' was passed on after another upstream had run the request and failed.

If the larger model gives nothing, the caller gets what was kept and the rest from the open connection or from elsewhere after the last whole event; at the latest when three quarters of its time are over. A larger model is asked only while an attempt for the way back is left. After a model has begun, no refusal says 'not run'.

What ends a request, and what it rests on: no routing, route, key, or a stop (nothing was sent); time over (not run only if no attempt was sent or all were declined as not run); nothing left to try (the same); an upstream's own answer.

--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -44,7 +44,6 @@
   HeardAt = Now;
   if (AnswerFacts.Load)
     Upstream->heardLoad(*AnswerFacts.Load, Now);
-  NotRunAnswer = AnswerFacts.NotRun;
   OtherIncarnation = AnswerFacts.OtherIncarnation;
   bool Good = AnswerHead.Status >= 200 && AnswerHead.Status < 300;
   AnswerIsEvents = streaming() && Good;
@@ -57,13 +56,21 @@
   if (HeadSent)
     return;
   Confidence = AnswerFacts.Confidence.value_or(-1);
-  Answer = {.Status = AnswerHead.Status, .Reason = AnswerHead.Reason};
+  Answer = {.Status = AnswerHead.Status,
+            .Reason = AnswerHead.Reason,
+            .NotRun = AnswerFacts.NotRun};
   for (const head_line &Line : AnswerHead.Lines)
     if (!sameHeader(Line.Name, "Content-Length") &&
         !platform::belongsToConnection(AnswerHead, Line.Name))
       Answer.Lines.push_back(Line);
-  if (!AnswerIsEvents || !asksLargerModel())
-    return;
+  if (AnswerIsEvents && asksLargerModel())
+    askLargerModel();
+}
+
+// The answer that has begun is ready: it is kept until the caller has one of
+// the larger model. Let go of at once it was lost where the larger model's
+// upstream refused, and its caller was told that nothing had run.
+void forwarding::askLargerModel() {
   auto Keep = shared_from_this();
   Upstream->answered();
   countAnswer(false);
@@ -72,14 +79,65 @@
            {"confidence", Confidence},
            {"upstream", Upstream->Listed.Id},
            {"asked", Model},
-           {"asks", Route->Sizes[ModelPlace]},
+           {"asks", Route->Sizes[LargerPlace]},
            {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
-           {"seconds_there", Now - SentAt}});
-  leaveUpstream();
-  Answer = {};
+           {"seconds_there", steadySeconds() - SentAt}});
+  Spare = std::make_unique<spare_answer>(
+      State,
+      spare_answer_parts{.Upstream = std::exchange(Upstream, nullptr),
+                         .Connection = std::exchange(Connection, nullptr),
+                         .Answer = std::exchange(Answer, {}),
+                         .Events = std::exchange(Events, {}),
+                         .ModelPlace = ModelPlace,
+                         .Confidence = Confidence});
+  ModelPlace = LargerPlace;
+  MayHaveRun = true;
   attempt();
 }
 
+// The larger model gives nothing in time: the caller gets what was kept, and
+// what lacks comes from the same connection or another upstream.
+void forwarding::goBack(std::string_view Why) {
+  auto Keep = shared_from_this();
+  logLine(log_level::Info, "back to the smaller model's answer",
+          {{"id", Facts.AttemptId},
+           {"why", Why},
+           {"whole", int64_t(Spare->whole())},
+           {"bytes", int64_t(Spare->events().size())},
+           {"seconds", steadySeconds() - BegunAt}});
+  std::unique_ptr<spare_answer> Back = std::exchange(Spare, nullptr);
+  spare_answer_parts Parts = Back->take(*this);
+  WentBack = AnswerIsEvents = Counted = true;
+  LastTrouble = Why;
+  Upstream = std::move(Parts.Upstream);
+  Connection = Parts.Connection;
+  Answer = std::move(Parts.Answer);
+  Events = std::move(Parts.Events);
+  ModelPlace = Parts.ModelPlace;
+  Model = Route->Sizes[ModelPlace];
+  Confidence = Parts.Confidence;
+  HeardAt = steadySeconds();
+  if (Upstream)
+    LastUpstream = Upstream;
+  passOn(Back->events());
+  if (Back->whole())
+    return finish();
+  if (Connection)
+    return armTimer();
+  Answer = {};
+  Events.restart();
+  again(true, Why);
+}
+
+// All of a stream has come.
+void forwarding::finish() {
+  if (!HeadSent)
+    return deliver();
+  leaveUpstream();
+  Caller->finish();
+  over("served", Answer.Status);
+}
+
 void forwarding::onAnswerBytes(std::string_view Bytes) {
   HeardAt = steadySeconds();
   if (AnswerIsEvents)
@@ -94,8 +152,10 @@
   if (!HeadSent) {
     HeadSent = true;
     FirstEventAt = HeardAt;
+    Spare.reset();
     Caller->begin(Answer.Status, Answer.Reason, Answer.Lines);
-    countAnswer(false);
+    if (!std::exchange(Counted, true))
+      countAnswer(false);
     State.Metrics->record(measure::TimeToFirstToken, Route->Name,
                           HeardAt - BegunAt);
   }
@@ -116,13 +176,9 @@
   Upstream->answered();
   if (AnswerIsEvents) {
     passOn(Events.takeRest());
-    if (!HeadSent)
-      return deliver();
-    leaveUpstream();
-    Caller->finish();
-    return over("served", Answer.Status);
+    return finish();
   }
-  if (NotRunAnswer) {
+  if (Answer.NotRun) {
     if (OtherIncarnation) {
       Upstream->leave();
       --Attempts; // The one that was meant has ended.
@@ -175,6 +231,8 @@
 /// The answer that is held, as the upstream gave it.
 void forwarding::deliver() {
   leaveUpstream();
+  if (Spare && Answer.Status >= 300)
+    return goBack("answered without success");
   if (Caller)
     Caller->reply(Answer.Status, Answer.Reason, Answer.Lines, Answer.Body);
   over(Answer.Status < 400 ? "served" : "answered by the upstream",
@@ -211,6 +269,7 @@
   if (std::exchange(Finished, true))
     return;
   Timer.stop();
+  Spare.reset();
   touchSession();
   // Whoever holds half an answer must see that it is not whole.
   if (Status == 0 && Caller)
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -28,6 +28,9 @@
 // to be served elsewhere.
 constexpr double HeldPart = 0.33;
 constexpr std::string_view AnyModel = "*";
+// Of the time that a caller has, the part after which it gets the answer of the
+// smaller model: what is left is enough to have the rest of it elsewhere.
+constexpr double SparePart = 0.75;
 
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
@@ -131,7 +134,10 @@
 // The caller holds nothing of the answer yet, so it may be dropped for one of
 // a larger model.
 bool forwarding::asksLargerModel() {
-  if (!choosesModel() || HeadSent || Confidence < 0 || !mayTryAgain(true))
+  // One more attempt than the larger model's, for the way back.
+  bool MayComeBack = Attempts + 1 < Route->MaxAttempts;
+  if (!choosesModel() || HeadSent || WentBack || Confidence < 0 ||
+      !MayComeBack || !mayTryAgain(true))
     return false;
   double Now = steadySeconds();
   size_t Largest = Route->Sizes.size() - 1;
@@ -161,7 +167,7 @@
            {"asked", int64_t(Larger.has_value())}});
   if (!Larger || !State.Budgets.at(Service).take(steadySeconds()))
     return false;
-  ModelPlace = *Larger;
+  LargerPlace = *Larger;
   return true;
 }
 
@@ -219,7 +225,7 @@
   Sent.Priority = priority();
   Sent.TellPriority = Facts.Model.has_value();
   SentAt = HeardAt = Now;
-  NotRunAnswer = AnswerIsEvents = false;
+  AnswerIsEvents = Counted = false;
   Events.restart();
   std::string Bytes = platform::writeRequestHead(Head, Sent, Body.size());
   Bytes.append(Body);
@@ -251,13 +257,18 @@
   return std::max(Silence, LeastPatience);
 }
 
+double forwarding::spareDueAt() const {
+  return BegunAt + SparePart * (EndsAt - BegunAt);
+}
+
 void forwarding::armTimer() {
   double Now = steadySeconds();
   double At = EndsAt;
   bool MayMove = Route->repeatable() && Attempts < Route->MaxAttempts;
-  if (MayMove && Connection) {
+  if (MayMove && Connection)
     At = std::min(At, HeardAt + patience());
-  }
+  if (Spare)
+    At = std::min(At, spareDueAt());
   Timer.startOnce(std::max(0.0, At - Now));
 }
 
@@ -266,6 +277,10 @@
   if (!HeldFor.empty())
     return conclude(HeldFor, error_kind::NoLease);
   double Now = steadySeconds();
+  if (Spare && Now >= spareDueAt() - TimerSlack) {
+    leaveUpstream();
+    return goBack("the larger model takes too long");
+  }
   if (left(Now) < LeastSeconds) {
     MayHaveRun = MayHaveRun || Connection;
     leaveUpstream();
@@ -279,8 +294,9 @@
   if (!Connection || Now < HeardAt + patience() - TimerSlack)
     return armTimer();
   // A slow answer is better than none: it is left only for another upstream.
-  bool Elsewhere = mayTryAgain(true) && State.Budgets.at(Service).left(Now) &&
-                   select(State, *Routing, selectionAt(Now));
+  bool Elsewhere =
+      Spare || (mayTryAgain(true) && State.Budgets.at(Service).left(Now) &&
+                select(State, *Routing, selectionAt(Now)));
   if (!Elsewhere)
     return Timer.startOnce(std::max(0.0, left(Now)));
   Upstream->failed(Now);
@@ -321,7 +337,9 @@
 }
 
 bool forwarding::mayTryAgain(bool WasRun) const {
-  return Attempts < Route->MaxAttempts && (!WasRun || Route->repeatable()) &&
+  bool KeepsWayBack = Spare && !Spare->whole();
+  return Attempts + KeepsWayBack < Route->MaxAttempts &&
+         (!WasRun || Route->repeatable()) &&
          (!MayHaveRun || Route->repeatable()) &&
          left(steadySeconds()) > LeastSeconds;
 }
@@ -339,9 +357,12 @@
 
 // There is nothing left to try.
 void forwarding::conclude(std::string_view Why, error_kind NotRun) {
+  if (Spare)
+    return goBack(Why);
   if (HeadSent)
     return over(Why, 0);
-  if (Answer.Status != 0)
+  // The last upstream's "not run" says nothing of those before it.
+  if (Answer.Status != 0 && !(Answer.NotRun && MayHaveRun))
     return deliver();
   giveUp(MayHaveRun ? error_kind::OutcomeUnknown : NotRun, Why);
 }
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -13,6 +13,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_state.h"
 #include "gateway/selection.h"
+#include "gateway/spare_answer.h"
 #include "gateway/upstream_connection.h"
 #include "net/caller_connection.h"
 #include "policy/model_choice.h"
@@ -66,14 +67,6 @@
   void onBroken(broken_at Where) override;
 
 private:
-  /// How the last attempt ended, for what is told in the end.
-  struct kept_answer {
-    int Status = 0;
-    std::string Reason;
-    std::vector<head_line> Lines;
-    std::string Body;
-  };
-
   bool authorise();
   const std::string &pickService();
   void attempt();
@@ -84,6 +77,8 @@
   request_size size() const;
   uint32_t priority() const;
   bool asksLargerModel();
+  void askLargerModel();
+  void goBack(std::string_view Why);
   bool mayTryAgain(bool WasRun) const;
   void again(bool WasRun, std::string_view Why);
   void conclude(std::string_view Why,
@@ -91,12 +86,14 @@
   void giveUp(error_kind Kind, std::string_view Why);
   void onTimer();
   double patience() const;
+  double spareDueAt() const;
   void armTimer();
   void leaveUpstream();
   void promptRead();
   std::span<const prompt_piece> unkeptPieces() const;
   void passOn(std::string_view Bytes);
   void deliver();
+  void finish();
   void over(std::string_view Outcome, int Status);
   void countAnswer(bool Failed);
   void touchSession();
@@ -130,6 +127,7 @@
   upstream_connection *Connection = nullptr;
   double Confidence = -1;   ///< Of the model in its answer, 0 to 1; -1: untold.
   size_t ModelPlace = 0;    ///< Of the model asked, in the route's sizes.
+  size_t LargerPlace = 0;   ///< Of the model that is to be asked instead.
   std::string Model;        ///< Chosen by this gateway; empty: the caller's.
   double PromptSeconds = 0; ///< Of the upstream's time; 0 once it has read.
   std::vector<prompt_piece> Pieces; ///< Of the prompt, for the model asked.
@@ -141,11 +139,13 @@
   bool MayHaveRun = false;          ///< Some attempt did, or perhaps did.
   bool HeadSent = false;            ///< The caller has the head of its answer.
   bool AnswerIsEvents = false;
-  bool NotRunAnswer = false;
+  bool WentBack = false;         ///< To the answer of a smaller model.
+  bool Counted = false;          ///< The answer in hand, for its version.
   bool OtherIncarnation = false; ///< Declined by whoever has the address now.
   std::string_view HeldFor;      ///< Why it waits; empty: it does not.
   bool Finished = false;
-  kept_answer Answer;
+  held_answer Answer;                  ///< Of the last attempt.
+  std::unique_ptr<spare_answer> Spare; ///< While a larger model is asked.
   event_splitter Events;
   uint64_t EventBytes = 0;
   std::string_view LastTrouble; ///< Why the last attempt failed.
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -53,6 +53,8 @@
 
   void send(upstream_user &User, std::string_view Bytes,
             const std::string &AttemptId, bool HeadOnly);
+  /// Who hears the rest of the answer in hand.
+  void handTo(upstream_user &NewUser) { User = &NewUser; }
   /// The user wants nothing more: the connection is closed.
   void drop();
   const std::shared_ptr<upstream> &server() const { return Upstream; }
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -121,10 +121,11 @@
   std::string Body = std::exchange(Connection.Body, {});
   Connection.Reader.next();
   std::string Id = headerOf(Head, "X-Attempt-Id");
-  std::string Do = queryOf(Head.Target, "do");
+  bool Large = headerOf(Head, "X-Model") == "large";
+  std::string Do = queryOf(Head.Target, Large ? "large" : "do");
   if (headerOf(Head, "X-Expect-Instance") != Options.Id)
     return Connection.Stream.write(whole(answerHead(421, Id, ""), "other"));
-  if (Do == "refuse")
+  if (Do == "refuse" || Refuses)
     return Connection.Stream.write(
         whole(answerHead(503, Id, "X-Not-Executed: 1\r\n"), "full"));
   LastHead = Head;
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -9,7 +9,7 @@
 // mute, reset, cut (in the middle), garble, extra (a second answer behind it),
 // unframed (ends with the connection), late=MS. Under /stream/ events=N, and
 // break=K ends the stream in the middle of event K+1, unless it goes on from
-// one.
+// one. Where the model "large" is asked, large=X stands in the place of do=X.
 //
 //===----------------------------------------------------------------------===//
 
@@ -57,7 +57,8 @@
 
   /// The share that doubts itself: answers below it say a low confidence.
   double Confidence = 0.9;
-  bool Fails = false; ///< Every request, with 500.
+  bool Fails = false;   ///< Every request, with 500.
+  bool Refuses = false; ///< Every request, as not run.
 
 private:
   struct connection {
