--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -13,6 +13,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_state.h"
 #include "gateway/selection.h"
+#include "gateway/spare_answer.h"
 #include "gateway/upstream_connection.h"
 #include "net/caller_connection.h"
 #include "policy/model_choice.h"
@@ -21,10 +22,15 @@
 
 namespace olivevalve {
 
-/// Gives out connections to upstreams.
-class connection_source {
+class forwarding;
+
+/// Where requests are at home.
+class forwarding_host {
 public:
-  virtual ~connection_source() = default;
+  virtual ~forwarding_host() = default;
+  /// True: \p Request is held, and resumed when this gateway knows enough to
+  /// choose an upstream.
+  virtual bool holds(forwarding &Request) = 0;
   /// One that is idle, or a new one; null when none may be opened.
   virtual upstream_connection *
   acquire(const std::shared_ptr<upstream> &Upstream) = 0;
@@ -37,15 +43,16 @@
   /// Told once, when the request has its final answer or none can be given.
   using end_handler = std::function<void(forwarding &)>;
 
-  forwarding(gateway_state &State, connection_source &Connections,
+  forwarding(gateway_state &State, forwarding_host &Host,
              caller_connection &Caller, http_head Head, std::string Body,
              end_handler OnOver);
   ~forwarding() override;
 
   void start();
-  /// Waits for start(), for \p Seconds at most and a part of the time that the
-  /// caller has; then it is refused.
-  void hold(double Seconds);
+  /// Waits for resume(), for \p Seconds at most and, before its first attempt,
+  /// a part of the time that the caller has. Then it ends, told \p Why.
+  void hold(double Seconds, std::string_view Why);
+  void resume();
   /// Answers it without a try.
   void refuse(error_kind Kind, std::string_view Why) { giveUp(Kind, Why); }
   /// Ends it now: the process is about to stop.
@@ -60,14 +67,6 @@
   void onBroken(broken_at Where) override;
 
 private:
-  /// How the last attempt ended, for what is told in the end.
-  struct kept_answer {
-    int Status = 0;
-    std::string Reason;
-    std::vector<head_line> Lines;
-    std::string Body;
-  };
-
   bool authorise();
   const std::string &pickService();
   void attempt();
@@ -78,18 +77,23 @@
   request_size size() const;
   uint32_t priority() const;
   bool asksLargerModel();
+  void askLargerModel();
+  void goBack(std::string_view Why);
   bool mayTryAgain(bool WasRun) const;
   void again(bool WasRun, std::string_view Why);
-  void conclude(std::string_view Why);
+  void conclude(std::string_view Why,
+                error_kind NotRun = error_kind::NoUpstream);
   void giveUp(error_kind Kind, std::string_view Why);
   void onTimer();
   double patience() const;
+  double spareDueAt() const;
   void armTimer();
   void leaveUpstream();
   void promptRead();
   std::span<const prompt_piece> unkeptPieces() const;
   void passOn(std::string_view Bytes);
   void deliver();
+  void finish();
   void over(std::string_view Outcome, int Status);
   void countAnswer(bool Failed);
   void touchSession();
@@ -100,7 +104,7 @@
   double left(double Now) const { return EndsAt - Now; }
 
   gateway_state &State;
-  connection_source &Connections;
+  forwarding_host &Host;
   caller_connection *Caller;
   http_head Head;
   std::string Body;
@@ -123,6 +127,7 @@
   upstream_connection *Connection = nullptr;
   double Confidence = -1;   ///< Of the model in its answer, 0 to 1; -1: untold.
   size_t ModelPlace = 0;    ///< Of the model asked, in the route's sizes.
+  size_t LargerPlace = 0;   ///< Of the model that is to be asked instead.
   std::string Model;        ///< Chosen by this gateway; empty: the caller's.
   double PromptSeconds = 0; ///< Of the upstream's time; 0 once it has read.
   std::vector<prompt_piece> Pieces; ///< Of the prompt, for the model asked.
@@ -134,11 +139,13 @@
   bool MayHaveRun = false;          ///< Some attempt did, or perhaps did.
   bool HeadSent = false;            ///< The caller has the head of its answer.
   bool AnswerIsEvents = false;
-  bool NotRunAnswer = false;
+  bool WentBack = false;         ///< To the answer of a smaller model.
+  bool Counted = false;          ///< The answer in hand, for its version.
   bool OtherIncarnation = false; ///< Declined by whoever has the address now.
-  bool Held = false;             ///< Not started yet.
+  std::string_view HeldFor;      ///< Why it waits; empty: it does not.
   bool Finished = false;
-  kept_answer Answer;
+  held_answer Answer;                  ///< Of the last attempt.
+  std::unique_ptr<spare_answer> Spare; ///< While a larger model is asked.
   event_splitter Events;
   uint64_t EventBytes = 0;
   std::string_view LastTrouble; ///< Why the last attempt failed.
