--- a/tests/system/pauses_test.cpp
+++ b/tests/system/pauses_test.cpp
@@ -47,6 +47,14 @@
     pauseFor(0.3);
     return Answers;
   }
+  void areServed(const std::vector<std::shared_ptr<caller_answer>> &Answers) {
+    until("all are answered", [&] {
+      return std::all_of(Answers.begin(), Answers.end(),
+                         [](const auto &Each) { return Each->Done; });
+    });
+    for (const auto &Each : Answers)
+      BOOST_TEST(Each->Status == 200);
+  }
 };
 
 } // namespace
@@ -62,12 +70,7 @@
   auto Answers = World.beginMany(20);
   int Before = World.Replicas["i-2"]->runs();
   World.Gateway->signal(SIGCONT);
-  World.until("all are answered", [&] {
-    return std::all_of(Answers.begin(), Answers.end(),
-                       [](const auto &Each) { return Each->Done; });
-  });
-  for (const auto &Each : Answers)
-    BOOST_TEST(Each->Status == 200);
+  World.areServed(Answers);
   BOOST_TEST(World.Replicas["i-2"]->runs() == Before);
 }
 
@@ -80,12 +83,7 @@
   World.pauseFor(PauseSeconds);
   auto Answers = World.beginMany(4);
   World.Gateway->signal(SIGCONT);
-  World.until("all are answered", [&] {
-    return std::all_of(Answers.begin(), Answers.end(),
-                       [](const auto &Each) { return Each->Done; });
-  });
-  for (const auto &Each : Answers)
-    BOOST_TEST(Each->Status == 200);
+  World.areServed(Answers);
 }
 
 BOOST_AUTO_TEST_CASE(lose_no_answer_that_came_meanwhile) {
