Floods: what would wait too long for a slot is refused before it is sent

With 103 gateways each hears of its own hall only, and what no one had told of looked empty. An answer of the smallest model holds its slot as long as one of the largest (1.7 to 2.5 s for a long prompt's): slots bind, not reading.

Retried requests and streams that go on are never refused; plain services are not touched.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -88,9 +88,9 @@
     ev_stat_start(Loop, &File);
     ev_signal_start(Loop, &Hangup);
   }
-  // The signal stays taken, as the loop does not run any more: a watcher that is
-  // stopped gives it back its default action for a moment, which ended 6 of 10
-  // processes that got a series of them while they stopped.
+  // The signal stays taken, as the loop does not run any more: a watcher that
+  // is stopped gives it back its default action for a moment, which ended 6 of
+  // 10 processes that got a series of them while they stopped.
   ~settings_watch() { ev_stat_stop(Loop, &File); }
   settings_watch(const settings_watch &) = delete;
   settings_watch &operator=(const settings_watch &) = delete;
--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "gateway/forwarding.h"
+#include <algorithm>
 
 namespace olivevalve {
 
@@ -20,6 +21,9 @@
 // within a fraction of a second.
 constexpr std::string_view RetryAfterSeconds = "0.3";
 
+// More than any upstream has; the sum of two absurd numbers stays one.
+constexpr uint32_t MostRequestsTold = 1 << 20;
+
 std::string_view troubleOf(broken_at Where) {
   switch (Where) {
   case broken_at::Connecting:
@@ -41,9 +45,9 @@
 void forwarding::onAnswerHead(const http_head &AnswerHead,
                               const platform::answer_facts &AnswerFacts) {
   double Now = steadySeconds();
-  HeardAt = Now;
+  HeardAt = HeadAt = Now;
   if (AnswerFacts.Load)
-    Upstream->heardLoad(*AnswerFacts.Load, Now);
+    heardLoad(*AnswerFacts.Load);
   OtherIncarnation = AnswerFacts.OtherIncarnation;
   bool Good = AnswerHead.Status >= 200 && AnswerHead.Status < 300;
   AnswerIsEvents = streaming() && Good;
@@ -67,6 +71,14 @@
     askLargerModel();
 }
 
+void forwarding::heardLoad(const platform::reported_load &Load) {
+  uint64_t Sum = uint64_t(Load.Running) + Load.Waiting;
+  auto Requests = uint32_t(std::min<uint64_t>(Sum, MostRequestsTold));
+  Upstream->heardLoad(Requests, steadySeconds(),
+                      State.Peers->at(Upstream->Place).InFlight);
+  State.Peers->heardLoad(*Upstream, Requests);
+}
+
 // The answer that has begun is ready: it is kept until the caller has one of
 // the larger model. Let go of at once it was lost where the larger model's
 // upstream refused, and its caller was told that nothing had run.
@@ -133,6 +145,8 @@
 void forwarding::finish() {
   if (!HeadSent)
     return deliver();
+  if (Facts.Model)
+    State.Paces[Service].ended(FirstTokenSeconds + steadySeconds() - HeadAt);
   leaveUpstream();
   Caller->finish();
   over("served", Answer.Status);
@@ -247,7 +261,9 @@
       {"Content-Type", "application/json"},
       {"X-Olivevalve-Outcome", std::string(nameOf(Told.Outcome))}};
   if (Told.HttpStatus == 503)
-    Lines.push_back({"Retry-After", std::string(RetryAfterSeconds)});
+    Lines.push_back({"Retry-After", ComeBackAfter > 0
+                                        ? std::to_string(ComeBackAfter)
+                                        : std::string(RetryAfterSeconds)});
   if (Caller)
     Caller->reply(Told.HttpStatus, Told.Code, Lines, errorBody(Kind, Why));
   over(Why, Told.HttpStatus);
@@ -294,6 +310,7 @@
        {"prompt_tokens", int64_t(Facts.Model ? Facts.Model->PromptTokens : 0)},
        {"kept_tokens", int64_t(KeptTokens)},
        {"expected_first_s", ExpectedSeconds},
+       {"expected_wait_s", WaitSeconds},
        {"first_event_s", FirstEventAt > 0 ? FirstEventAt - SentAt : -1},
        {"confidence", Confidence},
        {"attempts", int64_t(Attempts)},
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -79,6 +79,8 @@
   Service = pickService();
   State.Budgets.try_emplace(Service, State.RetryBounds, State.Gateways)
       .first->second.requestSeen(BegunAt);
+  if (Facts.Model)
+    State.Paces[Service].asked(Route->TargetSeconds);
   if (choosesModel())
     ModelPlace = firstModel(Route->Sizes.size());
   attempt();
@@ -154,6 +156,7 @@
        .WorthOfSecond =
            worthOfSecond(State.Earnings[Service].perSecond(),
                          Outlook.BacklogSeconds, Route->TargetSeconds),
+       .RefusedShare = refusalChanceAt(Outlook.WaitSeconds),
        .InTime =
            Now + Outlook.FirstTokenSeconds < BegunAt + Route->TargetSeconds});
   logLine(log_level::Debug, "larger model weighed",
@@ -161,6 +164,7 @@
            {"confidence", Confidence},
            {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
            {"backlog_s", Outlook.BacklogSeconds},
+           {"slot_wait_s", Outlook.WaitSeconds},
            {"upstream_s", Outlook.UpstreamSeconds},
            {"earned_per_s", State.Earnings[Service].perSecond()},
            {"first_token_s", Outlook.FirstTokenSeconds},
@@ -178,9 +182,13 @@
   if (Host.holds(*this))
     return;
   selection_request Request = selectionAt(Now);
-  Upstream = select(State, *Routing, Request);
-  if (!Upstream)
+  selection Selected = select(State, *Routing, Request);
+  if (!Selected.Upstream)
     return conclude(LastTrouble.empty() ? "no upstream" : LastTrouble);
+  if (!takenIn(Selected))
+    return giveUp(error_kind::QueueFull,
+                  "more is asked than can begin in time");
+  Upstream = std::move(Selected.Upstream);
   Connection = Host.acquire(Upstream);
   Tried.insert(Upstream->Listed.Id);
   if (!Connection) {
@@ -193,22 +201,43 @@
     Model = Route->Sizes[ModelPlace];
   LastUpstream = Upstream;
   if (Facts.Model)
-    expectPrompt(Request);
+    expectPrompt(Request, Selected.PromptSeconds);
   State.Peers->changed(*Upstream);
   touchSession();
   send(Now);
 }
 
+double forwarding::refusalChanceAt(double Seconds) const {
+  return refusalChance(Seconds, State.Paces[Service].shortestTarget(),
+                       priority());
+}
+
+// Decided once, before anything was sent: what has begun is not given up, nor
+// what its caller holds the beginning of.
+bool forwarding::takenIn(const selection &Selected) {
+  WaitSeconds = Selected.WaitSeconds;
+  if (Attempts > 0 || Spare || !Facts.Model || !Facts.LastEventId.empty())
+    return true;
+  double Chance = refusalChanceAt(WaitSeconds);
+  if (std::uniform_real_distribution<double>(0, 1)(State.Random) >= Chance)
+    return true;
+  // Of the caller's time, which may be longer than the operator's.
+  double Left = Facts.DeadlineSeconds.value_or(Route->TimeoutSeconds) -
+                (steadySeconds() - BegunAt);
+  ComeBackAfter = comeBackAfter(Left, State.Random);
+  return false;
+}
+
 // What the upstream will have to read, for the choices of this gateway and the
 // others, and what it keeps then.
-void forwarding::expectPrompt(const selection_request &Request) {
+void forwarding::expectPrompt(const selection_request &Request,
+                              double WaitingSeconds) {
   prompt_work Work = promptWork(State, *Routing, Request);
   if (Attempts == 1)
     State.Earnings[Service].earned(worthOf(size()), Work.WholeSeconds);
   PromptSeconds = readSeconds(State, *Routing, Request, Work, *Upstream);
   Upstream->PromptSeconds += PromptSeconds;
-  ExpectedSeconds = FirstTokenSeconds + Upstream->PromptSeconds +
-                    State.Peers->at(Upstream->Place).PromptSeconds;
+  ExpectedSeconds = FirstTokenSeconds + WaitingSeconds + PromptSeconds;
   Pieces = std::move(Work.Pieces);
   KeptTokens = State.Memory.kept(Upstream->Place, Pieces);
   State.Memory.sent(Upstream->Place, Pieces);
@@ -302,7 +331,7 @@
   // A slow answer is better than none: it is left only for another upstream.
   bool Elsewhere =
       Spare || (mayTryAgain(true) && State.Budgets.at(Service).left(Now) &&
-                select(State, *Routing, selectionAt(Now)));
+                select(State, *Routing, selectionAt(Now)).Upstream);
   if (!Elsewhere)
     return Timer.startOnce(std::max(0.0, left(Now)));
   Upstream->failed(Now);
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -70,9 +70,12 @@
   bool authorise();
   const std::string &pickService();
   void attempt();
-  void expectPrompt(const selection_request &Request);
+  void expectPrompt(const selection_request &Request, double WaitingSeconds);
   void send(double Now);
   std::string_view hallKind() const;
+  bool takenIn(const selection &Selected);
+  double refusalChanceAt(double Seconds) const;
+  void heardLoad(const platform::reported_load &Load);
   selection_request selectionAt(double Now) const;
   bool choosesModel() const;
   request_size size() const;
@@ -135,6 +138,7 @@
   uint32_t KeptTokens = 0;          ///< Of them, expected at the upstream.
   double ExpectedSeconds = 0;       ///< From sending to the first token.
   double SentAt = 0;                ///< The attempt in hand.
+  double HeadAt = 0;                ///< Of its answer.
   double FirstEventAt = 0;          ///< Of the answer; 0: none yet.
   double HeardAt = 0;               ///< Last bytes of the answer in hand.
   bool MayHaveRun = false;          ///< Some attempt did, or perhaps did.
@@ -144,6 +148,8 @@
   bool Counted = false;          ///< The answer in hand, for its version.
   bool OtherIncarnation = false; ///< Declined by whoever has the address now.
   std::string_view HeldFor;      ///< Why it waits; empty: it does not.
+  double ComeBackAfter = 0;      ///< Advice to a refused caller; 0: the usual.
+  double WaitSeconds = 0;        ///< For a slot, expected at the last choice.
   bool Finished = false;
   held_answer Answer;                  ///< Of the last attempt.
   std::unique_ptr<spare_answer> Spare; ///< While a larger model is asked.
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -9,6 +9,7 @@
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
 #include "gateway/upstream_table.h"
+#include "policy/admission.h"
 #include "policy/model_choice.h"
 #include "policy/prompt_memory.h"
 #include "policy/prompt_pace.h"
@@ -34,6 +35,7 @@
   retry_window_bounds RetryBounds;             ///< Of all gateways.
   std::map<std::string, retry_window> Budgets; ///< By service.
   std::map<std::string, earnings> Earnings;    ///< By service.
+  std::map<std::string, service_pace> Paces;   ///< By service.
   prompt_pace Pace;
   prompt_memory Memory; ///< Of all upstreams.
   std::mt19937_64 Random{1};
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -110,6 +110,10 @@
     if (State.Upstreams.has(Upstream))
       State.Memory.sent(Upstream, Pieces);
   };
+  Peers.OnLoad = [this](uint64_t Place, uint32_t Load) {
+    if (auto Upstream = State.Upstreams.at(Place))
+      Upstream->heardLoad(Load, steadySeconds(), Peers.at(Place).InFlight);
+  };
   Watch.OnUpstreams = [this](double Age, const wire::notice &Notice) {
     hearList(Age, Notice);
   };
--- a/gateway/peer_work.cpp
+++ b/gateway/peer_work.cpp
@@ -106,6 +106,13 @@
     Timer.startOnce(std::max(0.0, Due));
 }
 
+void peer_work::heardLoad(const upstream &Upstream, uint32_t Load) {
+  if (Gateways.empty())
+    return;
+  UntoldLoads[Upstream.Place] = Load;
+  changed(Upstream);
+}
+
 // The last part is the request's own: its key is of no use to others, but it
 // takes room.
 void peer_work::sent(const upstream &Upstream,
@@ -136,15 +143,20 @@
   News.set_whole(Whole);
   News.mutable_prompts()->Swap(Untold.mutable_prompts());
   for (const auto &[Id, Upstream] : Upstreams.all()) {
+    auto Load = UntoldLoads.find(Upstream->Place);
+    bool HasLoad = Load != UntoldLoads.end();
     bool Told =
         Whole ? Upstream->InFlight > 0 : Changed.contains(Upstream->Place);
-    if (!Told)
+    if (!Told && !HasLoad)
       continue;
     wire::upstream_work *Work = News.add_works();
     Work->set_upstream(Upstream->Place);
     Work->set_prompt_ms(uint32_t(Upstream->PromptSeconds * MsPerSecond));
     Work->set_in_flight(Upstream->InFlight);
+    if (HasLoad)
+      Work->set_told_load(Load->second + 1);
   }
+  UntoldLoads.clear();
   Changed.clear();
   std::string Bytes = News.SerializeAsString();
   for (const std::string &Gateway : Gateways)
@@ -160,6 +172,10 @@
       !News.ParseFromArray(Bytes.data(), int(Bytes.size())))
     return;
   Others.heard(News, steadySeconds());
+  if (OnLoad)
+    for (const wire::upstream_work &Work : News.works())
+      if (Work.told_load() > 0)
+        OnLoad(Work.upstream(), Work.told_load() - 1);
   if (!OnSent)
     return;
   std::vector<prompt_piece> Pieces;
--- a/gateway/peer_work.h
+++ b/gateway/peer_work.h
@@ -69,7 +69,15 @@
   void sent(const upstream &Upstream, std::span<const prompt_piece> Pieces);
   /// The own work at an upstream is not what it was.
   void changed(const upstream &Upstream);
+  /// An upstream has told how many requests run or wait there.
+  void heardLoad(const upstream &Upstream, uint32_t Load);
   upstream_work at(uint64_t Upstream) const { return Others.at(Upstream); }
+  /// All gateways are told: what is known of their work is all there is.
+  bool hearsAll(uint32_t AllGateways) const {
+    return Gateways.size() + 1 >= AllGateways;
+  }
+  /// An upstream has told another gateway how many requests run or wait there.
+  std::function<void(uint64_t Upstream, uint32_t Load)> OnLoad;
   /// Another gateway has sent a prompt to an upstream.
   std::function<void(uint64_t Upstream, std::span<const prompt_piece>)> OnSent;
 
@@ -83,6 +91,7 @@
   std::set<std::string> Gateways;
   std::set<uint64_t> Changed; ///< Since the last news, by upstream.
   wire::work_news Untold;     ///< Prompts sent since the last news.
+  std::unordered_map<uint64_t, uint32_t> UntoldLoads; ///< By upstream.
   work_of_others Others;
   datagram_socket Socket;
   timer Timer;
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -65,12 +65,15 @@
   bool Once = !Request.Route.repeatable();
   std::vector<upstream_view> Views;
   Views.reserve(Upstreams.size());
+  bool HearsAll = State.Peers->hearsAll(State.Gateways);
   for (const auto &Each : Upstreams) {
     upstream_work Others = State.Peers->at(Each->Place);
     Views.push_back(
         {.Id = Each->Listed.Id,
-         .Load = std::max(Each->load(Now),
-                          double(Each->InFlight + Others.InFlight)),
+         .Load = Each->load(Now, Others.InFlight),
+         .Seen = HearsAll ? Each->load(Now, Others.InFlight)
+                          : double(Each->InFlight + Others.InFlight),
+         .LoadKnown = HearsAll || Each->loadKnown(Now),
          .Slots = double(Each->Listed.Slots),
          .SameHall = Each->Listed.DataHall == State.DataHall,
          .Suspect = Each->suspect(Now) || (Once && Each->unproven(Now)),
@@ -79,12 +82,18 @@
   return Views;
 }
 
-std::shared_ptr<upstream> pick(gateway_state &State,
-                               const routing_table &Routing,
-                               const selection_request &Request,
-                               std::vector<std::shared_ptr<upstream>> Upstreams,
-                               const prompt_work &Work) {
+selection pick(gateway_state &State, const routing_table &Routing,
+               const selection_request &Request,
+               std::vector<std::shared_ptr<upstream>> Upstreams,
+               const prompt_work &Work) {
   std::vector<upstream_view> Views = viewsOf(State, Request, Upstreams);
+  supposeUnseen(Views);
+  selection Selected;
+  if (Request.Facts.Model) {
+    Selected.WaitSeconds =
+        waitForSlot(Views, State.Paces[Request.Service].slotSeconds());
+    Selected.BacklogSeconds = meanPromptSeconds(Views);
+  }
   for (size_t I = 0; I < Views.size(); ++I)
     if (Request.Facts.Model)
       Views[I].ReadSeconds =
@@ -97,7 +106,11 @@
   auto Place = Request.Facts.Model
                    ? chooseSoonest(Views, Work.Prompt, State.Random)
                    : chooseLeastLoaded(Views, State.Random);
-  return Place ? Upstreams[*Place] : nullptr;
+  if (Place) {
+    Selected.Upstream = Upstreams[*Place];
+    Selected.PromptSeconds = Views[*Place].PromptSeconds;
+  }
+  return Selected;
 }
 
 } // namespace
@@ -179,41 +192,34 @@
 
 outlook outlookFor(gateway_state &State, const routing_table &Routing,
                    const selection_request &Request) {
-  outlook Outlook;
-  size_t Sound = 0;
-  for (const auto &Each : State.Upstreams.ofService(Request.Service)) {
-    if (!Each->takesNew() || Each->suspect(Request.Now))
-      continue;
-    ++Sound;
-    Outlook.BacklogSeconds +=
-        Each->PromptSeconds + State.Peers->at(Each->Place).PromptSeconds;
-  }
-  Outlook.BacklogSeconds /= double(std::max<size_t>(1, Sound));
-  std::shared_ptr<upstream> Upstream = select(State, Routing, Request);
+  selection Selected = select(State, Routing, Request);
+  const std::shared_ptr<upstream> &Upstream = Selected.Upstream;
   prompt_work Work = promptWork(State, Routing, Request);
   double Read = Upstream ? readSeconds(State, Routing, Request, Work, *Upstream)
                          : Work.Prompt.Seconds;
-  Outlook.UpstreamSeconds = Read + Work.WholeSeconds - Work.Prompt.Seconds;
-  Outlook.FirstTokenSeconds =
-      Upstream ? FirstTokenSeconds + Upstream->PromptSeconds +
-                     State.Peers->at(Upstream->Place).PromptSeconds + Read
-               : NoUpstream;
+  outlook Outlook{.BacklogSeconds = Selected.BacklogSeconds,
+                  .UpstreamSeconds =
+                      Read + Work.WholeSeconds - Work.Prompt.Seconds,
+                  .FirstTokenSeconds = NoUpstream,
+                  .WaitSeconds = Selected.WaitSeconds};
+  if (Upstream)
+    Outlook.FirstTokenSeconds =
+        FirstTokenSeconds + Selected.PromptSeconds + Read;
   return Outlook;
 }
 
-std::shared_ptr<upstream> select(gateway_state &State,
-                                 const routing_table &Routing,
-                                 const selection_request &Request) {
+selection select(gateway_state &State, const routing_table &Routing,
+                 const selection_request &Request) {
   const std::string &Session = Request.Facts.Session;
   const session_pin *Pin =
       Session.empty() ? nullptr
                       : State.Pins.find(Request.Service, Session, Request.Now);
   candidates Found = candidatesFor(State, Request, Pin);
   prompt_work Work = promptWork(State, Routing, Request);
-  std::shared_ptr<upstream> Chosen =
+  selection Selected =
       pick(State, Routing, Request, std::move(Found.Wanted), Work);
-  if (Chosen)
-    return Chosen;
+  if (Selected.Upstream)
+    return Selected;
   return pick(State, Routing, Request, std::move(Found.Others), Work);
 }
 
--- a/gateway/selection.h
+++ b/gateway/selection.h
@@ -60,20 +60,27 @@
 /// Tokens that the answer is expected to have.
 uint32_t likelyTokens(const platform::model_request &Model);
 
+struct selection {
+  std::shared_ptr<upstream> Upstream; ///< Null: none may have it.
+  double PromptSeconds = 0;  ///< Of its time, for prompts that wait there.
+  double WaitSeconds = 0;    ///< For a slot, at one of the less full upstreams.
+  double BacklogSeconds = 0; ///< Of prompts, at an upstream on average.
+};
+
 /// What a request would meet if it were sent now.
 struct outlook {
   double BacklogSeconds = 0;    ///< Of prompts, at an upstream on average.
   double UpstreamSeconds = 0;   ///< Of an upstream's time, with what it makes.
   double FirstTokenSeconds = 0; ///< Until the first token; 1e9: no upstream.
+  double WaitSeconds = 0;       ///< For a slot, as in selection.
 };
 
 outlook outlookFor(gateway_state &State, const routing_table &Routing,
                    const selection_request &Request);
 
-/// The upstream for the request's next attempt, or null when none may have it.
-std::shared_ptr<upstream> select(gateway_state &State,
-                                 const routing_table &Routing,
-                                 const selection_request &Request);
+/// The upstream for the request's next attempt.
+selection select(gateway_state &State, const routing_table &Routing,
+                 const selection_request &Request);
 
 } // namespace olivevalve
 
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -18,20 +18,25 @@
 constexpr double UnprovenSeconds = 10;
 // A load told longer ago says nothing of the present one.
 constexpr double LoadLifetime = 2;
+// Upstreams queue a few requests for each slot. What says more is absurd, and
+// would keep all work away.
+constexpr uint32_t MostToldPerSlot = 16;
 
 } // namespace
 
-double upstream::load(double Now) const {
-  if (ToldAt == 0 || Now > ToldAt + LoadLifetime)
-    return InFlight;
-  double Then = double(Told.Running) + double(Told.Waiting);
-  return std::max(double(InFlight), Then + InFlight - InFlightThen);
+bool upstream::loadKnown(double Now) const {
+  return ToldAt > 0 && Now <= ToldAt + LoadLifetime;
 }
 
-void upstream::heardLoad(const platform::reported_load &Load, double Now) {
-  Told = Load;
+double upstream::load(double Now, uint32_t Others) const {
+  double Known = double(InFlight) + Others;
+  return loadKnown(Now) ? std::max(Known, Told + Known - KnownThen) : Known;
+}
+
+void upstream::heardLoad(uint32_t Load, double Now, uint32_t Others) {
+  Told = std::min(Load, MostToldPerSlot * std::max(1U, Listed.Slots));
   ToldAt = Now;
-  InFlightThen = InFlight;
+  KnownThen = InFlight + Others;
 }
 
 void upstream::failed(double Now) {
@@ -75,7 +80,7 @@
     auto Upstream = incarnationOf(std::move(Listed));
     ++Versions[Upstream->Listed.Service][Upstream->Listed.Version];
     ByService[Upstream->Listed.Service].push_back(Upstream);
-    Places.insert(Upstream->Place);
+    Places[Upstream->Place] = Upstream;
     std::string Id = Upstream->Listed.Id;
     Next[Id] = std::move(Upstream);
   }
@@ -98,6 +103,11 @@
   return Left;
 }
 
+std::shared_ptr<upstream> upstream_table::at(uint64_t Place) const {
+  auto It = Places.find(Place);
+  return It == Places.end() ? nullptr : It->second;
+}
+
 const std::vector<std::shared_ptr<upstream>> &
 upstream_table::ofService(const std::string &Service) const {
   static const std::vector<std::shared_ptr<upstream>> None;
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -14,7 +14,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 namespace olivevalve {
@@ -38,12 +38,16 @@
   std::vector<upstream_connection *> Idle;
 
   /// Requests that run or wait there: what it told last, corrected by what
-  /// this entry has sent and got back since.
-  double load(double Now) const;
+  /// this entry and those that it hears of have sent and got back since.
+  /// \p Others: what these have there now.
+  double load(double Now, uint32_t Others = 0) const;
+  /// What it told is not too old to say anything of the present.
+  bool loadKnown(double Now) const;
   bool suspect(double Now) const { return Now < SuspectUntil; }
   /// Failed, and has answered nothing since; for some seconds.
   bool unproven(double Now) const { return Strikes > 0 && Now < UnprovenUntil; }
-  void heardLoad(const platform::reported_load &Load, double Now);
+  /// \p Load: requests that ran or waited there when it told.
+  void heardLoad(uint32_t Load, double Now, uint32_t Others = 0);
   /// Gave no answer, or one that is not its own.
   void failed(double Now);
   void answered() { Strikes = 0; }
@@ -51,9 +55,9 @@
   bool takesNew() const { return !Gone && !Leaves && !Listed.Leaving; }
 
 private:
-  platform::reported_load Told;
+  uint32_t Told = 0; ///< Requests that ran or waited.
   double ToldAt = 0;
-  uint32_t InFlightThen = 0;
+  uint32_t KnownThen = 0; ///< Of them, those of gateways that are heard of.
   double SuspectUntil = 0;
   double UnprovenUntil = 0;
   unsigned Strikes = 0;
@@ -73,7 +77,8 @@
   const std::map<std::string, std::shared_ptr<upstream>> &all() const {
     return ById;
   }
-  /// True if one that is listed has this place.
+  /// The one that is listed with this place; null: none.
+  std::shared_ptr<upstream> at(uint64_t Place) const;
   bool has(uint64_t Place) const { return Places.contains(Place); }
   /// The software version most upstreams of the service had when it was seen
   /// first, or that was set since.
@@ -91,7 +96,7 @@
   std::map<std::string, std::shared_ptr<upstream>> ById;
   std::map<std::string, std::vector<std::shared_ptr<upstream>>> ByService;
   std::map<std::string, std::string> Settled;
-  std::unordered_set<uint64_t> Places;
+  std::unordered_map<uint64_t, std::shared_ptr<upstream>> Places;
 };
 
 } // namespace olivevalve
--- a/policy/model_choice.cpp
+++ b/policy/model_choice.cpp
@@ -76,7 +76,9 @@
   double Use = Answer.LargestCost *
                (CostOfRead * Answer.Size.ReadTokens + Answer.Size.MadeTokens) /
                Thousand;
-  if (Gain <= Use + Answer.LargestSeconds * Answer.WorthOfSecond)
+  // It takes a slot more, which another request like this one may not get.
+  double Refused = Answer.RefusedShare * worthOf(Answer.Size);
+  if (Gain <= Use + Answer.LargestSeconds * Answer.WorthOfSecond + Refused)
     return std::nullopt;
   return Answer.Models - 1;
 }
--- a/policy/model_choice.h
+++ b/policy/model_choice.h
@@ -32,6 +32,7 @@
   double LargestCost = 0;    ///< Of the largest model, for 1,000 tokens made.
   double LargestSeconds = 0; ///< Of an upstream's time, with that model.
   double WorthOfSecond = 0;  ///< Of an upstream's time, to others.
+  double RefusedShare = 0;   ///< Of requests that come now, for want of a slot.
   bool InTime = true; ///< The largest model is expected to begin within the
                       ///< route's target.
 };
--- a/policy/upstream_choice.cpp
+++ b/policy/upstream_choice.cpp
@@ -28,12 +28,26 @@
 // gateways that choose at the same moment choose alike.
 constexpr double FirstKeeps = 0.7 * WeightOfReading;
 constexpr double SecondKeeps = 0.3 * WeightOfReading;
+// Gateways that choose the one that seems emptiest, all from news of the same
+// moment ago, fill it far above the others. From this fill on, on average, each
+// chooses among so few by lot. In a simulated flood of ten times the load 0.94
+// of what could begin in time does, 0.85 if only from a fill of 0.8 on, when
+// the first wave has piled up; below it, what upstreams keep of prompts is
+// worth more.
+constexpr double DrawFromFill = 0.5;
+constexpr size_t DrawnWhenFull = 3;
+// In the mean that tells whether all are full, an absurd load counts for no
+// more.
+constexpr double MostFill = 2;
 // Gateways that choose at the same moment do not know of each other.
 constexpr double JitterSeconds = 0.01;
 
+double fillOf(const upstream_view &Upstream) {
+  return Upstream.Load / std::max(1.0, Upstream.Slots);
+}
+
 double share(const upstream_view &Upstream) {
-  return Upstream.Load / std::max(1.0, Upstream.Slots) +
-         (Upstream.SameHall ? 0 : OtherHallPenalty);
+  return fillOf(Upstream) + (Upstream.SameHall ? 0 : OtherHallPenalty);
 }
 
 bool anySound(const std::vector<upstream_view> &Upstreams) {
@@ -41,8 +55,49 @@
                      [](const upstream_view &U) { return !U.Suspect; });
 }
 
+// What nobody has told of would look empty, and all gateways would send there:
+// 100 gateways that know a fifth of the work took a mean load of 6 for 1.
+void supposeLoads(std::vector<upstream_view> &Upstreams) {
+  std::vector<double> Known;
+  for (const upstream_view &Each : Upstreams)
+    if (Each.LoadKnown && !Each.Suspect)
+      Known.push_back(fillOf(Each));
+  if (Known.empty() || Known.size() == Upstreams.size())
+    return;
+  auto Middle = Known.begin() + ptrdiff_t(Known.size() / 2);
+  std::nth_element(Known.begin(), Middle, Known.end());
+  for (upstream_view &Each : Upstreams)
+    if (!Each.LoadKnown)
+      Each.Load = std::max(Each.Load, *Middle * std::max(1.0, Each.Slots));
+}
+
 } // namespace
 
+void supposeUnseen(std::vector<upstream_view> &Upstreams) {
+  supposeLoads(Upstreams);
+  double Seconds = 0;
+  double Seen = 0;
+  for (const upstream_view &Each : Upstreams) {
+    Seconds += Each.PromptSeconds;
+    Seen += Each.Seen;
+  }
+  if (Seen <= 0)
+    return;
+  for (upstream_view &Each : Upstreams)
+    Each.PromptSeconds += std::max(0.0, Each.Load - Each.Seen) * Seconds / Seen;
+}
+
+double meanPromptSeconds(const std::vector<upstream_view> &Upstreams) {
+  double Seconds = 0;
+  size_t Sound = 0;
+  for (const upstream_view &Each : Upstreams)
+    if (!Each.Suspect) {
+      Seconds += Each.PromptSeconds;
+      ++Sound;
+    }
+  return Seconds / double(std::max<size_t>(1, Sound));
+}
+
 std::optional<size_t>
 chooseLeastLoaded(const std::vector<upstream_view> &Upstreams,
                   std::mt19937_64 &Random) {
@@ -68,7 +123,7 @@
 namespace {
 
 double fillSeconds(const upstream_view &Upstream) {
-  double Fill = Upstream.Load / std::max(1.0, Upstream.Slots);
+  double Fill = fillOf(Upstream);
   double Over = std::max(0.0, Fill - NearlyFull) / (1 - NearlyFull);
   return SecondsByFill * Fill + SecondsWhenFull * Over;
 }
@@ -99,6 +154,28 @@
   return Keepers;
 }
 
+/// Where upstreams are full on average, the few by lot among which to choose,
+/// or none: then all.
+std::vector<bool> drawnWhenFull(const std::vector<upstream_view> &Upstreams,
+                                bool HeedSuspicion, std::mt19937_64 &Random) {
+  std::vector<size_t> Places;
+  double Fill = 0;
+  for (size_t I = 0; I < Upstreams.size(); ++I) {
+    if (HeedSuspicion && Upstreams[I].Suspect)
+      continue;
+    Places.push_back(I);
+    Fill += std::min(MostFill, fillOf(Upstreams[I]));
+  }
+  std::vector<bool> Drawn;
+  if (Places.size() <= DrawnWhenFull ||
+      Fill < DrawFromFill * double(Places.size()))
+    return Drawn;
+  Drawn.assign(Upstreams.size(), false);
+  for (size_t I = 0; I < DrawnWhenFull; ++I)
+    Drawn[Places[Random() % Places.size()]] = true;
+  return Drawn;
+}
+
 } // namespace
 
 std::optional<size_t> chooseSoonest(const std::vector<upstream_view> &Upstreams,
@@ -116,10 +193,13 @@
   std::uniform_real_distribution<double> Jitter(0, JitterSeconds);
   std::optional<size_t> Best;
   double Least = 0;
+  std::vector<bool> Drawn = drawnWhenFull(Upstreams, HeedSuspicion, Random);
   for (size_t I = 0; I < Upstreams.size(); ++I) {
     const upstream_view &Upstream = Upstreams[I];
     if (HeedSuspicion && Upstream.Suspect)
       continue;
+    if (!Drawn.empty() && !Drawn[I])
+      continue;
     double Seconds = Upstream.PromptSeconds + fillSeconds(Upstream) +
                      WeightOfReading * Upstream.ReadSeconds + Jitter(Random);
     if (!Upstream.SameHall)
--- a/policy/upstream_choice.h
+++ b/policy/upstream_choice.h
@@ -20,6 +20,8 @@
 struct upstream_view {
   std::string_view Id;
   double Load = 0;          ///< Requests that run or wait there, estimated.
+  double Seen = 0;          ///< Of them, those whose prompts are known.
+  bool LoadKnown = true;    ///< False: nothing tells how many there are.
   double Slots = 1;         ///< Requests that it works on at once.
   bool SameHall = false;    ///< In the data hall of the entry.
   bool Suspect = false;     ///< Failed lately: only if there is no other.
@@ -35,6 +37,15 @@
   uint64_t SharedKey = 0;   ///< Names that part and the model.
 };
 
+/// Puts in what a gateway that hears of some gateways only cannot see. An
+/// upstream whose load is not known counts as full as the middle one of the
+/// others, if that is fuller; requests that are not seen have prompts like
+/// those that are.
+void supposeUnseen(std::vector<upstream_view> &Upstreams);
+
+/// Of an upstream's time, for prompts that it has to read, on average.
+double meanPromptSeconds(const std::vector<upstream_view> &Upstreams);
+
 /// The place of the upstream with the least load for its slots.
 std::optional<size_t>
 chooseLeastLoaded(const std::vector<upstream_view> &Upstreams,
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -112,8 +112,8 @@
   std::string Confidence = std::to_string(int(this->Confidence * 100));
   return "HTTP/1.1 " + std::to_string(Status) + " Word\r\nX-Attempt-Id: " + Id +
          "\r\nX-Response-Seal: seal-of-" + Options.Id +
-         "\r\nX-Server-Load: 1,0,8\r\nX-Confidence: " + Confidence + "\r\n" +
-         Extra;
+         "\r\nX-Server-Load: " + Load + "\r\nX-Confidence: " + Confidence +
+         "\r\n" + Extra;
 }
 
 void replica::serve(connection &Connection) {
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -59,6 +59,8 @@
   double Confidence = 0.9;
   bool Fails = false;   ///< Every request, with 500.
   bool Refuses = false; ///< Every request, as not run.
+  /// What it says of itself: requests that run, that wait, and slots.
+  std::string Load = "1,0,8";
 
 private:
   struct connection {
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -377,6 +377,19 @@
   BOOST_TEST(worthOf(Appraisal) > worthOf(Least));
 }
 
+BOOST_AUTO_TEST_CASE(
+    leaves_the_largest_to_those_in_most_doubt_when_others_are_refused) {
+  auto AsksWhile = [](double RefusedShare, double Confidence) {
+    model_answer Answer = answerOf(Appraisal, Confidence);
+    Answer.RefusedShare = RefusedShare;
+    return largerModel(Answer).has_value();
+  };
+  BOOST_TEST(AsksWhile(0, 0.55));
+  BOOST_TEST(!AsksWhile(0.5, 0.55));
+  BOOST_TEST(AsksWhile(0.5, 0.2));
+  BOOST_TEST(!AsksWhile(1, 0));
+}
+
 BOOST_AUTO_TEST_CASE(
     leaves_the_largest_to_those_in_most_doubt_when_prompts_wait) {
   constexpr double Earned = 15; // For a second of an upstream.
@@ -474,6 +487,33 @@
   BOOST_TEST(std::abs(Others.at(7).PromptSeconds - 0.1) < 1e-9);
 }
 
+// What an upstream tells one gateway the others know a moment later.
+BOOST_AUTO_TEST_CASE(tells_loads_that_upstreams_told) {
+  struct ev_loop *Loop = ev_loop_new(0);
+  upstream_table Table;
+  Table.update({listed("i-1"), listed("i-2")});
+  const upstream &Full = *Table.all().at("i-1");
+  {
+    peer_work Tells(Loop, Table, {.Incarnation = 1, .Address = "127.0.0.1:0"});
+    peer_work Hears(Loop, Table, {.Incarnation = 2, .Address = "127.0.0.1:0"});
+    BOOST_REQUIRE(Tells.bind());
+    BOOST_REQUIRE(Hears.bind());
+    Tells.setGateways({Hears.address()});
+    Hears.setGateways({Tells.address()});
+    BOOST_TEST(Tells.hearsAll(2));
+    BOOST_TEST(!Tells.hearsAll(3));
+    std::map<uint64_t, uint32_t> Heard;
+    Hears.OnLoad = [&](uint64_t Place, uint32_t Load) { Heard[Place] = Load; };
+    Tells.heardLoad(Full, 0);
+    Tells.heardLoad(Full, 48);
+    while (Heard.empty())
+      ev_run(Loop, EVRUN_ONCE);
+    BOOST_TEST(Heard.size() == 1U);
+    BOOST_TEST(Heard[Full.Place] == 48U);
+  }
+  ev_loop_destroy(Loop);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(table_of_upstreams)
@@ -510,7 +550,7 @@
   Table.update({Started(1000)});
   auto First = Table.all().at("i-1");
   First->failed(0);
-  First->heardLoad({.Running = 6, .Waiting = 1, .Slots = 8}, 0);
+  First->heardLoad(7, 0);
   // No start told, or the same: it is the same.
   BOOST_TEST(Table.update({Started(0)}).empty());
   BOOST_TEST(Table.update({Started(1000)}).empty());
@@ -543,11 +583,22 @@
   upstream Upstream;
   Upstream.InFlight = 2;
   BOOST_TEST(Upstream.load(10) == 2);
-  Upstream.heardLoad({.Running = 6, .Waiting = 1, .Slots = 8}, 10);
+  Upstream.heardLoad(7, 10);
   BOOST_TEST(Upstream.load(10.1) == 7);
   Upstream.InFlight = 4;
   BOOST_TEST(Upstream.load(10.1) == 9);
   BOOST_TEST(Upstream.load(20) == 4);
+  // Of the requests that it told, those of gateways that are heard of count
+  // once.
+  Upstream.heardLoad(12, 30, 5);
+  BOOST_TEST(Upstream.load(30.1, 5) == 12);
+  BOOST_TEST(Upstream.load(30.1, 7) == 14);
+  BOOST_TEST(Upstream.load(30.1, 1) == 8);
+  Upstream.heardLoad(4000000000U, 40, 0);
+  BOOST_TEST(Upstream.load(40.1) < 100);
+  Upstream.heardLoad(12, 30, 5);
+  BOOST_TEST(Upstream.loadKnown(31));
+  BOOST_TEST(!Upstream.loadKnown(33));
 }
 
 BOOST_AUTO_TEST_CASE(pauses_one_that_fails_longer_each_time) {
