Repeats tell why, by which count, and what the gateway believed of the bound

Cause: a record of repeats beyond the shared bound could not tell which arrivals were repeats, which of them were counted, and what number of gateways and what room each gateway saw. Each arrival beyond a request's first is a line now, each repeat that the bound refuses, and each change of the number of gateways; 'request over' tells arrivals beside attempts; counters repeats and repeats_refused by reason.

No functional change

--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -231,8 +231,10 @@
   if (!HeadSent)
     Answer = {};
   leaveUpstream();
-  if (!Sent)
+  if (!Sent) {
     --Attempts; // It reached no upstream.
+    --Arrivals;
+  }
   again(Sent, troubleOf(Where));
 }
 
@@ -314,6 +316,7 @@
        {"first_event_s", FirstEventAt > 0 ? FirstEventAt - SentAt : -1},
        {"confidence", Confidence},
        {"attempts", int64_t(Attempts)},
+       {"arrivals", int64_t(Arrivals)},
        {"trouble", LastTrouble},
        {"may_have_run", int64_t(MayHaveRun)},
        {"status", int64_t(Status)},
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -169,7 +169,7 @@
            {"earned_per_s", State.Earnings[Service].perSecond()},
            {"first_token_s", Outlook.FirstTokenSeconds},
            {"asked", int64_t(Larger.has_value())}});
-  if (!Larger || !State.Budgets.at(Service).take(steadySeconds()))
+  if (!Larger || !takeRepeat("larger model"))
     return false;
   LargerPlace = *Larger;
   return true;
@@ -196,6 +196,8 @@
     return again(false, "too many connections");
   }
   ++Attempts;
+  if (Arrivals++ > 0)
+    logRepeat();
   ++Upstream->InFlight;
   if (choosesModel())
     Model = Route->Sizes[ModelPlace];
@@ -207,6 +209,44 @@
   send(Now);
 }
 
+// Asks the bound that all gateways share for one more arrival.
+bool forwarding::takeRepeat(std::string_view Why) {
+  retry_window &Budget = State.Budgets.at(Service);
+  RepeatWhy = Why;
+  RepeatTaken = Budget.take(steadySeconds());
+  if (RepeatTaken)
+    return true;
+  State.Metrics->count("repeats_refused", Why);
+  logLine(log_level::Info, "repeat refused by the shared bound",
+          {{"id", Facts.AttemptId},
+           {"service", Service},
+           {"why", Why},
+           {"gateways", int64_t(State.Gateways)},
+           {"window_requests", int64_t(Budget.requests())},
+           {"window_repeats", int64_t(Budget.retries())},
+           {"up_s", steadySeconds() - State.StartedAt}});
+  return false;
+}
+
+// Every arrival beyond a request's first, with what this gateway believed of
+// the bound that all share.
+void forwarding::logRepeat() {
+  double Now = steadySeconds();
+  const retry_window &Budget = State.Budgets.at(Service);
+  State.Metrics->count("repeats", RepeatWhy);
+  logLine(log_level::Info, "request sent again",
+          {{"id", Facts.AttemptId},
+           {"service", Service},
+           {"why", RepeatWhy},
+           {"arrival", int64_t(Arrivals)},
+           {"counted", int64_t(std::exchange(RepeatTaken, false))},
+           {"upstream", Upstream->Listed.Id},
+           {"gateways", int64_t(State.Gateways)},
+           {"window_requests", int64_t(Budget.requests())},
+           {"window_repeats", int64_t(Budget.retries())},
+           {"up_s", Now - State.StartedAt}});
+}
+
 double forwarding::refusalChanceAt(double Seconds) const {
   return refusalChance(Seconds, State.Paces[Service].shortestTarget(),
                        priority());
@@ -382,10 +422,8 @@
 // The attempt in hand is over without an answer that could be given.
 void forwarding::again(bool WasRun, std::string_view Why) {
   MayHaveRun = MayHaveRun || WasRun;
-  LastTrouble = Why;
-  bool Can = mayTryAgain(WasRun) &&
-             (Attempts == 0 || State.Budgets.at(Service).take(steadySeconds()));
-  if (Can)
+  LastTrouble = RepeatWhy = Why;
+  if (mayTryAgain(WasRun) && (Attempts == 0 || takeRepeat(Why)))
     return attempt();
   conclude(Why);
 }
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -72,6 +72,8 @@
   void attempt();
   void expectPrompt(const selection_request &Request, double WaitingSeconds);
   void send(double Now);
+  bool takeRepeat(std::string_view Why);
+  void logRepeat();
   std::string_view hallKind() const;
   bool takenIn(const selection &Selected);
   double refusalChanceAt(double Seconds) const;
@@ -125,6 +127,9 @@
   double EndsAt;
   timer Timer;
   uint32_t Attempts = 0;
+  uint32_t Arrivals = 0;       ///< At upstreams, declined ones too.
+  std::string_view RepeatWhy;  ///< Of the arrival beyond the first in hand.
+  bool RepeatTaken = false;    ///< From the shared bound, for the next arrival.
   std::set<std::string> Tried; ///< Incarnations.
   std::shared_ptr<upstream> Upstream;
   std::shared_ptr<upstream> LastUpstream; ///< Of the last attempt.
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -25,6 +25,7 @@
   struct ev_loop *Loop = nullptr;
   metrics *Metrics = nullptr;
   std::string DataHall;
+  double StartedAt = 0; ///< This process, by the steady clock.
   std::shared_ptr<const routing_table> Routing; ///< Null: not known yet.
                                                 ///< Changes in place.
   upstream_table Upstreams;
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -74,6 +74,7 @@
   State.Loop = Loop;
   State.Metrics = &Metrics;
   State.DataHall = Options.DataHall;
+  State.StartedAt = steadySeconds();
   ListRetry = ListRetrySeconds;
   shareBounds(UnknownGateways);
   State.Peers = &Peers;
@@ -144,6 +145,10 @@
 }
 
 void gateway_task::shareBounds(uint32_t Gateways) {
+  logLine(log_level::Info, "number of gateways that share bounds",
+          {{"gateways", int64_t(Gateways)},
+           {"before", int64_t(State.Gateways)},
+           {"up_s", steadySeconds() - State.StartedAt}});
   State.Gateways = Gateways;
   State.RetryBounds = Options.Retries;
   for (auto &[Service, Budget] : State.Budgets)
--- a/policy/retry_window.h
+++ b/policy/retry_window.h
@@ -33,6 +33,9 @@
   bool take(double Now);
   /// True if take() would find room.
   bool left(double Now) { return room(Now) >= 1; }
+  /// Counted in the window, up to the last call that told a time.
+  uint32_t requests() const { return Sum.Requests; }
+  uint32_t retries() const { return Sum.Retries; }
 
 private:
   static constexpr size_t Slices = 20; ///< Of a window.
