Repeats beyond the shared bound: failing tests, listed as red

What operators saw: arrivals at a service beyond the first of each request went over the bound that all gateways share.

No functional change

--- /dev/null
+++ b/tests/repeats_test.cpp
@@ -0,0 +1,286 @@
+//===- repeats_test.cpp - The bound on repeats through starts and changes -===//
+//
+// Many gateways, in simulated time, share one bound on what they send again.
+// They start anew and have forgotten what they sent, are told a wrong number of
+// gateways or none, and take over each other's callers, while every request
+// fails and is sent again as often as its gateway allows.
+//
+//===----------------------------------------------------------------------===//
+
+#define BOOST_TEST_MODULE repeats
+#include "boost/test/unit_test.hpp"
+#include "policy/retry_window.h"
+#include <algorithm>
+#include <random>
+#include <vector>
+
+using namespace olivevalve;
+
+namespace {
+
+constexpr uint32_t Untold = 20;
+constexpr double CheckSeconds = 0.1; // Between two windows that are judged.
+
+size_t within(const std::vector<double> &Times, double From, double To) {
+  auto First = std::upper_bound(Times.begin(), Times.end(), From);
+  return size_t(std::upper_bound(First, Times.end(), To) - First);
+}
+
+struct fleet_options {
+  uint32_t Gateways = 32;
+  retry_window_bounds Bounds = {
+      .Ratio = 0.9, .Slack = 104, .WindowSeconds = 10};
+  double RequestsPerSecond = 130; ///< Of all gateways together.
+};
+
+/// Gateways of one fleet and what they sent.
+class fleet {
+public:
+  explicit fleet(fleet_options NewOptions) : Options(NewOptions) {
+    for (uint32_t I = 0; I < Options.Gateways; ++I)
+      add();
+    tellAll();
+  }
+
+  size_t size() const { return Parts.size(); }
+  /// One more gateway, which nobody has told how many there are.
+  void add() { Parts.emplace_back(Options.Bounds, Untold); }
+  /// The gateway has lost what it counted and what it was told.
+  void startAnew(size_t Gateway) {
+    Parts[Gateway] = retry_window(Options.Bounds, Untold);
+  }
+  void startAllAnew() {
+    for (size_t I = 0; I < size(); ++I)
+      startAnew(I);
+  }
+  void tell(size_t Gateway, uint32_t Gateways) {
+    Parts[Gateway].setBounds(Options.Bounds, Gateways);
+  }
+  void tellAll() {
+    for (size_t I = 0; I < size(); ++I)
+      tell(I, uint32_t(size()));
+  }
+
+  /// Requests of so many seconds come, evenly, at the gateways from \p First to
+  /// before \p Last. Each is sent again \p Most times if its gateway lets it.
+  void play(double Seconds, int Most, size_t First, size_t Last) {
+    double Gap = 1 / Options.RequestsPerSecond;
+    for (double End = Now + Seconds; Now < End; Now += Gap)
+      request(First + Next++ % (Last - First), Most);
+  }
+  void play(double Seconds, int Most = Unlimited) {
+    play(Seconds, Most, 0, size());
+  }
+  void request(size_t Gateway, int Most = Unlimited) {
+    Requests.push_back(Now);
+    Parts[Gateway].requestSeen(Now);
+    for (int I = 0; I < Most && Parts[Gateway].take(Now); ++I)
+      Repeats.push_back(Now);
+  }
+  /// Nothing comes for so long.
+  void rest(double Seconds) { Now += Seconds; }
+
+  size_t repeats() const { return Repeats.size(); }
+  size_t requests() const { return Requests.size(); }
+
+  /// Requests count in the window, the one before it or the one half a window
+  /// before it, whichever has most of them.
+  void checkEveryWindow() const {
+    double Window = Options.Bounds.WindowSeconds;
+    double MostOver = 0;
+    for (double To = Begin; To < Now + Window; To += CheckSeconds) {
+      size_t Counted = 0;
+      for (double Back : {0.0, Window / 2, Window})
+        Counted =
+            std::max(Counted, within(Requests, To - Back - Window, To - Back));
+      double Allowed =
+          Options.Bounds.Ratio * double(Counted) + Options.Bounds.Slack;
+      double Over = double(within(Repeats, To - Window, To)) - Allowed;
+      MostOver = std::max(MostOver, Over);
+    }
+    BOOST_TEST(MostOver <= 0);
+  }
+
+  static constexpr int Unlimited = 1000;
+
+private:
+  static constexpr double Begin = 100;
+  fleet_options Options;
+  std::vector<retry_window> Parts;
+  std::vector<double> Requests;
+  std::vector<double> Repeats;
+  double Now = Begin;
+  size_t Next = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(repeats_of_all_gateways)
+
+// Operators saw arrivals at a service beyond the first of each request go over
+// the bound of all gateways, in seconds when all of them and control had lost
+// power.
+BOOST_AUTO_TEST_SUITE(stay_within_the_bound_when)
+
+BOOST_AUTO_TEST_CASE(all_gateways_start_anew) {
+  fleet Fleet({});
+  Fleet.play(20, 0); // Calm: nothing of the bound is used.
+  Fleet.play(4);
+  Fleet.startAllAnew();
+  Fleet.play(0.4);
+  Fleet.tellAll();
+  Fleet.play(10);
+  Fleet.checkEveryWindow();
+}
+
+BOOST_AUTO_TEST_CASE(they_start_anew_several_times) {
+  fleet Fleet({});
+  Fleet.play(12);
+  for (int I = 0; I < 8; ++I) {
+    Fleet.startAllAnew();
+    Fleet.tellAll();
+    Fleet.play(1);
+  }
+  Fleet.play(10);
+  Fleet.checkEveryWindow();
+}
+
+BOOST_AUTO_TEST_CASE(few_requests_come_and_all_start_anew) {
+  fleet Fleet({.RequestsPerSecond = 10});
+  Fleet.play(20, 0);
+  for (int I = 0; I < 5; ++I) {
+    Fleet.play(2);
+    Fleet.startAllAnew();
+    Fleet.tellAll();
+  }
+  Fleet.play(10);
+  Fleet.checkEveryWindow();
+}
+
+// What a VM that has just come to lead would count: who has asked it so far.
+BOOST_AUTO_TEST_CASE(a_new_leader_tells_each_another_number) {
+  fleet Fleet({});
+  Fleet.play(20, 0);
+  for (size_t I = 0; I < Fleet.size(); ++I)
+    Fleet.tell(I, uint32_t(I + 1));
+  Fleet.play(0.4);
+  Fleet.tellAll();
+  Fleet.play(10);
+  Fleet.checkEveryWindow();
+}
+
+BOOST_AUTO_TEST_CASE(half_as_many_gateways_are_added) {
+  fleet Fleet({});
+  Fleet.play(20, 0);
+  Fleet.play(3);
+  for (int I = 0; I < 16; ++I)
+    Fleet.add();
+  Fleet.play(0.4);
+  Fleet.tellAll();
+  Fleet.play(10);
+  Fleet.checkEveryWindow();
+}
+
+BOOST_AUTO_TEST_CASE(callers_go_over_to_other_gateways) {
+  fleet Fleet({});
+  Fleet.play(20, 0);
+  Fleet.play(4, fleet::Unlimited, 0, 16);
+  Fleet.play(8, fleet::Unlimited, 16, 32);
+  Fleet.checkEveryWindow();
+}
+
+BOOST_AUTO_TEST_CASE(nobody_is_told_how_many_they_are) {
+  for (uint32_t Gateways : {10U, 103U, 410U}) {
+    fleet Fleet({.Gateways = Gateways});
+    Fleet.play(20, 0);
+    Fleet.startAllAnew();
+    Fleet.play(12);
+    Fleet.checkEveryWindow();
+  }
+}
+
+// With the same bound, from an ordinary load to hardly any at each gateway.
+BOOST_AUTO_TEST_CASE(there_are_hundreds_of_gateways) {
+  for (uint32_t Gateways : {103U, 300U, 410U})
+    for (double PerSecond : {20.0, 100.0, 200.0, 400.0, 1000.0}) {
+      fleet Fleet({.Gateways = Gateways, .RequestsPerSecond = PerSecond});
+      Fleet.play(30, 0);
+      Fleet.play(12);
+      Fleet.rest(3);
+      Fleet.play(4);
+      Fleet.startAllAnew();
+      Fleet.tellAll();
+      Fleet.play(8);
+      Fleet.checkEveryWindow();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(all_of_it_comes_in_any_order) {
+  for (unsigned Seed = 1; Seed <= 60; ++Seed) {
+    std::mt19937 Random(Seed);
+    auto Below = [&](size_t Limit) { return size_t(Random() % Limit); };
+    fleet Fleet({.Gateways = uint32_t(10 + Below(40)),
+                 .RequestsPerSecond = double(5 + Below(300))});
+    for (int Step = 0; Step < 80; ++Step) {
+      size_t First = Below(Fleet.size());
+      size_t Last = First + 1 + Below(Fleet.size() - First);
+      switch (Below(6)) {
+      case 0:
+        Fleet.startAllAnew();
+        break;
+      case 1:
+        Fleet.startAnew(First);
+        break;
+      case 2:
+        Fleet.add();
+        break;
+      case 3:
+        Fleet.tellAll();
+        break;
+      case 4:
+        Fleet.rest(double(Below(40)) * 0.1);
+        break;
+      default:
+        break;
+      }
+      Fleet.play(double(Below(30)) * 0.1, Below(3) == 0 ? 0 : fleet::Unlimited,
+                 First, Last);
+    }
+    BOOST_TEST_CONTEXT("seed " << Seed)
+    Fleet.checkEveryWindow();
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// The bound is there to be used: callers whose requests fail are served by a
+// second upstream.
+BOOST_AUTO_TEST_SUITE(are_there_for_callers)
+
+BOOST_AUTO_TEST_CASE(at_two_of_three_requests_for_any_time) {
+  fleet Fleet({});
+  Fleet.play(60, 1);
+  BOOST_TEST(double(Fleet.repeats()) > 0.6 * double(Fleet.requests()));
+}
+
+// Upstreams of a third of what is under way crash at once.
+BOOST_AUTO_TEST_CASE(when_many_fail_at_the_same_moment) {
+  fleet Fleet({});
+  Fleet.play(20, 0);
+  Fleet.play(2, 1);
+  BOOST_TEST(double(Fleet.repeats()) > 0.95 * 2 * 130);
+}
+
+BOOST_AUTO_TEST_CASE(soon_after_all_started_anew) {
+  fleet Fleet({});
+  Fleet.play(20, 0);
+  Fleet.startAllAnew();
+  Fleet.play(0.4, 1);
+  Fleet.tellAll();
+  Fleet.play(1.6, 1);
+  BOOST_TEST(double(Fleet.repeats()) > 0.4 * 2 * 130);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -120,6 +120,7 @@
   http_head Head = Connection.Reader.head();
   std::string Body = std::exchange(Connection.Body, {});
   Connection.Reader.next();
+  ++Arrivals;
   std::string Id = headerOf(Head, "X-Attempt-Id");
   bool Large = headerOf(Head, "X-Model") == "large";
   std::string Do = queryOf(Head.Target, Large ? "large" : "do");
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -43,6 +43,8 @@
 
   const std::string &address() const { return Listener.address(); }
   const replica_options &options() const { return Options; }
+  /// Requests that reached it, also those that it did not run.
+  int arrivals() const { return Arrivals; }
   /// Runs of a request by its attempt id, and of all.
   int runs(const std::string &AttemptId) const;
   int runs() const;
@@ -95,6 +97,7 @@
   std::map<std::string, int> Runs;
   http_head LastHead;
   std::string LastBody;
+  int Arrivals = 0;
   int Cancelled = 0;
 };
 
