An arrival that was declined counts as one: it is asked of the shared bound

What callers and operators saw: more repeats at a service than all gateways may send, and requests that went to five or six upstreams in 0.1 s. Cause: an upstream had ended and another had its address, which declined. The gateway took that arrival off the number of its attempts, and asked the bound only where that number was not 0. The one number stood for what the route allows and for what was sent. Class: a count that is set back for one reader and believed by another. Mend: arrivals are counted apart from attempts, and each beyond the first asks the bound; one that met no connection is none, and what was taken for it serves the next. The first earning of a request is counted once, too.

--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -232,8 +232,9 @@
     Answer = {};
   leaveUpstream();
   if (!Sent) {
-    --Attempts; // It reached no upstream.
+    --Attempts; // It reached nobody.
     --Arrivals;
+    RepeatTaken = Arrivals > 0;
   }
   again(Sent, troubleOf(Where));
 }
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -209,8 +209,12 @@
   send(Now);
 }
 
-// Asks the bound that all gateways share for one more arrival.
+// Asks the bound that all gateways share for one more arrival. One that is
+// declined counts like any other: each gateway learns by itself which upstreams
+// have ended, so there are many of them at once.
 bool forwarding::takeRepeat(std::string_view Why) {
+  if (Arrivals == 0 || RepeatTaken)
+    return true;
   retry_window &Budget = State.Budgets.at(Service);
   RepeatWhy = Why;
   RepeatTaken = Budget.take(steadySeconds());
@@ -273,7 +277,7 @@
 void forwarding::expectPrompt(const selection_request &Request,
                               double WaitingSeconds) {
   prompt_work Work = promptWork(State, *Routing, Request);
-  if (Attempts == 1)
+  if (!std::exchange(EarningCounted, true))
     State.Earnings[Service].earned(worthOf(size()), Work.WholeSeconds);
   PromptSeconds = readSeconds(State, *Routing, Request, Work, *Upstream);
   Upstream->PromptSeconds += PromptSeconds;
@@ -423,7 +427,7 @@
 void forwarding::again(bool WasRun, std::string_view Why) {
   MayHaveRun = MayHaveRun || WasRun;
   LastTrouble = RepeatWhy = Why;
-  if (mayTryAgain(WasRun) && (Attempts == 0 || takeRepeat(Why)))
+  if (mayTryAgain(WasRun) && takeRepeat(Why))
     return attempt();
   conclude(Why);
 }
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -126,8 +126,9 @@
   double BegunAt;
   double EndsAt;
   timer Timer;
-  uint32_t Attempts = 0;
-  uint32_t Arrivals = 0;       ///< At upstreams, declined ones too.
+  uint32_t Attempts = 0; ///< Of those that the route allows: at upstreams that
+                         ///< were the ones meant.
+  uint32_t Arrivals = 0; ///< At whoever has an upstream's address.
   std::string_view RepeatWhy;  ///< Of the arrival beyond the first in hand.
   bool RepeatTaken = false;    ///< From the shared bound, for the next arrival.
   std::set<std::string> Tried; ///< Incarnations.
@@ -146,8 +147,9 @@
   double HeadAt = 0;                ///< Of its answer.
   double FirstEventAt = 0;          ///< Of the answer; 0: none yet.
   double HeardAt = 0;               ///< Last bytes of the answer in hand.
-  bool MayHaveRun = false;          ///< Some attempt did, or perhaps did.
-  bool HeadSent = false;            ///< The caller has the head of its answer.
+  bool EarningCounted = false;
+  bool MayHaveRun = false; ///< Some attempt did, or perhaps did.
+  bool HeadSent = false;   ///< The caller has the head of its answer.
   bool AnswerIsEvents = false;
   bool WentBack = false;         ///< To the answer of a smaller model.
   bool Counted = false;          ///< The answer in hand, for its version.
--- a/tests/system/repeats_test.cpp
+++ b/tests/system/repeats_test.cpp
@@ -82,14 +82,16 @@
 BOOST_AUTO_TEST_SUITE(repeats)
 
 // Operators saw more repeats at a service than all gateways may send. A third
-// of its upstreams had ended and others had their addresses, before the list
-// said so.
+// of its upstreams had crashed and their addresses had others before the list
+// said so: each request went from one to the next, and what was declined was
+// not counted. Proof: lines of the day's gateways, four in nine of the repeats
+// in the window were declined and uncounted; with them counted the same day
+// keeps to the bound.
 BOOST_AUTO_TEST_CASE(of_what_other_upstreams_declined_are_counted) {
   bounded_world World(16, {.Ratio = 0, .Slack = 6});
   for (int I = 1; I <= 14; ++I)
     World.giveAddressAway("i-" + std::to_string(I));
   World.ask(30);
-  BOOST_TEST_MESSAGE(World.repeats() << " of " << World.allowed());
   BOOST_TEST(World.repeats() <= World.allowed());
 }
 
@@ -105,7 +107,6 @@
     World.Gateway->start();
     World.untilServing();
   }
-  BOOST_TEST_MESSAGE(World.repeats() << " of " << World.allowed());
   BOOST_TEST(World.repeats() <= World.allowed());
 }
 
