A control VM that comes to lead tells no number of gateways before all can have asked

Cause: it counted who had asked it so far: the first gateway was told that it was alone, the second that they were two, and each took that part of what all share. Class: a sum over a membership that is not known yet. Mend: nothing is told for 2 s; a gateway keeps what it was told before, and one that has just started has none of the slack. The unit test fails with 0 s in place of 2.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -252,6 +252,7 @@
     return;
   LedTerm = Core.term();
   Nodes.reset(steadySeconds());
+  Gateways.beginLeadership(steadySeconds());
   GuardPending.clear();
   PlacementPending = false;
   logLine(log_level::Info, "leads control", {{"term", int64_t(LedTerm)}});
--- a/control/gateway_news.cpp
+++ b/control/gateway_news.cpp
@@ -78,6 +78,7 @@
 // Only what is newer than the gateway holds, and small; members and leader
 // always, so that the gateway knows whom to ask next.
 void control_task::sendNotice(const std::string &Peer) {
+  noteLeadership();
   const gateway_record &Gateway = *Gateways.find(Peer);
   const state_machine &State = Log->state();
   const raft_core &Core = Log->core();
@@ -98,9 +99,10 @@
   bool Sure = !Core.isLeader() || leads(steadySeconds());
   Notice->set_leader(Sure ? Core.leader() : 0);
   if (Core.isLeader()) {
-    Notice->set_gateways(uint32_t(Gateways.gateways().size()));
-    Gateways.fillAddresses(Peer, *Notice);
     double Now = steadySeconds();
+    if (auto Count = Gateways.count(Now))
+      Notice->set_gateways(*Count);
+    Gateways.fillAddresses(Peer, *Notice);
     Upstreams.fill({.Revision = Gateway.UpstreamsRevision,
                     .HadAt = Gateway.UpstreamsHadAt,
                     .ToldWholeAt = Gateway.ToldListAt},
--- a/control/gateway_table.cpp
+++ b/control/gateway_table.cpp
@@ -15,6 +15,9 @@
 // With more gateways each tells its work to those of its own data hall only:
 // what a gateway sends and hears must not grow with their number.
 constexpr size_t MostInOneCircle = 64;
+// By then gateways have missed the last leader's answers, found the new one and
+// asked it.
+constexpr double FoundSeconds = 2;
 
 } // namespace
 
@@ -43,6 +46,18 @@
         .Seconds = Tally.seconds()};
 }
 
+void gateway_table::beginLeadership(double Now) {
+  CountedFrom = Now + FoundSeconds;
+}
+
+// A number that grows with each question would grant the first who ask most of
+// what all share, and leave it with them if this VM is lost in the middle.
+std::optional<uint32_t> gateway_table::count(double Now) const {
+  if (Now < CountedFrom)
+    return std::nullopt;
+  return uint32_t(Gateways.size());
+}
+
 void gateway_table::toldUpstreams(const std::string &Peer,
                                   const wire::notice &Notice, double Now) {
   gateway_record &Gateway = Gateways[Peer];
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -13,6 +13,7 @@
 #include "wire/wire.pb.h"
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -42,6 +43,11 @@
   /// question says whether it has come.
   void toldUpstreams(const std::string &Peer, const wire::notice &Notice,
                      double Now);
+  /// This control VM leads from now on: gateways turn to it one after the
+  /// other.
+  void beginLeadership(double Now);
+  /// How many gateways there are; nothing while some may not have asked yet.
+  std::optional<uint32_t> count(double Now) const;
   /// Drops gateways that have long said nothing; what they counted stays.
   void forgetSilent(double Now);
   const gateway_record *find(const std::string &Peer) const;
@@ -61,6 +67,7 @@
 
 private:
   std::map<std::string, gateway_record> Gateways;
+  double CountedFrom = 0; ///< All have asked by then.
   struct staying_session {
     double ToldAt = 0;
     uint64_t Key = 0;
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -40,6 +40,27 @@
   BOOST_TEST(Table.answersOf("ledger", "v1").Answers == 0U);
 }
 
+// A new leader told the first gateway that asked that it was alone, the second
+// that they were two: each took a part of what all share that others had too,
+// and kept it if that leader was lost.
+BOOST_AUTO_TEST_CASE(are_counted_once_all_can_have_asked_a_new_leader) {
+  constexpr double SecondsPerQuestion = 0.1;
+  gateway_table Table;
+  double Now = 100;
+  Table.beginLeadership(Now);
+  double Shares = 0; // Of what all share, by the numbers that they were told.
+  for (int I = 0; I < 10; ++I, Now += SecondsPerQuestion) {
+    std::string Peer = "gateway/" + std::to_string(I);
+    Table.watched(Peer, watchOf(uint64_t(I + 1), 0, 0, "v1"), Now);
+    auto Count = Table.count(Now);
+    Shares += Count ? 1.0 / *Count : 0;
+  }
+  BOOST_TEST(Shares <= 1);
+  auto Count = Table.count(Now + 2);
+  BOOST_REQUIRE(Count.has_value());
+  BOOST_TEST(*Count == 10U);
+}
+
 BOOST_AUTO_TEST_CASE(staying_sessions_reach_each_gateway_once) {
   gateway_table Table;
   wire::watch Watch = watchOf(1, 0, 0, "v1");
