Gateways tell each other which upstreams have ended

What callers saw: after upstreams crash and others have their addresses, each of 32 gateways sent requests to each of them until it was declined itself: 1,082 declined arrivals for three crashes of three in ten, and where these count as repeats, 4 to 5 callers in 1,000 refused. Mend: it is in the next news among gateways (0.1 to 0.16 s later); who hears it passes the upstream over for 4 s, not more than half of a service, and only while there are others: a gateway that is wrong about all of them changes nothing.

--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -196,6 +196,7 @@
   if (Answer.NotRun) {
     if (OtherIncarnation) {
       Upstream->leave();
+      State.Peers->ended(*Upstream);
       --Attempts; // The one that was meant has ended.
       Answer = {};
     }
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -115,6 +115,10 @@
     if (auto Upstream = State.Upstreams.at(Place))
       Upstream->heardLoad(Load, steadySeconds(), Peers.at(Place).InFlight);
   };
+  Peers.OnEnded = [this](uint64_t Place) {
+    bool Doubted = State.Upstreams.doubt(Place, steadySeconds());
+    State.Metrics->count("told_ended", Doubted ? "passed over" : "not heeded");
+  };
   Watch.OnUpstreams = [this](double Age, const wire::notice &Notice) {
     hearList(Age, Notice);
   };
--- a/gateway/peer_work.cpp
+++ b/gateway/peer_work.cpp
@@ -113,6 +113,13 @@
   changed(Upstream);
 }
 
+void peer_work::ended(const upstream &Upstream) {
+  if (Gateways.empty())
+    return;
+  UntoldEnded.insert(Upstream.Place);
+  changed(Upstream);
+}
+
 // The last part is the request's own: its key is of no use to others, but it
 // takes room.
 void peer_work::sent(const upstream &Upstream,
@@ -147,7 +154,8 @@
     bool HasLoad = Load != UntoldLoads.end();
     bool Told =
         Whole ? Upstream->InFlight > 0 : Changed.contains(Upstream->Place);
-    if (!Told && !HasLoad)
+    bool Ended = UntoldEnded.contains(Upstream->Place);
+    if (!Told && !HasLoad && !Ended)
       continue;
     wire::upstream_work *Work = News.add_works();
     Work->set_upstream(Upstream->Place);
@@ -155,8 +163,10 @@
     Work->set_in_flight(Upstream->InFlight);
     if (HasLoad)
       Work->set_told_load(Load->second + 1);
+    Work->set_ended(Ended);
   }
   UntoldLoads.clear();
+  UntoldEnded.clear();
   Changed.clear();
   std::string Bytes = News.SerializeAsString();
   for (const std::string &Gateway : Gateways)
@@ -172,10 +182,12 @@
       !News.ParseFromArray(Bytes.data(), int(Bytes.size())))
     return;
   Others.heard(News, steadySeconds());
-  if (OnLoad)
-    for (const wire::upstream_work &Work : News.works())
-      if (Work.told_load() > 0)
-        OnLoad(Work.upstream(), Work.told_load() - 1);
+  for (const wire::upstream_work &Work : News.works()) {
+    if (OnLoad && Work.told_load() > 0)
+      OnLoad(Work.upstream(), Work.told_load() - 1);
+    if (OnEnded && Work.ended())
+      OnEnded(Work.upstream());
+  }
   if (!OnSent)
     return;
   std::vector<prompt_piece> Pieces;
--- a/gateway/peer_work.h
+++ b/gateway/peer_work.h
@@ -71,6 +71,8 @@
   void changed(const upstream &Upstream);
   /// An upstream has told how many requests run or wait there.
   void heardLoad(const upstream &Upstream, uint32_t Load);
+  /// An upstream has ended: another has its address, and declined.
+  void ended(const upstream &Upstream);
   upstream_work at(uint64_t Upstream) const { return Others.at(Upstream); }
   /// All gateways are told: what is known of their work is all there is.
   bool hearsAll(uint32_t AllGateways) const {
@@ -78,6 +80,8 @@
   }
   /// An upstream has told another gateway how many requests run or wait there.
   std::function<void(uint64_t Upstream, uint32_t Load)> OnLoad;
+  /// Another gateway says that an upstream has ended.
+  std::function<void(uint64_t Upstream)> OnEnded;
   /// Another gateway has sent a prompt to an upstream.
   std::function<void(uint64_t Upstream, std::span<const prompt_piece>)> OnSent;
 
@@ -92,6 +96,7 @@
   std::set<uint64_t> Changed; ///< Since the last news, by upstream.
   wire::work_news Untold;     ///< Prompts sent since the last news.
   std::unordered_map<uint64_t, uint32_t> UntoldLoads; ///< By upstream.
+  std::set<uint64_t> UntoldEnded;
   work_of_others Others;
   datagram_socket Socket;
   timer Timer;
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -21,6 +21,12 @@
 // Upstreams queue a few requests for each slot. What says more is absurd, and
 // would keep all work away.
 constexpr uint32_t MostToldPerSlot = 16;
+// The platform's list tells an end after some 2 s, and gateways have it a
+// second later.
+constexpr double DoubtSeconds = 4;
+// Of a service. A gateway that is wrong about more would send all the others to
+// the rest.
+constexpr double MostDoubted = 0.5;
 
 } // namespace
 
@@ -46,6 +52,13 @@
   ++Strikes;
 }
 
+void upstream::doubt(double Now) { DoubtedUntil = Now + DoubtSeconds; }
+
+void upstream::answered() {
+  Strikes = 0;
+  DoubtedUntil = 0;
+}
+
 // Without a start the id alone tells: upstreams of before never told one.
 std::shared_ptr<upstream>
 upstream_table::incarnationOf(platform::listed_upstream Listed) const {
@@ -108,6 +121,20 @@
   return It == Places.end() ? nullptr : It->second;
 }
 
+bool upstream_table::doubt(uint64_t Place, double Now) {
+  auto Upstream = at(Place);
+  if (!Upstream)
+    return false;
+  const auto &Service = ofService(Upstream->Listed.Service);
+  auto Doubted =
+      std::count_if(Service.begin(), Service.end(),
+                    [Now](const auto &Each) { return Each->doubted(Now); });
+  if (double(Doubted + 1) > MostDoubted * double(Service.size()))
+    return false;
+  Upstream->doubt(Now);
+  return true;
+}
+
 const std::vector<std::shared_ptr<upstream>> &
 upstream_table::ofService(const std::string &Service) const {
   static const std::vector<std::shared_ptr<upstream>> None;
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -43,14 +43,17 @@
   double load(double Now, uint32_t Others = 0) const;
   /// What it told is not too old to say anything of the present.
   bool loadKnown(double Now) const;
-  bool suspect(double Now) const { return Now < SuspectUntil; }
+  bool suspect(double Now) const { return Now < SuspectUntil || doubted(Now); }
+  /// Ended, by the word of another gateway.
+  bool doubted(double Now) const { return Now < DoubtedUntil; }
+  void doubt(double Now);
   /// Failed, and has answered nothing since; for some seconds.
   bool unproven(double Now) const { return Strikes > 0 && Now < UnprovenUntil; }
   /// \p Load: requests that ran or waited there when it told.
   void heardLoad(uint32_t Load, double Now, uint32_t Others = 0);
   /// Gave no answer, or one that is not its own.
   void failed(double Now);
-  void answered() { Strikes = 0; }
+  void answered();
   void leave() { Leaves = true; }
   bool takesNew() const { return !Gone && !Leaves && !Listed.Leaving; }
 
@@ -60,6 +63,7 @@
   uint32_t KnownThen = 0; ///< Of them, those of gateways that are heard of.
   double SuspectUntil = 0;
   double UnprovenUntil = 0;
+  double DoubtedUntil = 0;
   unsigned Strikes = 0;
   bool Leaves = false; ///< Said so itself, before the list did.
 };
@@ -80,6 +84,10 @@
   /// The one that is listed with this place; null: none.
   std::shared_ptr<upstream> at(uint64_t Place) const;
   bool has(uint64_t Place) const { return Places.contains(Place); }
+  /// Another gateway says that the one with this place has ended: it is passed
+  /// over until the list can tell. False where too many of its service are
+  /// doubted in this way: then each gateway finds out for itself.
+  bool doubt(uint64_t Place, double Now);
   /// The software version most upstreams of the service had when it was seen
   /// first, or that was set since.
   const std::string &settledVersion(const std::string &Service) const;
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -509,6 +509,18 @@
       ev_run(Loop, EVRUN_ONCE);
     BOOST_TEST(Heard.size() == 1U);
     BOOST_TEST(Heard[Full.Place] == 48U);
+    // And that it has ended, once.
+    std::vector<uint64_t> Ended;
+    Hears.OnEnded = [&](uint64_t Place) { Ended.push_back(Place); };
+    Heard.clear();
+    Tells.ended(Full);
+    while (Ended.empty())
+      ev_run(Loop, EVRUN_ONCE);
+    Tells.heardLoad(Full, 1);
+    while (Heard.empty())
+      ev_run(Loop, EVRUN_ONCE);
+    BOOST_TEST(Ended == std::vector<uint64_t>{Full.Place},
+               boost::test_tools::per_element());
   }
   ev_loop_destroy(Loop);
 }
@@ -536,6 +548,33 @@
                Table.ofService("llm")[I]->Listed.Id);
 }
 
+// Each gateway that had to find out for itself which upstreams have ended sent
+// a request to each of them.
+BOOST_AUTO_TEST_CASE(passes_over_what_another_gateway_says_has_ended) {
+  upstream_table Table;
+  std::vector<platform::listed_upstream> Listed;
+  for (int I = 0; I < 6; ++I)
+    Listed.push_back(listed("i-" + std::to_string(I)));
+  Table.update(Listed);
+  auto First = Table.all().at("i-0");
+  BOOST_TEST(Table.doubt(First->Place, 10));
+  BOOST_TEST(First->suspect(10.5));
+  BOOST_TEST(First->takesNew());
+  BOOST_TEST(!First->suspect(20));
+  BOOST_TEST(Table.doubt(First->Place, 20));
+  First->answered();
+  BOOST_TEST(!First->suspect(20.1));
+  BOOST_TEST(!Table.doubt(12345, 30)); // Of another list.
+
+  // Whoever says it of all is wrong, or no better is to be had.
+  for (const auto &Each : Table.ofService("llm"))
+    Table.doubt(Each->Place, 40);
+  auto Suspects = std::count_if(
+      Table.ofService("llm").begin(), Table.ofService("llm").end(),
+      [](const auto &Each) { return Each->suspect(41); });
+  BOOST_TEST(Suspects == 3);
+}
+
 // An upstream may start again under its id. It holds nothing of before then,
 // and what comes late of the start before must not count for it.
 BOOST_AUTO_TEST_CASE(knows_nothing_of_one_that_has_started_again) {
