A request's earning is counted as before: at each first attempt

Why an earning for each declined or unconnected first attempt serves better is not known: it makes larger models dearer while upstreams crash.

--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -277,7 +277,7 @@
 void forwarding::expectPrompt(const selection_request &Request,
                               double WaitingSeconds) {
   prompt_work Work = promptWork(State, *Routing, Request);
-  if (!std::exchange(EarningCounted, true))
+  if (Attempts == 1)
     State.Earnings[Service].earned(worthOf(size()), Work.WholeSeconds);
   PromptSeconds = readSeconds(State, *Routing, Request, Work, *Upstream);
   Upstream->PromptSeconds += PromptSeconds;
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -147,9 +147,8 @@
   double HeadAt = 0;                ///< Of its answer.
   double FirstEventAt = 0;          ///< Of the answer; 0: none yet.
   double HeardAt = 0;               ///< Last bytes of the answer in hand.
-  bool EarningCounted = false;
-  bool MayHaveRun = false; ///< Some attempt did, or perhaps did.
-  bool HeadSent = false;   ///< The caller has the head of its answer.
+  bool MayHaveRun = false;          ///< Some attempt did, or perhaps did.
+  bool HeadSent = false;            ///< The caller has the head of its answer.
   bool AnswerIsEvents = false;
   bool WentBack = false;         ///< To the answer of a smaller model.
   bool Counted = false;          ///< The answer in hand, for its version.
