A gateway that has started anew is counted once

Cause: control counted incarnations, and forgot a silent one after 10 s. After a start of all, 64 were told where 32 were: half the slack for each, and nobody heard as many others as there seemed to be. Mend: a question under a node's name takes the place of the record of its earlier start. The new unit test was not seen red before the code; without the code it counts 3.

--- a/control/gateway_table.cpp
+++ b/control/gateway_table.cpp
@@ -17,7 +17,7 @@
 constexpr size_t MostInOneCircle = 64;
 // By then gateways have missed the last leader's answers, found the new one and
 // asked it.
-constexpr double FoundSeconds = 2;
+constexpr double AllAskedSeconds = 2;
 
 } // namespace
 
@@ -25,6 +25,8 @@
                             double Now) {
   for (uint64_t Key : Watch.staying())
     Staying.push_back({Now, Key});
+  if (!Gateways.contains(Peer))
+    forgetEarlierStart(Watch.node());
   gateway_record &Gateway = Gateways[Peer];
   Gateway = {.Node = Watch.node(),
              .DataHall = Watch.data_hall(),
@@ -46,8 +48,16 @@
         .Seconds = Tally.seconds()};
 }
 
+// Counted beside its earlier start a gateway would be two, and the others would
+// think that they do not hear all of them.
+void gateway_table::forgetEarlierStart(const std::string &Node) {
+  std::erase_if(Gateways, [&](const auto &Each) {
+    return !Node.empty() && Each.second.Node == Node;
+  });
+}
+
 void gateway_table::beginLeadership(double Now) {
-  CountedFrom = Now + FoundSeconds;
+  CountedFrom = Now + AllAskedSeconds;
 }
 
 // A number that grows with each question would grant the first who ask most of
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -66,6 +66,8 @@
                                 std::string_view Version) const;
 
 private:
+  void forgetEarlierStart(const std::string &Node);
+
   std::map<std::string, gateway_record> Gateways;
   double CountedFrom = 0; ///< All have asked by then.
   struct staying_session {
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -49,9 +49,9 @@
   double Now = 100;
   Table.beginLeadership(Now);
   double Shares = 0; // Of what all share, by the numbers that they were told.
-  for (int I = 0; I < 10; ++I, Now += SecondsPerQuestion) {
-    std::string Peer = "gateway/" + std::to_string(I);
-    Table.watched(Peer, watchOf(uint64_t(I + 1), 0, 0, "v1"), Now);
+  for (uint64_t Id = 1; Id <= 10; ++Id, Now += SecondsPerQuestion) {
+    std::string Peer = "gateway/" + std::to_string(Id);
+    Table.watched(Peer, watchOf(Id, 0, 0, "v1"), Now);
     auto Count = Table.count(Now);
     Shares += Count ? 1.0 / *Count : 0;
   }
@@ -61,6 +61,28 @@
   BOOST_TEST(*Count == 10U);
 }
 
+// A gateway that had started anew was counted beside what it was for 10 s: all
+// were told more than they are, and heard fewer than they were told.
+BOOST_AUTO_TEST_CASE(that_start_anew_are_counted_once) {
+  gateway_table Table;
+  auto Asks = [&](const std::string &Node, uint64_t Incarnation, double Now) {
+    wire::watch Watch = watchOf(Incarnation, 5, 0, "v1");
+    Watch.set_node(Node);
+    Watch.set_news_address(Node + ":1");
+    std::string Peer = "gateway/" + std::to_string(Incarnation);
+    Table.watched(Peer, Watch, Now);
+    wire::notice Notice;
+    Table.fillAddresses(Peer, Notice);
+    return Notice.news_addresses_size();
+  };
+  Asks("edge-1", 1, 10);
+  Asks("edge-2", 2, 10);
+  int Addresses = Asks("edge-1", 3, 11);
+  BOOST_TEST(Addresses == 2);
+  BOOST_TEST(*Table.count(11) == 2U);
+  BOOST_TEST(Table.answersOf("llm", "v1").Answers == 15U);
+}
+
 BOOST_AUTO_TEST_CASE(staying_sessions_reach_each_gateway_once) {
   gateway_table Table;
   wire::watch Watch = watchOf(1, 0, 0, "v1");
