What one request earns may be used, however few came before it

What callers would see: the first request at a fresh gateway that meets a closed connection and then an upstream that has ended gets 502, though the ratio allows five repeats a request. Cause: what may be saved was bounded by one token while few requests had come and nobody had told the number of gateways, and trimmed what the request itself had earned (4.35). Mend: the bound is never under what one request earns.

--- a/policy/retry_share.cpp
+++ b/policy/retry_share.cpp
@@ -32,7 +32,9 @@
 
 double retry_share::mostSaved() const {
   double OfRatio = Bounds.Ratio * (1 - EarnedPart) * double(Requests);
-  return std::max(LeastSaved, SlackPart * SavedPart + OfRatio);
+  // What one request earns it may use, however few came before it.
+  double OfOne = Bounds.Ratio * EarnedPart;
+  return std::max({LeastSaved, OfOne, SlackPart * SavedPart + OfRatio});
 }
 
 void retry_share::moveTo(double Now) {
--- a/tests/repeats_test.cpp
+++ b/tests/repeats_test.cpp
@@ -267,6 +267,18 @@
   BOOST_TEST(double(Fleet.repeats()) > 0.6 * double(Fleet.requests()));
 }
 
+// A gateway that had just started lost most of what a request earned: the first
+// callers whose request met a closed connection and then an upstream that had
+// ended got 502, though five repeats a request were allowed.
+BOOST_AUTO_TEST_CASE(at_the_first_request_as_often_as_it_earned) {
+  retry_share Share({.Ratio = 5, .Slack = 0, .WindowSeconds = 10});
+  Share.requestSeen(1);
+  int Taken = 0;
+  while (Share.take(1))
+    ++Taken;
+  BOOST_TEST(Taken == 4);
+}
+
 // Upstreams of a third of what is under way crash at once.
 BOOST_AUTO_TEST_CASE(when_many_fail_at_the_same_moment) {
   fleet Fleet({});
