Requests are named alike at every gateway in logs; how an upstream broke one off

Cause: a line told the caller's attempt, which is another one at each try. Before: 'request over' with trouble 'no connection'. Now: 'request' in it (account, method, host, path, body; 128 bits), a line for each request that its upstream broke off, and 'connection refused' apart from other failures to connect. Ruled out: a digest of the body alone: two accounts may send the same. No functional change

--- a/base/digest.cpp
+++ b/base/digest.cpp
@@ -1,6 +1,7 @@
 //===- digest.cpp - Checksums and secret digests --------------------------===//
 
 #include "base/digest.h"
+#include "base/clock.h"
 #include <sodium.h>
 #include <xxhash.h>
 
@@ -19,6 +20,10 @@
   return Digest;
 }
 
+std::string hexOf(const short_digest &Digest) {
+  return hexOf(Digest[0]) + hexOf(Digest[1]);
+}
+
 std::string secretDigest(std::string_view Secret) {
   std::array<unsigned char, 32> Hash{};
   crypto_generichash(Hash.data(), Hash.size(),
--- a/base/digest.h
+++ b/base/digest.h
@@ -18,6 +18,9 @@
 /// name that another has.
 short_digest shortDigest(std::string_view Bytes);
 
+/// 32 hexadecimal digits.
+std::string hexOf(const short_digest &Digest);
+
 /// BLAKE2b of \p Secret as 64 hexadecimal digits; what configuration stores
 /// in place of a client account's key.
 std::string secretDigest(std::string_view Secret);
--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -28,6 +28,8 @@
   switch (Where) {
   case broken_at::Connecting:
     return "no connection";
+  case broken_at::Refused:
+    return "connection refused";
   case broken_at::Reused:
     return "resting connection closed";
   case broken_at::Waiting:
@@ -220,7 +222,7 @@
 void forwarding::onBroken(broken_at Where) {
   auto Keep = shared_from_this();
   Connection = nullptr;
-  bool Sent = Where != broken_at::Connecting;
+  bool Sent = Where != broken_at::Connecting && Where != broken_at::Refused;
   // A resting connection may be closed by an upstream that is well.
   if (Where != broken_at::Reused)
     Upstream->failed(steadySeconds());
@@ -228,6 +230,14 @@
     countAnswer(true);
   if (Where == broken_at::Reused)
     Tried.erase(Upstream->Listed.Id);
+  if (Sent)
+    logLine(log_level::Info, "request broken off by its upstream",
+            {{"id", Facts.AttemptId},
+             {"request", hexOf(Identity)},
+             {"upstream", Upstream->Listed.Id},
+             {"how", troubleOf(Where)},
+             {"seconds_there", steadySeconds() - SentAt},
+             {"others_there", int64_t(Upstream->InFlight) - 1}});
   // The head of a broken answer is none.
   if (!HeadSent)
     Answer = {};
@@ -305,6 +315,7 @@
   logLine(
       log_level::Info, "request over",
       {{"id", Facts.AttemptId},
+       {"request", hexOf(Identity)},
        {"route", Name},
        {"routing", int64_t(RoutingVersion)},
        {"account", Account ? std::string_view(Account->Name) : ""},
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -76,6 +76,7 @@
     return giveUp(error_kind::Unauthorized, "the key is missing or not known");
   double Deadline = Facts.DeadlineSeconds.value_or(NoDeadline);
   EndsAt = BegunAt + std::min(Deadline, Route->TimeoutSeconds);
+  Identity = identityOf(Head, Body, Account ? Account->Name : "");
   Service = pickService();
   State.Retries.try_emplace(Service, State.RetryBounds, State.Gateways)
       .first->second.requestSeen(BegunAt);
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -12,6 +12,7 @@
 #include "base/error.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_state.h"
+#include "gateway/request_identity.h"
 #include "gateway/selection.h"
 #include "gateway/spare_answer.h"
 #include "gateway/upstream_connection.h"
@@ -122,6 +123,7 @@
   std::shared_ptr<const route_spec> Route;
   std::shared_ptr<const caller_account> Account;
   std::string Service;
+  short_digest Identity{}; ///< The same for each try by its caller.
 
   double BegunAt;
   double EndsAt;
--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -117,7 +117,8 @@
   if (!User)
     return end();
   if (!Stream.connected())
-    return broken(broken_at::Connecting);
+    return broken(Stream.refused() ? broken_at::Refused
+                                   : broken_at::Connecting);
   // An answer without a length ends with its connection, but not by a reset.
   if (!Reset && Reader.headDone() && !Skipping && Reader.endOfInput())
     return finish(true);
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -18,6 +18,7 @@
 /// How an exchange on a connection broke.
 enum class broken_at : uint8_t {
   Connecting, ///< Nothing was sent: the request has not run.
+  Refused,    ///< The same, and no process listens at the address.
   Reused,     ///< Nothing came back on a connection that had rested.
   Waiting,    ///< Sent, no head of an answer yet: it may have run.
   Answering,  ///< In the middle of the answer.
--- a/net/tcp_stream.cpp
+++ b/net/tcp_stream.cpp
@@ -88,8 +88,10 @@
     int Error = 0;
     socklen_t Size = sizeof(Error);
     getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size);
-    if (Error != 0)
+    if (Error != 0) {
+      Refused = Error == ECONNREFUSED;
       return fail();
+    }
     Connected = true;
     if (OnConnected)
       OnConnected();
--- a/net/tcp_stream.h
+++ b/net/tcp_stream.h
@@ -37,6 +37,8 @@
   void close();
   bool open() const { return Socket >= 0; }
   bool connected() const { return Connected; }
+  /// Nothing listens at the address: no process has it.
+  bool refused() const { return Refused; }
   size_t unsent() const { return Unsent.size() - Sent; }
   /// Bytes handed to the kernel.
   uint64_t sentBytes() const { return SentBytes; }
@@ -51,6 +53,7 @@
 
   int Socket;
   bool Connected;
+  bool Refused = false;
   bool Reading = true;
   bool Closing = false;
   int Watched = 0;
