--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -87,6 +87,7 @@
 }
 
 void replica::crash() {
+  Crashed = true;
   Listener.close();
   for (connection &Each : Connections)
     kill(Each);
@@ -137,6 +138,8 @@
     return;
   if (Do == "reset")
     return kill(Connection);
+  if (Do == "crash" && Head.Target.find("/stream/") == std::string::npos)
+    return crash();
   if (Head.Target.find("/stream/") != std::string::npos)
     return stream(Connection, Head.Target, Id);
   std::string Text = Options.Id + " got " + Body;
@@ -162,7 +165,8 @@
   Connection.NextEvent = Last.empty() ? 1 : std::atoi(Last.c_str()) + 1;
   Connection.LastEvent = numberOf(Target, "events", 5);
   int Break = numberOf(Target, "break", -1);
-  Connection.BreakAfter = Last.empty() ? Break : -1;
+  Connection.Crashes = queryOf(Target, "do") == "crash";
+  Connection.BreakAfter = Last.empty() || Connection.Crashes ? Break : -1;
   Connection.Answer = answerHead(200, Id,
                                  "Content-Type: text/event-stream\r\n"
                                  "Transfer-Encoding: chunked\r\n") +
@@ -181,6 +185,8 @@
   }
   int Event = Connection.NextEvent;
   if (Connection.BreakAfter >= 0 && Event > Connection.BreakAfter) {
+    if (Connection.Crashes)
+      return crash();
     Connection.Stream.write(chunk("id: " + std::to_string(Event) + "\nda"));
     return kill(Connection);
   }
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -7,9 +7,10 @@
 //
 // The query of a request steers its answer: do=fail (500), refuse (not run),
 // mute, reset, cut (in the middle), garble, extra (a second answer behind it),
-// unframed (ends with the connection), late=MS. Under /stream/ events=N, and
-// break=K ends the stream in the middle of event K+1, unless it goes on from
-// one. Where the model "large" is asked, large=X stands in the place of do=X.
+// unframed (ends with the connection), crash (the upstream ends), late=MS.
+// Under /stream/ events=N, and break=K ends the stream in the middle of event
+// K+1, unless it goes on from one; with do=crash the upstream ends there. Where
+// the model "large" is asked, large=X stands in the place of do=X.
 //
 //===----------------------------------------------------------------------===//
 
@@ -56,6 +57,7 @@
   int cancelled() const { return Cancelled; }
   /// Ends all connections and takes no more.
   void crash();
+  bool crashed() const { return Crashed; }
 
   /// The share that doubts itself: answers below it say a low confidence.
   double Confidence = 0.9;
@@ -78,6 +80,7 @@
     bool Working = false;
     bool CloseAfter = false;
     bool Dead = false;
+    bool Crashes = false; ///< Where its stream breaks.
   };
 
   void receive(connection &Connection, std::string_view Bytes);
@@ -99,6 +102,7 @@
   std::string LastBody;
   int Arrivals = 0;
   int Cancelled = 0;
+  bool Crashed = false;
 };
 
 /// The platform's list of upstreams.
