--- a/base/digest.cpp
+++ b/base/digest.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "base/clock.h"
+#include <charconv>
 #include <sodium.h>
 #include <xxhash.h>
 
@@ -24,6 +25,21 @@
   return hexOf(Digest[0]) + hexOf(Digest[1]);
 }
 
+std::optional<short_digest> digestFromHex(std::string_view Text) {
+  short_digest Digest{};
+  constexpr size_t Digits = 16;
+  if (Text.size() != Digits * Digest.size())
+    return std::nullopt;
+  for (uint64_t &Part : Digest) {
+    const char *End = Text.data() + Digits;
+    auto Parsed = std::from_chars(Text.data(), End, Part, 16);
+    if (Parsed.ec != std::errc() || Parsed.ptr != End)
+      return std::nullopt;
+    Text.remove_prefix(Digits);
+  }
+  return Digest;
+}
+
 std::string secretDigest(std::string_view Secret) {
   std::array<unsigned char, 32> Hash{};
   crypto_generichash(Hash.data(), Hash.size(),
--- a/base/digest.h
+++ b/base/digest.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
 
 /// 32 hexadecimal digits.
 std::string hexOf(const short_digest &Digest);
+/// Nothing if \p Text is anything else.
+std::optional<short_digest> digestFromHex(std::string_view Text);
 
 /// BLAKE2b of \p Secret as 64 hexadecimal digits; what configuration stores
 /// in place of a client account's key.
--- a/base/error.cpp
+++ b/base/error.cpp
@@ -59,6 +59,7 @@
      outcome::Unknown, false, 1},
     {EntryFull, "entry_full", Server, 503, outcome::NotRun, false, 1},
     {NotLoaded, "not_loaded", Server, 503, outcome::NotRun, true, 1},
+    {Quarantined, "quarantined", Server, 503, outcome::NotRun, false, 300},
 }};
 
 } // namespace
--- a/base/error.h
+++ b/base/error.h
@@ -48,7 +48,8 @@
   DeadlineUnknown = 27,
   EntryFull = 28,
   NotLoaded = 29,
-  Last = NotLoaded
+  Quarantined = 30,
+  Last = Quarantined
 };
 
 /// What is known about whether the work of a refused request ran.
--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -226,7 +226,8 @@
   // Entries are applied many at a time, after a start above all: gateways hear
   // only of what the last of them leaves.
   if (Log->state().routing().version() != TellsRouting ||
-      Log->state().rollouts().revision() != TellsRollouts)
+      Log->state().rollouts().revision() != TellsRollouts ||
+      Log->state().quarantine().revision() != TellsQuarantine)
     tellGateways();
 }
 
@@ -302,6 +303,7 @@
 
 void control_task::driveRollouts(double Now) {
   NextRollouts = Now + RolloutSeconds;
+  keepQuarantine(Now);
   Gateways.forgetSilent(Now);
   for (wire::rollout_step &Step :
        Rollouts.steps(Log->state().rollouts(), Gateways, Now, wallSeconds())) {
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -15,6 +15,7 @@
 #include "control/node_table.h"
 #include "control/operator_api.h"
 #include "control/placer.h"
+#include "control/quarantine_keeper.h"
 #include "control/replicated_log.h"
 #include "control/rollout_driver.h"
 #include "control/routing_news.h"
@@ -72,6 +73,7 @@
   void countParts(const wire::notice &Notice);
   void tellGateways();
   void pushNotices();
+  void keepQuarantine(double Now);
   void noteLeadership();
   void tick();
   void guardVersions(double Now);
@@ -94,6 +96,7 @@
   node_table Nodes;
   gateway_table Gateways;
   rollout_driver Rollouts;
+  quarantine_keeper Quarantine;
   upstream_news Upstreams;
   routing_news RoutingNews;
   uint64_t LedTerm = 0;
@@ -106,6 +109,7 @@
   double ToldAt = 0;     ///< Gateways, of changes.
   uint64_t TellsRouting = 0;  ///< Version that gateways were told last.
   uint64_t TellsRollouts = 0; ///< Revision that gateways were told last.
+  uint64_t TellsQuarantine = 0;
   bool PlacementPending = false;
   timer NewsTimer;
   timer Timer;
--- a/control/gateway_news.cpp
+++ b/control/gateway_news.cpp
@@ -24,7 +24,26 @@
 void control_task::onWatch(const std::string &Peer, const wire::watch &Watch) {
   double Now = steadySeconds();
   Gateways.watched(Peer, Watch, Now);
+  Quarantine.heard(Watch, Now);
   sendNotice(Peer);
+  if (Watch.crashes_size() + Watch.answered_size() > 0 && leads(Now))
+    keepQuarantine(Now);
+}
+
+void control_task::keepQuarantine(double Now) {
+  for (wire::quarantine_change &Change :
+       Quarantine.changes(Log->state().quarantine(), Now)) {
+    const wire::request_name &Name =
+        Change.has_add() ? Change.add().request() : Change.release();
+    logLine(log_level::Warning,
+            Change.has_add() ? "request to be quarantined"
+                             : "request to be let out of quarantine",
+            {{"request", hexOf(digestOf(Name))},
+             {"upstreams_ended", int64_t(Change.add().upstreams_size())}});
+    wire::command Command;
+    *Command.mutable_quarantine() = std::move(Change);
+    Log->propose(std::move(Command), [](const apply_result *) {});
+  }
 }
 
 // Gateways ask for what they lack. One whole table of 1,400 routes sent unasked
@@ -91,6 +110,11 @@
   if (State.rollouts().revision() > Gateway.RolloutsRevision)
     for (const auto &[Service, Rollout] : State.rollouts().all())
       *Notice->add_rollouts() = Rollout;
+  const quarantine_book &Quarantined = State.quarantine();
+  Notice->set_quarantine_revision(Quarantined.revision());
+  if (Quarantined.revision() > Gateway.QuarantineRevision)
+    for (const wire::quarantined_request &Each : Quarantined.all())
+      *Notice->add_quarantined() = Each;
   for (const wire::member &Member : Core.members().members()) {
     wire::control_vm *Vm = Notice->add_control_vms();
     Vm->set_id(Member.id());
@@ -127,6 +151,7 @@
   ToldAt = steadySeconds();
   TellsRouting = Log->state().routing().version();
   TellsRollouts = Log->state().rollouts().revision();
+  TellsQuarantine = Log->state().quarantine().revision();
   for (const auto &[Peer, Gateway] : Gateways.gateways())
     sendNotice(Peer);
 }
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -27,6 +27,7 @@
   uint64_t Incarnation = 0;
   uint64_t RoutingVersion = 0;
   uint64_t RolloutsRevision = 0;
+  uint64_t QuarantineRevision = 0;
   double LastSeen = 0;
   double WatchSentAt = 0;         ///< Its last question, by its own clock.
   uint64_t UpstreamsRevision = 0; ///< Of the list that it holds.
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -95,7 +95,7 @@
     std::string_view Path;
     void (operator_api::*Handler)(const exchange &);
   };
-  static constexpr std::array<route, 7> Routes = {{
+  static constexpr std::array<route, 9> Routes = {{
       {"POST", "/v1/changes", &operator_api::changes},
       {"GET", "/v1/objects", &operator_api::objects},
       {"GET", "/v1/status", &operator_api::status},
@@ -103,6 +103,8 @@
       {"GET", "/v1/bills", &operator_api::bills},
       {"GET", "/v1/versions", &operator_api::versions},
       {"POST", "/v1/members/remove", &operator_api::removeMember},
+      {"GET", "/v1/quarantine", &operator_api::quarantine},
+      {"POST", "/v1/quarantine/release", &operator_api::release},
   }};
   if (!allowed(*Exchange))
     return refuse(*Exchange, error_kind::Unauthorized,
@@ -299,4 +301,52 @@
   replyJson(*Exchange, 200, {{"removed", (*Body)["id"]}});
 }
 
+void operator_api::quarantine(const exchange &Exchange) {
+  double Now = steadySeconds();
+  double Wall = wallSeconds();
+  json List = json::array();
+  for (const auto &Each : Control.Log->state().quarantine().all()) {
+    short_digest Request = digestOf(Each.request());
+    json Upstreams = json::array();
+    for (uint64_t Upstream : Each.upstreams())
+      Upstreams.push_back(hexOf(Upstream));
+    List.push_back(
+        {{"request", hexOf(Request)},
+         {"upstreams_ended", Upstreams},
+         {"since_seconds", std::max(0.0, Wall - Each.since_wall())},
+         {"seconds_left", Control.Quarantine.secondsLeft(Request, Now)}});
+  }
+  replyJson(*Exchange, 200, {{"quarantine", List}});
+}
+
+void operator_api::release(const exchange &Exchange) {
+  auto Body = parseJson(Exchange->body(), "request");
+  std::optional<short_digest> Request;
+  if (Body.ok() && Body->is_object() && Body->contains("request") &&
+      (*Body)["request"].is_string())
+    Request = digestFromHex((*Body)["request"].get<std::string>());
+  if (!Request)
+    return refuse(*Exchange, error_kind::BadRequest,
+                  "request: must be 32 hexadecimal digits, as "
+                  "'olivevalvectl quarantine' shows them");
+  wire::command Command;
+  fillName(*Request, *Command.mutable_quarantine()->mutable_release());
+  std::weak_ptr<http_exchange> Weak = Exchange;
+  bool Leads = Control.Log->propose(
+      std::move(Command), [Weak](const apply_result *Result) {
+        auto Exchange = Weak.lock();
+        if (!Exchange)
+          return;
+        if (!Result)
+          return refuse(*Exchange, error_kind::NoQuorum,
+                        "leadership was lost; send it again");
+        if (!Result->Status.ok())
+          return refuse(*Exchange, kindOf(Result->Status),
+                        std::string(messageOf(Result->Status)));
+        replyJson(*Exchange, 200, {{"released", true}});
+      });
+  if (!Leads)
+    refuse(*Exchange, error_kind::NotLeader, "this control VM does not lead");
+}
+
 } // namespace olivevalve
--- a/control/operator_api.h
+++ b/control/operator_api.h
@@ -36,6 +36,8 @@
   void bills(const exchange &Exchange);
   void versions(const exchange &Exchange);
   void removeMember(const exchange &Exchange);
+  void quarantine(const exchange &Exchange);
+  void release(const exchange &Exchange);
   void waitInForce(const exchange &Exchange, uint64_t Index, bool Repeated);
 
   control_task &Control;
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -400,6 +400,26 @@
   return absl::OkStatus();
 }
 
+absl::Status quarantine(const command_options &Options) {
+  return printList(Options, "/v1/quarantine", "quarantine",
+                   {{"REQUEST", "request"},
+                    {"UPSTREAMS ENDED", "upstreams_ended"},
+                    {"SINCE S", "since_seconds"},
+                    {"LEFT S", "seconds_left"}});
+}
+
+absl::Status release(const command_options &Options) {
+  if (Options.Arguments.size() != 1)
+    return usage("release REQUEST, as 'olivevalvectl quarantine' shows it");
+  auto Answer =
+      operator_client(Options.Client)
+          .post("/v1/quarantine/release", {{"request", Options.Arguments[0]}});
+  if (!Answer.ok())
+    return Answer.status();
+  print("released " + Options.Arguments[0] + "\n");
+  return absl::OkStatus();
+}
+
 absl::Status key(const command_options &Options) {
   std::string Secret;
   if (Options.Arguments.empty())
@@ -465,6 +485,10 @@
       {"watch", "[--count N]", "Print objects as they change", watch},
       {"remove-member", "ID", "Take a control VM out of the group",
        removeMember},
+      {"quarantine", "",
+       "Show requests that go to no upstream, as upstreams ended under them",
+       quarantine},
+      {"release", "REQUEST", "Let a request out of quarantine", release},
       {"key", "[SECRET]", "Make a client's or operator's key and its digest",
        key},
       {"link-keys", "PREFIX", "Write a key pair for links between processes",
--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -48,6 +48,8 @@
                               const platform::answer_facts &AnswerFacts) {
   double Now = steadySeconds();
   HeardAt = HeadAt = Now;
+  if (!AnswerFacts.OtherIncarnation)
+    State.Crashes->answers(*Upstream, SentAt);
   if (AnswerFacts.Load)
     heardLoad(*AnswerFacts.Load);
   OtherIncarnation = AnswerFacts.OtherIncarnation;
@@ -103,7 +105,8 @@
                          .Answer = std::exchange(Answer, {}),
                          .Events = std::exchange(Events, {}),
                          .ModelPlace = ModelPlace,
-                         .Confidence = Confidence});
+                         .Confidence = Confidence,
+                         .Request = Identity});
   ModelPlace = LargerPlace;
   MayHaveRun = true;
   attempt();
@@ -192,12 +195,14 @@
   Connection = nullptr; // Free again, or closed.
   Upstream->answered();
   if (AnswerIsEvents) {
+    State.Crashes->answered(Identity);
     passOn(Events.takeRest());
     return finish();
   }
   if (Answer.NotRun) {
     if (OtherIncarnation) {
       Upstream->leave();
+      State.Crashes->ended(*Upstream, "another has its address");
       State.Peers->ended(*Upstream);
       --Attempts; // The one that was meant has ended.
       Answer = {};
@@ -208,6 +213,8 @@
   bool Failed = Answer.Status >= 500;
   countAnswer(Failed);
   MayHaveRun = true;
+  if (Answer.Status < 300)
+    State.Crashes->answered(Identity);
   if (Failed && Route->repeatable()) {
     leaveUpstream();
     return again(true, "failed at the upstream");
@@ -230,6 +237,7 @@
     countAnswer(true);
   if (Where == broken_at::Reused)
     Tried.erase(Upstream->Listed.Id);
+  BrokenOff = BrokenOff || Sent;
   if (Sent)
     logLine(log_level::Info, "request broken off by its upstream",
             {{"id", Facts.AttemptId},
@@ -238,6 +246,13 @@
              {"how", troubleOf(Where)},
              {"seconds_there", steadySeconds() - SentAt},
              {"others_there", int64_t(Upstream->InFlight) - 1}});
+  if (Where == broken_at::Refused) {
+    Upstream->doubt(steadySeconds());
+    State.Crashes->ended(*Upstream, "connection refused");
+    State.Peers->ended(*Upstream);
+  } else if (Sent && Where != broken_at::Garbled) {
+    State.Crashes->brokeOff(Upstream, Identity);
+  }
   // The head of a broken answer is none.
   if (!HeadSent)
     Answer = {};
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -31,6 +31,8 @@
 // Of the time that a caller has, the part after which it gets the answer of the
 // smaller model: what is left is enough to have the rest of it elsewhere.
 constexpr double SparePart = 0.75;
+// What upstreams end under is not worth another try soon.
+constexpr double QuarantineSeconds = 300;
 
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
@@ -182,6 +184,11 @@
     return onTimer();
   if (Host.holds(*this))
     return;
+  if (State.Crashes->refuses(Identity)) {
+    ComeBackAfter = QuarantineSeconds;
+    return conclude("upstreams end under this request",
+                    error_kind::Quarantined);
+  }
   selection_request Request = selectionAt(Now);
   selection Selected = select(State, *Routing, Request);
   if (!Selected.Upstream)
@@ -190,7 +197,11 @@
     return giveUp(error_kind::QueueFull,
                   "more is asked than can begin in time");
   Upstream = std::move(Selected.Upstream);
-  Connection = Host.acquire(Upstream);
+  // What an upstream may have ended under is sent to none that has ended too:
+  // it would seem to have ended that one as well.
+  bool Suspect = BrokenOff || State.Crashes->suspects(Identity);
+  Connection = Host.acquire(Upstream, Suspect ? connection_kind::New
+                                              : connection_kind::Any);
   Tried.insert(Upstream->Listed.Id);
   if (!Connection) {
     Upstream = nullptr;
@@ -363,6 +374,7 @@
   }
   if (left(Now) < LeastSeconds) {
     MayHaveRun = MayHaveRun || Connection;
+    noteSilence();
     leaveUpstream();
     if (HeadSent)
       return over("time over in the answer", 0);
@@ -380,11 +392,22 @@
   if (!Elsewhere)
     return Timer.startOnce(std::max(0.0, left(Now)));
   Upstream->failed(Now);
+  noteSilence();
   countAnswer(true);
   leaveUpstream();
   again(true, "silent upstream");
 }
 
+// The upstream may have ended with the request, or before it came.
+void forwarding::noteSilence() {
+  if (!Connection || steadySeconds() < HeardAt + patience() - TimerSlack)
+    return;
+  BrokenOff = true;
+  bool LivedWhenSent = Connection->fresh() || HeardAt > SentAt;
+  if (LivedWhenSent)
+    State.Crashes->brokeOff(Upstream, Identity);
+}
+
 void forwarding::leaveUpstream() {
   if (!Upstream)
     return;
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -25,6 +25,11 @@
 
 class forwarding;
 
+enum class connection_kind : uint8_t {
+  Any,
+  New ///< Comes up only if the upstream lives.
+};
+
 /// Where requests are at home.
 class forwarding_host {
 public:
@@ -34,7 +39,7 @@
   virtual bool holds(forwarding &Request) = 0;
   /// One that is idle, or a new one; null when none may be opened.
   virtual upstream_connection *
-  acquire(const std::shared_ptr<upstream> &Upstream) = 0;
+  acquire(const std::shared_ptr<upstream> &Upstream, connection_kind Kind) = 0;
 };
 
 class forwarding : public caller_user,
@@ -95,6 +100,7 @@
   double patience() const;
   double spareDueAt() const;
   void armTimer();
+  void noteSilence();
   void leaveUpstream();
   void promptRead();
   std::span<const prompt_piece> unkeptPieces() const;
@@ -150,6 +156,7 @@
   double FirstEventAt = 0;          ///< Of the answer; 0: none yet.
   double HeardAt = 0;               ///< Last bytes of the answer in hand.
   bool MayHaveRun = false;          ///< Some attempt did, or perhaps did.
+  bool BrokenOff = false;           ///< By an upstream that may have ended.
   bool HeadSent = false;            ///< The caller has the head of its answer.
   bool AnswerIsEvents = false;
   bool WentBack = false;         ///< To the answer of a smaller model.
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 
 #include "base/metrics.h"
 #include "catalog/routing.h"
+#include "gateway/crash_watch.h"
 #include "gateway/peer_work.h"
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
@@ -29,6 +30,7 @@
   std::shared_ptr<const routing_table> Routing; ///< Null: not known yet.
                                                 ///< Changes in place.
   upstream_table Upstreams;
+  crash_watch *Crashes = nullptr;
   peer_work *Peers = nullptr; ///< What the other gateways have under way.
   software_versions Versions;
   session_pins Pins;
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -51,7 +51,7 @@
 gateway_task::gateway_task(link_context &Context, struct ev_loop *Loop,
                            metrics &Metrics, gateway_options NewOptions)
     : Loop(Loop), Options(std::move(NewOptions)),
-      Incarnation(randomIncarnation()),
+      Incarnation(randomIncarnation()), Crashes(Loop, Metrics),
       Peers(Loop, State.Upstreams,
             {.Incarnation = Incarnation, .Address = Options.NewsAddress}),
       Listener(Loop, [this](int Socket) { Callers.take(Socket); }),
@@ -78,6 +78,14 @@
   ListRetry = ListRetrySeconds;
   State.RetryBounds = Options.Retries;
   State.Peers = &Peers;
+  State.Crashes = &Crashes;
+  Crashes.OnEnded = [this](upstream &Upstream) {
+    Upstream.doubt(steadySeconds());
+    Peers.ended(Upstream);
+  };
+  Crashes.OnReport = [this] { Peers.hasNews(); };
+  Peers.OnTell = [this](wire::work_news &News) { Crashes.fill(News); };
+  Peers.OnNews = [this](const wire::work_news &News) { Crashes.hear(News); };
   State.Random.seed(randomIncarnation());
   State.Pins.setLifetime(Options.SessionSeconds * SessionMargin);
   Watch.OnAsk = [this](wire::watch &Ask) {
@@ -88,6 +96,7 @@
     State.Versions.fillTallies(Ask);
     for (uint64_t Key : State.Pins.takeUntold())
       Ask.add_staying(Key);
+    Crashes.fill(Ask);
   };
   Watch.OnRouting = [this](const std::shared_ptr<routing_table> &Routing) {
     takeRouting(Routing);
@@ -100,6 +109,9 @@
                {"version", Rollout.target_version()},
                {"stage", wire::rollout_stage_Name(Rollout.stage())}});
   };
+  Watch.OnQuarantine = [this](const wire::notice &Notice) {
+    Crashes.hear(Notice);
+  };
   Watch.OnStaying = [this](uint64_t Key) {
     State.Pins.heardStaying(Key, steadySeconds());
   };
@@ -118,6 +130,8 @@
   Peers.OnEnded = [this](uint64_t Place) {
     bool Doubted = State.Upstreams.doubt(Place, steadySeconds());
     State.Metrics->count("told_ended", Doubted ? "passed over" : "not heeded");
+    if (auto Upstream = State.Upstreams.at(Place))
+      Crashes.ended(*Upstream, "told by another gateway");
   };
   Watch.OnUpstreams = [this](double Age, const wire::notice &Notice) {
     hearList(Age, Notice);
@@ -272,16 +286,18 @@
 
 // The one used last: the others can go when their time is over.
 upstream_connection *
-gateway_task::acquire(const std::shared_ptr<upstream> &Upstream) {
+gateway_task::acquire(const std::shared_ptr<upstream> &Upstream,
+                      connection_kind Kind) {
   double Now = steadySeconds();
-  while (!Upstream->Idle.empty()) {
+  bool Full = Upstream->Connections >= connectionsFor(Upstream->Listed.Service);
+  while (!Upstream->Idle.empty() && (Kind == connection_kind::Any || Full)) {
     upstream_connection *Last = Upstream->Idle.back();
     Upstream->Idle.pop_back();
-    if (Last->idleUntil() > Now)
+    if (Last->idleUntil() > Now && !Last->closedByUpstream())
       return Last;
     Last->drop();
   }
-  if (Upstream->Connections >= connectionsFor(Upstream->Listed.Service))
+  if (Full)
     return nullptr;
   State.Metrics->count("upstream_connections", "opened");
   auto Connection =
@@ -373,6 +389,8 @@
   ListKnown = true;
   for (const auto &Upstream : Left) {
     State.Memory.forget(Upstream->Place);
+    if (!Upstream->leaving())
+      Crashes.ended(*Upstream, "not listed any more");
     for (upstream_connection *Idle : std::vector(Upstream->Idle))
       Idle->drop();
   }
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -65,8 +65,8 @@
 
   void released(upstream_connection &Connection) override;
   void ended(upstream_connection &Connection) override;
-  upstream_connection *
-  acquire(const std::shared_ptr<upstream> &Upstream) override;
+  upstream_connection *acquire(const std::shared_ptr<upstream> &Upstream,
+                               connection_kind Kind) override;
 
   bool holds(forwarding &Request) override;
   void serveHeld();
@@ -86,6 +86,7 @@
   gateway_options Options;
   uint64_t Incarnation;
   gateway_state State;
+  crash_watch Crashes;
   peer_work Peers;
   tcp_listener Listener;
   control_watch Watch;
--- a/gateway/peer_work.cpp
+++ b/gateway/peer_work.cpp
@@ -98,12 +98,18 @@
 void peer_work::changed(const upstream &Upstream) {
   if (Gateways.empty())
     return;
+  if (Changed.empty())
+    hasNews();
   Changed.insert(Upstream.Place);
+}
+
+void peer_work::hasNews() {
+  if (Gateways.empty())
+    return;
   double Interval =
       std::max(LeastInterval, IntervalPerGateway * double(Gateways.size()));
   double Due = ToldAt + Interval - steadySeconds();
-  if (Changed.size() == 1)
-    Timer.startOnce(std::max(0.0, Due));
+  Timer.startOnce(std::max(0.0, Due));
 }
 
 void peer_work::heardLoad(const upstream &Upstream, uint32_t Load) {
@@ -168,6 +174,8 @@
   UntoldLoads.clear();
   UntoldEnded.clear();
   Changed.clear();
+  if (OnTell)
+    OnTell(News);
   std::string Bytes = News.SerializeAsString();
   for (const std::string &Gateway : Gateways)
     Socket.send(Gateway, Bytes);
@@ -182,6 +190,8 @@
       !News.ParseFromArray(Bytes.data(), int(Bytes.size())))
     return;
   Others.heard(News, steadySeconds());
+  if (OnNews)
+    OnNews(News);
   for (const wire::upstream_work &Work : News.works()) {
     if (OnLoad && Work.told_load() > 0)
       OnLoad(Work.upstream(), Work.told_load() - 1);
--- a/gateway/peer_work.h
+++ b/gateway/peer_work.h
@@ -71,8 +71,10 @@
   void changed(const upstream &Upstream);
   /// An upstream has told how many requests run or wait there.
   void heardLoad(const upstream &Upstream, uint32_t Load);
-  /// An upstream has ended: another has its address, and declined.
+  /// An upstream has ended: another has its address, or nobody.
   void ended(const upstream &Upstream);
+  /// There is something to tell beside work.
+  void hasNews();
   upstream_work at(uint64_t Upstream) const { return Others.at(Upstream); }
   /// All gateways are told: what is known of their work is all there is.
   bool hearsAll(uint32_t AllGateways) const {
@@ -82,6 +84,9 @@
   std::function<void(uint64_t Upstream, uint32_t Load)> OnLoad;
   /// Another gateway says that an upstream has ended.
   std::function<void(uint64_t Upstream)> OnEnded;
+  /// Adds to what the others are told, and hears what they tell beside work.
+  std::function<void(wire::work_news &)> OnTell;
+  std::function<void(const wire::work_news &)> OnNews;
   /// Another gateway has sent a prompt to an upstream.
   std::function<void(uint64_t Upstream, std::span<const prompt_piece>)> OnSent;
 
--- a/gateway/spare_answer.cpp
+++ b/gateway/spare_answer.cpp
@@ -49,13 +49,16 @@
 void spare_answer::onAnswerEnd() {
   Parts.Connection = nullptr; // Free again, or closed.
   Parts.Upstream->answered();
+  State.Crashes->answered(Parts.Request);
   Bytes.append(Parts.Events.takeRest());
   Whole = true;
   release();
 }
 
-void spare_answer::onBroken(broken_at) {
+void spare_answer::onBroken(broken_at Where) {
   Parts.Connection = nullptr;
+  if (Where != broken_at::Garbled)
+    State.Crashes->brokeOff(Parts.Upstream, Parts.Request);
   release();
 }
 
--- a/gateway/spare_answer.h
+++ b/gateway/spare_answer.h
@@ -33,6 +33,7 @@
   event_splitter Events;
   size_t ModelPlace = 0;
   double Confidence = -1;
+  short_digest Request{}; ///< Names it alike for each try.
 };
 
 class spare_answer : public upstream_user {
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -60,6 +60,10 @@
   void drop();
   const std::shared_ptr<upstream> &server() const { return Upstream; }
   bool idle() const { return !User; }
+  bool closedByUpstream() const { return Stream.closedByPeer(); }
+  /// Served no request before the one in hand: its upstream lived when that was
+  /// sent.
+  bool fresh() const { return !Reused; }
   double idleUntil() const { return IdleUntil; }
   double idleSince() const { return IdleSince; }
   void setReading(bool On) { Stream.setReading(On); }
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -31,6 +31,7 @@
 struct upstream {
   platform::listed_upstream Listed;
   bool Gone = false;  ///< Not listed any more.
+  bool Ended = false; ///< By what it told itself, and nothing heard since.
   uint64_t Place = 0; ///< In the order of the service, alike everywhere.
   uint32_t InFlight = 0;
   double PromptSeconds = 0; ///< Of its time, for own prompts not read yet.
@@ -55,7 +56,9 @@
   void failed(double Now);
   void answered();
   void leave() { Leaves = true; }
-  bool takesNew() const { return !Gone && !Leaves && !Listed.Leaving; }
+  /// Ends soon, as planned.
+  bool leaving() const { return Leaves || Listed.Leaving; }
+  bool takesNew() const { return !Gone && !leaving(); }
 
 private:
   uint32_t Told = 0; ///< Requests that ran or waited.
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -223,6 +223,8 @@
     RolloutsRevision = Notice.rollouts_revision();
     OnRollouts(Notice);
   }
+  if (OnQuarantine)
+    OnQuarantine(Notice);
   for (uint64_t Key : Notice.staying())
     OnStaying(Key);
   if (Notice.gateways() > 0 && Notice.gateways() != Gateways) {
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -39,6 +39,8 @@
   std::function<void(const wire::notice &)> OnRollouts;
   /// A session that no canary must take over, as another gateway told.
   std::function<void(uint64_t Key)> OnStaying;
+  /// Which requests are to go to no upstream, whenever that has changed.
+  std::function<void(const wire::notice &)> OnQuarantine;
   /// How many gateways there are, whenever that has changed.
   std::function<void(uint32_t Count)> OnGateways;
   /// Where all of them hear of each other's work, whenever that has changed.
--- /dev/null
+++ b/ledger/quarantine.cpp
@@ -0,0 +1,54 @@
+//===- quarantine.cpp - Requests that go to no upstream any more ----------===//
+
+#include "ledger/quarantine.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+bool quarantine_book::apply(const wire::quarantine_change &Change,
+                            double Wall) {
+  bool Changed = false;
+  if (Change.has_add()) {
+    wire::quarantined_request Request = Change.add();
+    Request.set_since_wall(Wall);
+    Changed = add(std::move(Request));
+  } else if (Change.has_release()) {
+    Changed = release(digestOf(Change.release()));
+  }
+  Revision += Changed;
+  return Changed;
+}
+
+bool quarantine_book::add(wire::quarantined_request Request) {
+  if (contains(digestOf(Request.request())))
+    return false;
+  Requests.push_back(std::move(Request));
+  if (Requests.size() > MostRequests)
+    Requests.pop_front();
+  return true;
+}
+
+bool quarantine_book::release(const short_digest &Request) {
+  return std::erase_if(Requests, [&](const auto &Each) {
+           return digestOf(Each.request()) == Request;
+         }) > 0;
+}
+
+bool quarantine_book::contains(const short_digest &Request) const {
+  return std::any_of(Requests.begin(), Requests.end(), [&](const auto &Each) {
+    return digestOf(Each.request()) == Request;
+  });
+}
+
+void quarantine_book::save(wire::state_image &Image) const {
+  Image.set_quarantine_revision(Revision);
+  for (const wire::quarantined_request &Each : Requests)
+    *Image.add_quarantined() = Each;
+}
+
+void quarantine_book::load(const wire::state_image &Image) {
+  Revision = Image.quarantine_revision();
+  Requests = {Image.quarantined().begin(), Image.quarantined().end()};
+}
+
+} // namespace olivevalve
--- a/ledger/state_machine.cpp
+++ b/ledger/state_machine.cpp
@@ -64,6 +64,12 @@
   case wire::command::kRolloutStep:
     Rollouts.step(Command.rollout_step());
     return Result;
+  case wire::command::kQuarantine:
+    if (!Quarantine.apply(Command.quarantine(), Wall) &&
+        Command.quarantine().has_release())
+      Result.Status =
+          makeError(error_kind::NotFound, "no such request is quarantined");
+    return Result;
   default:
     return Result;
   }
@@ -146,6 +152,7 @@
   Ratings.save(Image);
   Routing.save(Image);
   Rollouts.save(Image);
+  Quarantine.save(Image);
   return Image.SerializeAsString();
 }
 
@@ -175,6 +182,7 @@
   Next.Ratings.load(Image);
   Next.Routing.load(Image);
   Next.Rollouts.load(Image);
+  Next.Quarantine.load(Image);
   *this = std::move(Next);
   return true;
 }
--- a/ledger/state_machine.h
+++ b/ledger/state_machine.h
@@ -13,6 +13,7 @@
 #include "ledger/bills.h"
 #include "ledger/claims.h"
 #include "ledger/pins.h"
+#include "ledger/quarantine.h"
 #include "ledger/ratings.h"
 #include "ledger/rollouts.h"
 #include "ledger/routing_book.h"
@@ -44,6 +45,7 @@
   /// The routing configuration with the highest version; 0: none yet.
   const routing_book &routing() const { return Routing; }
   const rollout_book &rollouts() const { return Rollouts; }
+  const quarantine_book &quarantine() const { return Quarantine; }
 
   std::string image() const;
   bool restore(const std::string &Image);
@@ -69,6 +71,7 @@
   rating_book Ratings;
   routing_book Routing;
   rollout_book Rollouts;
+  quarantine_book Quarantine;
   std::map<std::string, change_record> Changes;
   std::deque<std::string> ChangeOrder;
   std::map<std::string, uint64_t> ReporterSequence;
--- a/net/tcp_stream.cpp
+++ b/net/tcp_stream.cpp
@@ -78,6 +78,12 @@
     Watch.stop();
 }
 
+bool tcp_stream::closedByPeer() const {
+  char Byte = 0;
+  ssize_t Count = ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count == 0 || (Count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void tcp_stream::setReading(bool On) {
   Reading = On;
   watch();
--- a/net/tcp_stream.h
+++ b/net/tcp_stream.h
@@ -37,6 +37,8 @@
   void close();
   bool open() const { return Socket >= 0; }
   bool connected() const { return Connected; }
+  /// The other side has closed it, whether or not OnEnd was told yet.
+  bool closedByPeer() const;
   /// Nothing listens at the address: no process has it.
   bool refused() const { return Refused; }
   size_t unsent() const { return Unsent.size() - Sent; }
--- /dev/null
+++ b/policy/crash_evidence.cpp
@@ -0,0 +1,104 @@
+//===- crash_evidence.cpp - Requests that upstreams end under -------------===//
+
+#include "policy/crash_evidence.h"
+#include <algorithm>
+
+namespace olivevalve {
+
+namespace {
+
+// Tries that lie further apart are not held against a request together.
+constexpr double EvidenceSeconds = 600;
+// An answer speaks for a request so long. Popular ones get one more often.
+constexpr double AnsweredSeconds = 60;
+
+} // namespace
+
+void answered_requests::add(const short_digest &Request, double Now) {
+  Table[placeOf(Request)] = {.Request = Request,
+                             .Until = Now + AnsweredSeconds};
+}
+
+bool answered_requests::contains(const short_digest &Request,
+                                 double Now) const {
+  const place &Place = Table[placeOf(Request)];
+  return Place.Request == Request && Now < Place.Until;
+}
+
+crash_evidence::crash_evidence(crash_evidence_options NewOptions)
+    : Options(NewOptions), Answered(NewOptions.AnsweredRequests) {}
+
+bool crash_evidence::holds(const record &Record, double Now) const {
+  return Now < Record.LastAt + EvidenceSeconds;
+}
+
+void crash_evidence::makeRoom() {
+  while (Records.size() >= Options.MostRequests) {
+    Records.erase(std::get<short_digest>(*Order.begin()));
+    Order.erase(Order.begin());
+  }
+}
+
+bool crash_evidence::ended(const crash_report &Report, double Now) {
+  if (Answered.contains(Report.Request, Now))
+    return false;
+  auto It = Records.find(Report.Request);
+  if (It != Records.end() && !holds(It->second, Now)) {
+    forget(Report.Request);
+    It = Records.end();
+  }
+  if (It == Records.end()) {
+    makeRoom();
+    It = Records.try_emplace(Report.Request, record{}).first;
+  }
+  record &Record = It->second;
+  if (Record.Upstreams.contains(Report.Upstream) ||
+      Record.Upstreams.size() >= EndsToConvict)
+    return false;
+  Order.erase(orderOf(Report.Request, Record));
+  Record.Upstreams.insert(Report.Upstream);
+  Record.LastAt = Now;
+  Order.insert(orderOf(Report.Request, Record));
+  return true;
+}
+
+bool crash_evidence::answered(const short_digest &Request, double Now) {
+  Answered.add(Request, Now);
+  if (!Records.contains(Request))
+    return false;
+  forget(Request);
+  return true;
+}
+
+void crash_evidence::forget(const short_digest &Request) {
+  auto It = Records.find(Request);
+  if (It == Records.end())
+    return;
+  Order.erase(orderOf(Request, It->second));
+  Records.erase(It);
+}
+
+std::set<uint64_t> crash_evidence::endsUnder(const short_digest &Request,
+                                             double Now) const {
+  auto It = Records.find(Request);
+  if (It == Records.end() || !holds(It->second, Now))
+    return {};
+  return It->second.Upstreams;
+}
+
+bool crash_evidence::convicted(const short_digest &Request, double Now) const {
+  auto It = Records.find(Request);
+  return It != Records.end() && holds(It->second, Now) &&
+         It->second.Upstreams.size() >= EndsToConvict;
+}
+
+std::vector<short_digest> crash_evidence::allConvicted(double Now) const {
+  std::vector<short_digest> Requests;
+  for (auto It = Order.rbegin();
+       It != Order.rend() && std::get<size_t>(*It) >= EndsToConvict; ++It)
+    if (convicted(std::get<short_digest>(*It), Now))
+      Requests.push_back(std::get<short_digest>(*It));
+  return Requests;
+}
+
+} // namespace olivevalve
--- a/tests/system/crashes_test.cpp
+++ b/tests/system/crashes_test.cpp
@@ -179,6 +179,32 @@
   BOOST_TEST(World.endsOfMoreTries(GuiltyOnce) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(are_shown_to_operators_and_let_out_by_them) {
+  crashing_world World(8, 2);
+  World.untilCrashed(GuiltyOnce);
+  caller_answer Shown = World.operatorCall("GET", "/v1/quarantine", "");
+  json List = json::parse(Shown.Body)["quarantine"];
+  BOOST_REQUIRE_MESSAGE(List.size() == 1U, Shown.Body);
+  BOOST_TEST(List[0]["upstreams_ended"].size() == size_t(EndsAllowed));
+  std::string Request = List[0]["request"];
+  BOOST_TEST(World.Gateways[0]->Process->logText().find(Request) !=
+             std::string::npos);
+  auto Release = [&](const std::string &Name) {
+    return World
+        .operatorCall("POST", "/v1/quarantine/release",
+                      json({{"request", Name}}).dump())
+        .Status;
+  };
+  BOOST_TEST(Release("no digest") == 400);
+  BOOST_TEST(Release(std::string(32, 'a')) == 404);
+  BOOST_TEST(Release(Request) == 200);
+  int Before = World.crashed();
+  World.until("it is tried again", [&] {
+    World.ask(GuiltyOnce);
+    return World.crashed() > Before;
+  });
+}
+
 BOOST_AUTO_TEST_CASE(do_not_bar_a_popular_one_that_upstreams_end_under) {
   crashing_world World(4, 2);
   const std::string Popular = "/safe/popular?late=300";
--- /dev/null
+++ b/tests/unit/crash_evidence_test.cpp
@@ -0,0 +1,411 @@
+//===- crash_evidence_test.cpp - What is held against a request -----------===//
+
+#include "base/clock.h"
+#include "boost/test/unit_test.hpp"
+#include "control/quarantine_keeper.h"
+#include "gateway/crash_watch.h"
+#include "gateway/request_identity.h"
+#include "ledger/state_machine.h"
+#include <algorithm>
+#include <random>
+
+using namespace olivevalve;
+
+namespace {
+
+constexpr short_digest Guilty = {1, 1};
+constexpr short_digest Popular = {2, 2};
+constexpr double Hour = 3600;
+
+short_digest stranger(uint64_t Number) { return {1000 + Number, 7}; }
+
+wire::watch watchOf(const std::vector<crash_report> &Reports) {
+  wire::watch Watch;
+  for (const crash_report &Each : Reports) {
+    wire::crash_report *Out = Watch.add_crashes();
+    fillName(Each.Request, *Out->mutable_request());
+    Out->set_upstream(Each.Upstream);
+  }
+  return Watch;
+}
+
+wire::watch watchOfAnswer(const short_digest &Request) {
+  wire::watch Watch;
+  fillName(Request, *Watch.add_answered());
+  return Watch;
+}
+
+/// Control as the gateways see it: what the keeper proposes is agreed on.
+class agreed_quarantine {
+public:
+  size_t agree(quarantine_keeper &Keeper, double Now) {
+    auto Changes = Keeper.changes(Book, Now);
+    for (const wire::quarantine_change &Each : Changes)
+      Book.apply(Each, Now);
+    return Changes.size();
+  }
+  quarantine_book Book;
+};
+
+http_head headOf(const std::string &Host, const std::string &Target) {
+  http_head Head;
+  Head.Method = "POST";
+  Head.Target = Target;
+  Head.Lines = {{"Host", Host}, {"X-Attempt-Id", Target + Host}};
+  return Head;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(requests_that_upstreams_end_under)
+
+BOOST_AUTO_TEST_CASE(are_told_apart_by_all_that_comes_again) {
+  http_head Head = headOf("a.example", "/x/1");
+  short_digest Name = identityOf(Head, "body", "dispatch");
+  http_head Again = Head;
+  Again.Lines[0].Value = "A.Example";
+  Again.Lines[1].Value = "another try";
+  BOOST_TEST((identityOf(Again, "body", "dispatch") == Name));
+  BOOST_TEST((identityOf(Head, "body", "other") != Name));
+  BOOST_TEST((identityOf(Head, "bodz", "dispatch") != Name));
+  BOOST_TEST(
+      (identityOf(headOf("a.example", "/x/2"), "body", "dispatch") != Name));
+  BOOST_TEST(
+      (identityOf(headOf("b.example", "/x/1"), "body", "dispatch") != Name));
+  BOOST_TEST_CONTEXT("also where one field could end in the next") {
+    BOOST_TEST(
+        (identityOf(headOf("a.example", "/x/1b"), "ody", "dispatch") != Name));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_convicted_by_three_upstreams_in_any_order) {
+  std::vector<crash_report> Reports;
+  for (uint64_t Upstream : {10, 11, 12, 10, 11, 10})
+    Reports.push_back({.Request = Guilty, .Upstream = Upstream});
+  std::mt19937_64 Random(1);
+  for (int Turn = 0; Turn < 50; ++Turn) {
+    std::shuffle(Reports.begin(), Reports.end(), Random);
+    crash_evidence Evidence;
+    std::set<uint64_t> Seen;
+    for (const crash_report &Each : Reports) {
+      Evidence.ended(Each, 1);
+      Seen.insert(Each.Upstream);
+      BOOST_TEST(Evidence.convicted(Guilty, 1) == (Seen.size() == 3));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_acquitted_by_one_whole_answer) {
+  crash_evidence Evidence;
+  BOOST_TEST_CONTEXT("that came before the upstreams ended") {
+    Evidence.answered(Popular, 0);
+    for (uint64_t Upstream = 1; Upstream <= 9; ++Upstream)
+      BOOST_TEST(!Evidence.ended({Popular, Upstream}, 1));
+    BOOST_TEST(!Evidence.convicted(Popular, 1));
+  }
+  BOOST_TEST_CONTEXT("that came in between") {
+    for (uint64_t Upstream = 1; Upstream <= 2; ++Upstream)
+      Evidence.ended({Popular, Upstream}, 100);
+    BOOST_TEST(Evidence.answered(Popular, 101));
+    Evidence.ended({Popular, 3}, 102);
+    BOOST_TEST(!Evidence.convicted(Popular, 102));
+  }
+  BOOST_TEST_CONTEXT("but not for ever") {
+    for (uint64_t Upstream = 4; Upstream <= 6; ++Upstream)
+      Evidence.ended({Popular, Upstream}, 500);
+    BOOST_TEST(Evidence.convicted(Popular, 500));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_not_held_to_ends_long_past) {
+  crash_evidence Evidence;
+  Evidence.ended({Guilty, 1}, 0);
+  Evidence.ended({Guilty, 2}, 1);
+  Evidence.ended({Guilty, 3}, Hour);
+  BOOST_TEST(!Evidence.convicted(Guilty, Hour));
+  BOOST_TEST(Evidence.endsUnder(Guilty, Hour).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(are_not_pushed_out_by_a_flood_of_strangers) {
+  crash_evidence Evidence({.MostRequests = 100});
+  Evidence.ended({Guilty, 1}, 0);
+  Evidence.ended({Guilty, 2}, 0);
+  for (uint64_t I = 0; I < 10000; ++I) {
+    Evidence.ended({stranger(I), 3}, 1 + double(I) * 1e-3);
+    BOOST_REQUIRE(Evidence.size() <= 100);
+  }
+  Evidence.ended({Guilty, 3}, 20);
+  BOOST_TEST(Evidence.convicted(Guilty, 20));
+  BOOST_TEST(Evidence.allConvicted(20).size() == 1U);
+}
+
+// A third of 860 upstreams end at once before 410 gateways with 5,000 requests
+// a second, each 2 s long.
+BOOST_AUTO_TEST_CASE(are_found_when_a_third_of_the_fleet_ends_at_once) {
+  constexpr uint64_t GatewayCount = 410;
+  constexpr uint64_t UnderEach = 8;
+  quarantine_keeper Keeper;
+  agreed_quarantine Control;
+  for (uint64_t Gateway = 0; Gateway < GatewayCount; ++Gateway) {
+    std::vector<crash_report> Reports;
+    for (uint64_t I = 0; I < UnderEach; ++I)
+      Reports.push_back({stranger(Gateway * UnderEach + I), I});
+    if (Gateway % 137 == 0)
+      Reports.push_back({Guilty, 100 + Gateway});
+    wire::watch Watch = watchOf(Reports);
+    BOOST_TEST(Watch.ByteSizeLong() <= 400U);
+    Keeper.heard(Watch, 1);
+  }
+  BOOST_TEST(Control.agree(Keeper, 1) == 1U);
+  BOOST_TEST(Control.Book.contains(Guilty));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(quarantine)
+
+BOOST_AUTO_TEST_CASE(joins_what_different_gateways_saw) {
+  quarantine_keeper Keeper;
+  agreed_quarantine Control;
+  for (uint64_t Gateway = 1; Gateway <= 3; ++Gateway) {
+    BOOST_TEST(Control.agree(Keeper, double(Gateway)) == 0U);
+    for (int Told = 0; Told < 3; ++Told)
+      Keeper.heard(watchOf({{Guilty, Gateway}}), double(Gateway));
+  }
+  BOOST_TEST(Control.agree(Keeper, 4) == 1U);
+  BOOST_TEST(Control.Book.contains(Guilty));
+  BOOST_TEST(Control.Book.all().front().upstreams_size() == 3);
+  BOOST_TEST_CONTEXT("and is proposed once") {
+    BOOST_TEST(Control.agree(Keeper, 4.1) == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_left_by_what_some_gateway_answered) {
+  quarantine_keeper Keeper;
+  agreed_quarantine Control;
+  Keeper.heard(watchOf({{Popular, 1}, {Popular, 2}, {Popular, 3}}), 1);
+  Control.agree(Keeper, 1);
+  BOOST_TEST(Control.Book.contains(Popular));
+  Keeper.heard(watchOfAnswer(Popular), 5);
+  Control.agree(Keeper, 5);
+  BOOST_TEST(!Control.Book.contains(Popular));
+  BOOST_TEST_CONTEXT("and not entered again by reports told late") {
+    Keeper.heard(watchOf({{Popular, 1}, {Popular, 2}, {Popular, 3}}), 6);
+    Control.agree(Keeper, 8);
+    BOOST_TEST(!Control.Book.contains(Popular));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(is_left_by_an_operators_word_and_by_time) {
+  quarantine_keeper Keeper;
+  agreed_quarantine Control;
+  auto Convict = [&](double Now) {
+    Keeper.heard(watchOf({{Guilty, 1}, {Guilty, 2}, {Guilty, 3}}), Now);
+    Control.agree(Keeper, Now);
+  };
+  Convict(1);
+  Control.agree(Keeper, 2);
+  BOOST_TEST(Keeper.secondsLeft(Guilty, 2) > Hour - 10);
+  wire::quarantine_change Release;
+  fillName(Guilty, *Release.mutable_release());
+  BOOST_TEST(Control.Book.apply(Release, 10));
+  BOOST_TEST(!Control.Book.apply(Release, 10));
+  Convict(11);
+  BOOST_TEST(!Control.Book.contains(Guilty));
+  BOOST_TEST_CONTEXT("and is judged anew after it") {
+    Convict(100);
+    BOOST_TEST(Control.Book.contains(Guilty));
+    Control.agree(Keeper, 101);
+    Control.agree(Keeper, 100 + Hour + 10);
+    BOOST_TEST(!Control.Book.contains(Guilty));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(outlives_every_process_in_the_snapshot) {
+  state_machine State;
+  wire::command Command;
+  fillName(Guilty,
+           *Command.mutable_quarantine()->mutable_add()->mutable_request());
+  State.apply(1, Command.SerializeAsString());
+  state_machine Next;
+  BOOST_REQUIRE(Next.restore(State.image()));
+  BOOST_TEST(Next.quarantine().contains(Guilty));
+  BOOST_TEST(Next.quarantine().revision() == State.quarantine().revision());
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_newest_when_it_is_full) {
+  quarantine_book Book;
+  for (uint64_t I = 0; I < 2 * quarantine_book::MostRequests; ++I) {
+    wire::quarantine_change Change;
+    fillName(stranger(I), *Change.mutable_add()->mutable_request());
+    BOOST_TEST(Book.apply(Change, 0));
+  }
+  BOOST_TEST(Book.all().size() == quarantine_book::MostRequests);
+  BOOST_TEST(!Book.contains(stranger(0)));
+  BOOST_TEST(Book.contains(stranger(2 * quarantine_book::MostRequests - 1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ends_of_upstreams)
+
+namespace {
+
+class watched_upstreams {
+public:
+  std::shared_ptr<upstream> add(uint64_t Place) {
+    auto New = std::make_shared<upstream>();
+    New->Place = Place;
+    New->Listed.Id = "i-" + std::to_string(Place);
+    // Nothing is asked of it in these tests: the loop does not run.
+    New->Listed.Address = "127.0.0.1:1";
+    return New;
+  }
+  struct ev_loop *Loop = ev_default_loop(0);
+  metrics Metrics;
+  crash_watch Watch{Loop, Metrics};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(make_suspect_what_was_broken_off_there) {
+  watched_upstreams World;
+  for (uint64_t Place = 1; Place <= 3; ++Place) {
+    BOOST_TEST(!World.Watch.refuses(Guilty));
+    auto Upstream = World.add(Place);
+    World.Watch.brokeOff(Upstream, Guilty);
+    World.Watch.ended(*Upstream, "test");
+  }
+  BOOST_TEST(World.Watch.refuses(Guilty));
+}
+
+BOOST_AUTO_TEST_CASE(are_not_supposed_of_those_that_answer_on) {
+  watched_upstreams World;
+  for (uint64_t Place = 1; Place <= 5; ++Place) {
+    auto Upstream = World.add(Place);
+    World.Watch.brokeOff(Upstream, Guilty);
+    World.Watch.answers(*Upstream, steadySeconds() + 1);
+    World.Watch.ended(*Upstream, "test");
+  }
+  BOOST_TEST(!World.Watch.refuses(Guilty));
+}
+
+BOOST_AUTO_TEST_CASE(that_were_planned_are_held_against_nothing) {
+  watched_upstreams World;
+  for (uint64_t Place = 1; Place <= 5; ++Place) {
+    auto Upstream = World.add(Place);
+    Upstream->Listed.Leaving = true;
+    World.Watch.brokeOff(Upstream, Guilty);
+    World.Watch.ended(*Upstream, "test");
+  }
+  BOOST_TEST(!World.Watch.refuses(Guilty));
+}
+
+BOOST_AUTO_TEST_CASE(told_by_others_count_like_the_own) {
+  watched_upstreams World;
+  auto Upstream = World.add(1);
+  World.Watch.brokeOff(Upstream, Guilty);
+  World.Watch.ended(*Upstream, "test");
+  wire::work_news News;
+  for (uint64_t Place : {2, 3}) {
+    wire::crash_report *Report = News.add_crashes();
+    fillName(Guilty, *Report->mutable_request());
+    Report->set_upstream(Place);
+  }
+  World.Watch.hear(News);
+  BOOST_TEST(World.Watch.refuses(Guilty));
+  BOOST_TEST_CONTEXT("and those of the own are told on, not those heard") {
+    wire::work_news Told;
+    World.Watch.fill(Told);
+    BOOST_REQUIRE(Told.crashes_size() == 1);
+    BOOST_TEST(Told.crashes(0).upstream() == 1U);
+    wire::watch Ask;
+    World.Watch.fill(Ask);
+    BOOST_TEST(Ask.crashes_size() == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(do_not_bar_what_was_answered_here_whoever_says_so) {
+  watched_upstreams World;
+  World.Watch.answered(Popular);
+  wire::notice Notice;
+  Notice.set_quarantine_revision(5);
+  fillName(Popular, *Notice.add_quarantined()->mutable_request());
+  fillName(Guilty, *Notice.add_quarantined()->mutable_request());
+  World.Watch.hear(Notice);
+  BOOST_TEST(!World.Watch.refuses(Popular));
+  BOOST_TEST(World.Watch.refuses(Guilty));
+  BOOST_TEST_CONTEXT("and control is told") {
+    wire::watch Ask;
+    World.Watch.fill(Ask);
+    BOOST_REQUIRE(Ask.answered_size() == 1);
+    BOOST_TEST((digestOf(Ask.answered(0)) == Popular));
+  }
+  BOOST_TEST_CONTEXT("an older notice changes nothing") {
+    wire::notice Old;
+    Old.set_quarantine_revision(4);
+    World.Watch.hear(Old);
+    BOOST_TEST(World.Watch.refuses(Guilty));
+  }
+  BOOST_TEST_CONTEXT("one that lets go does") {
+    wire::notice Free;
+    Free.set_quarantine_revision(6);
+    World.Watch.hear(Free);
+    BOOST_TEST(!World.Watch.refuses(Guilty));
+  }
+}
+
+// A VM that does not lead can decide nothing.
+BOOST_AUTO_TEST_CASE(are_told_with_each_question_until_the_leader_answers) {
+  watched_upstreams World;
+  auto Upstream = World.add(1);
+  World.Watch.brokeOff(Upstream, Guilty);
+  World.Watch.ended(*Upstream, "test");
+  double Sent = 0;
+  auto Asks = [&] {
+    wire::watch Ask;
+    Ask.set_sent_at(++Sent);
+    World.Watch.fill(Ask);
+    return Ask.crashes_size();
+  };
+  auto Answers = [&](uint64_t Leader, bool Leads, double WatchSentAt) {
+    wire::notice Notice;
+    Notice.set_leader(Leader);
+    Notice.set_gateways_revision(Leads ? 1 : 0);
+    Notice.set_watch_sent_at(WatchSentAt);
+    World.Watch.hear(Notice);
+  };
+  BOOST_TEST(Asks() == 1);
+  Answers(7, false, Sent);
+  BOOST_TEST(Asks() == 1);
+  Answers(7, true, Sent - 1); // To a question before.
+  BOOST_TEST(Asks() == 1);
+  Answers(7, true, Sent);
+  BOOST_TEST(Asks() == 0);
+  Answers(8, true, Sent);
+  BOOST_TEST(Asks() == 1);
+}
+
+// Anything may stand in a datagram of the right sender's address.
+BOOST_AUTO_TEST_CASE(told_in_garbage_bar_nothing) {
+  watched_upstreams World;
+  std::mt19937_64 Random(3);
+  for (int Turn = 0; Turn < 20000; ++Turn) {
+    wire::work_news News;
+    for (int I = 0; I < 5; ++I) {
+      wire::crash_report *Report = News.add_crashes();
+      if (Random() % 4 != 0)
+        fillName({Random(), Random()}, *Report->mutable_request());
+      Report->set_upstream(Random());
+    }
+    std::string Bytes = News.SerializeAsString();
+    Bytes[Random() % Bytes.size()] = char(Random());
+    wire::work_news Garbled;
+    if (Garbled.ParseFromString(Bytes))
+      World.Watch.hear(Garbled);
+  }
+  BOOST_TEST(!World.Watch.refuses(Guilty));
+  BOOST_TEST(!World.Watch.suspects(Popular));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
