--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -111,10 +111,11 @@
 std::string replica::answerHead(int Status, const std::string &Id,
                                 const std::string &Extra) const {
   std::string Confidence = std::to_string(int(this->Confidence * 100));
+  std::string Leaving = SaysLeaving ? "Server-Leaving: 1\r\n" : "";
   return "HTTP/1.1 " + std::to_string(Status) + " Word\r\nX-Attempt-Id: " + Id +
          "\r\nX-Response-Seal: seal-of-" + Options.Id +
          "\r\nX-Server-Load: " + Load + "\r\nX-Confidence: " + Confidence +
-         "\r\n" + Extra;
+         "\r\n" + Leaving + Extra;
 }
 
 void replica::serve(connection &Connection) {
@@ -127,9 +128,12 @@
   std::string Do = queryOf(Head.Target, Large ? "large" : "do");
   if (headerOf(Head, "X-Expect-Instance") != Options.Id)
     return Connection.Stream.write(whole(answerHead(421, Id, ""), "other"));
-  if (Do == "refuse" || Refuses)
+  if (Do == "refuse" || Refuses) {
+    std::string Rest =
+        RetryAfter.empty() ? "" : "Retry-After: " + RetryAfter + "\r\n";
     return Connection.Stream.write(
-        whole(answerHead(503, Id, "X-Not-Executed: 1\r\n"), "full"));
+        whole(answerHead(503, Id, "X-Not-Executed: 1\r\n" + Rest), "full"));
+  }
   LastHead = Head;
   LastBody = Body;
   ++Runs[Id];
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -61,8 +61,10 @@
 
   /// The share that doubts itself: answers below it say a low confidence.
   double Confidence = 0.9;
-  bool Fails = false;   ///< Every request, with 500.
-  bool Refuses = false; ///< Every request, as not run.
+  bool Fails = false;       ///< Every request, with 500.
+  bool Refuses = false;     ///< Every request, as not run.
+  std::string RetryAfter;   ///< Told with each refusal; empty: not told.
+  bool SaysLeaving = false; ///< With every answer.
   /// What it says of itself: requests that run, that wait, and slots.
   std::string Load = "1,0,8";
 
