An upstream's word is heeded: rest after a refusal, and that it leaves

Callers saw refusals while other upstreams were free; upstreams that asked a gateway for 3 s got up to 37 requests from it in them. Cause: a refusal was told to nobody but its request. Class: back-pressure that the receiver drops. A refusal even counted as an answer that clears failures. Mend: 'until when' is state of the upstream's incarnation, asked in the one place that says whether it takes new work (takesNew), so first choice, other versions, larger models and resumed streams all heed it; a request whose connection comes up meanwhile is chosen anew. A rest is bounded to 60 s, is no failure, and proves nothing. Server-Leaving ends new work like the list's word, by that incarnation alone, until its next start. Where all rest, callers are refused at once and sent back spread, from the soonest end on, in place of one upstream's time. One case of it (that all rest) waited for the second refusal in a way that let the first rest end; its setup is mended, its checks are as they were. Ruled out: sharing rests among gateways; the word is for one of them.

--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -19,7 +19,9 @@
 constexpr size_t MostHeldAnswer = 16 << 20;
 // When to come back after a refusal: another upstream or entry is usually free
 // within a fraction of a second.
-constexpr std::string_view RetryAfterSeconds = "0.3";
+constexpr double UsualComeBack = 0.3;
+// Of the time that all upstreams rest, the part over which callers come back.
+constexpr double ComeBackSpread = 0.25;
 
 // More than any upstream has; the sum of two absurd numbers stays one.
 constexpr uint32_t MostRequestsTold = 1 << 20;
@@ -30,6 +32,8 @@
     return "no connection";
   case broken_at::Refused:
     return "connection refused";
+  case broken_at::Declined:
+    return "takes nothing new any more";
   case broken_at::Reused:
     return "resting connection closed";
   case broken_at::Waiting:
@@ -50,6 +54,7 @@
   HeardAt = HeadAt = Now;
   if (!AnswerFacts.OtherIncarnation)
     State.Crashes->answers(*Upstream, SentAt);
+  heardWishes(AnswerFacts);
   if (AnswerFacts.Load)
     heardLoad(*AnswerFacts.Load);
   OtherIncarnation = AnswerFacts.OtherIncarnation;
@@ -69,12 +74,36 @@
             .NotRun = AnswerFacts.NotRun};
   for (const head_line &Line : AnswerHead.Lines)
     if (!sameHeader(Line.Name, "Content-Length") &&
-        !platform::belongsToConnection(AnswerHead, Line.Name))
+        !platform::belongsToConnection(AnswerHead, Line.Name) &&
+        !(Answer.NotRun && platform::tellsWhenToComeBack(Line.Name)))
       Answer.Lines.push_back(Line);
   if (AnswerIsEvents && asksLargerModel())
     askLargerModel();
 }
 
+// What the upstream wants of this gateway from now on.
+void forwarding::heardWishes(const platform::answer_facts &Wishes) {
+  double Now = steadySeconds();
+  if (Wishes.Leaving && !Upstream->leaving()) {
+    logLine(log_level::Info, "upstream says that it leaves",
+            {{"upstream", Upstream->Listed.Id}, {"id", Facts.AttemptId}});
+    Upstream->leave();
+  }
+  if (!Wishes.OddRest.empty())
+    logLine(log_level::Warning,
+            "upstream's Retry-After is not a number of seconds",
+            {{"upstream", Upstream->Listed.Id}, {"value", Wishes.OddRest}});
+  if (!Wishes.RestSeconds)
+    return;
+  Upstream->rest(*Wishes.RestSeconds, Now);
+  State.Metrics->count("upstream_rests", Service);
+  logLine(log_level::Info, "upstream wants no requests for a while",
+          {{"upstream", Upstream->Listed.Id},
+           {"id", Facts.AttemptId},
+           {"asked_s", *Wishes.RestSeconds},
+           {"kept_s", Upstream->restsUntil() - Now}});
+}
+
 void forwarding::heardLoad(const platform::reported_load &Load) {
   uint64_t Sum = uint64_t(Load.Running) + Load.Waiting;
   auto Requests = uint32_t(std::min<uint64_t>(Sum, MostRequestsTold));
@@ -193,7 +222,8 @@
 void forwarding::onAnswerEnd() {
   auto Keep = shared_from_this();
   Connection = nullptr; // Free again, or closed.
-  Upstream->answered();
+  if (!Answer.NotRun)
+    Upstream->answered();
   if (AnswerIsEvents) {
     State.Crashes->answered(Identity);
     passOn(Events.takeRest());
@@ -229,9 +259,10 @@
 void forwarding::onBroken(broken_at Where) {
   auto Keep = shared_from_this();
   Connection = nullptr;
-  bool Sent = Where != broken_at::Connecting && Where != broken_at::Refused;
+  bool Sent = Where != broken_at::Connecting && Where != broken_at::Refused &&
+              Where != broken_at::Declined;
   // A resting connection may be closed by an upstream that is well.
-  if (Where != broken_at::Reused)
+  if (Where != broken_at::Reused && Where != broken_at::Declined)
     Upstream->failed(steadySeconds());
   if (Sent && Where != broken_at::Reused)
     countAnswer(true);
@@ -272,11 +303,25 @@
                        steadySeconds() - SentAt);
 }
 
+// Where all upstreams rest, once the first of them takes requests again, and
+// not all callers at the same moment.
+head_line forwarding::comeBackLine() {
+  double Soonest =
+      Route ? State.Upstreams.soonestRest(Service, steadySeconds()) : 0;
+  double Seconds = ComeBackAfter > 0 ? ComeBackAfter : UsualComeBack;
+  if (ComeBackAfter == 0 && Soonest > 0)
+    Seconds = std::uniform_real_distribution<double>(
+        Soonest, Soonest * (1 + ComeBackSpread) + UsualComeBack)(State.Random);
+  return {"Retry-After", std::to_string(Seconds)};
+}
+
 /// The answer that is held, as the upstream gave it.
 void forwarding::deliver() {
   leaveUpstream();
   if (Spare && Answer.Status >= 300)
     return goBack("answered without success");
+  if (Answer.NotRun && Answer.Status == 503)
+    Answer.Lines.push_back(comeBackLine());
   if (Caller)
     Caller->reply(Answer.Status, Answer.Reason, Answer.Lines, Answer.Body);
   over(Answer.Status < 400 ? "served" : "answered by the upstream",
@@ -290,9 +335,7 @@
       {"Content-Type", "application/json"},
       {"X-Olivevalve-Outcome", std::string(nameOf(Told.Outcome))}};
   if (Told.HttpStatus == 503)
-    Lines.push_back({"Retry-After", ComeBackAfter > 0
-                                        ? std::to_string(ComeBackAfter)
-                                        : std::string(RetryAfterSeconds)});
+    Lines.push_back(comeBackLine());
   if (Caller)
     Caller->reply(Told.HttpStatus, Told.Code, Lines, errorBody(Kind, Why));
   over(Why, Told.HttpStatus);
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -83,6 +83,7 @@
   std::string_view hallKind() const;
   bool takenIn(const selection &Selected);
   double refusalChanceAt(double Seconds) const;
+  void heardWishes(const platform::answer_facts &Wishes);
   void heardLoad(const platform::reported_load &Load);
   selection_request selectionAt(double Now) const;
   bool choosesModel() const;
@@ -105,6 +106,7 @@
   void promptRead();
   std::span<const prompt_piece> unkeptPieces() const;
   void passOn(std::string_view Bytes);
+  head_line comeBackLine();
   void deliver();
   void finish();
   void over(std::string_view Outcome, int Status);
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -50,7 +50,7 @@
   std::string_view Barred = State.Versions.barred(Service);
   candidates Found;
   for (const auto &Each : State.Upstreams.ofService(Service)) {
-    if (!Each->takesNew() || Each->Listed.Version == Barred)
+    if (!Each->takesNew(Request.Now) || Each->Listed.Version == Barred)
       continue;
     (Each->Listed.Version == Version ? Found.Wanted : Found.Others)
         .push_back(Each);
--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -39,7 +39,7 @@
       Stream(Loop, Upstream->Listed.Address), Reader(http_side::Answer),
       ConnectTimer(Loop, [this] { onEnd(true); }) {
   ++Upstream->Connections;
-  Stream.OnConnected = [this] { ConnectTimer.stop(); };
+  Stream.OnConnected = [this] { onConnected(); };
   Stream.OnBytes = [this](std::string_view Bytes) { receive(Bytes); };
   Stream.OnEnd = [this](bool Reset) { onEnd(Reset); };
   Reader.OnHead = [this] { onHead(); };
@@ -63,6 +63,13 @@
   Stream.write(Bytes);
 }
 
+// What it was opened for is sent only now.
+void upstream_connection::onConnected() {
+  ConnectTimer.stop();
+  if (User && !Upstream->takesNew(steadySeconds()))
+    broken(broken_at::Declined);
+}
+
 void upstream_connection::onHead() {
   const http_head &Head = Reader.head();
   if (Head.Status < 200)
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -19,6 +19,7 @@
 enum class broken_at : uint8_t {
   Connecting, ///< Nothing was sent: the request has not run.
   Refused,    ///< The same, and no process listens at the address.
+  Declined,   ///< The same: the upstream takes nothing new any more.
   Reused,     ///< Nothing came back on a connection that had rested.
   Waiting,    ///< Sent, no head of an answer yet: it may have run.
   Answering,  ///< In the middle of the answer.
@@ -69,6 +70,7 @@
   void setReading(bool On) { Stream.setReading(On); }
 
 private:
+  void onConnected();
   void receive(std::string_view Bytes);
   void onHead();
   void onEnd(bool Reset);
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -24,6 +24,8 @@
 // The platform's list tells an end after some 2 s, and gateways have it a
 // second later.
 constexpr double DoubtSeconds = 4;
+// What asks for more is absurd, and would be lost to its service.
+constexpr double LongestRest = 60;
 // Of a service. A gateway that is wrong about more would send all the others to
 // the rest.
 constexpr double MostDoubted = 0.5;
@@ -54,6 +56,10 @@
 
 void upstream::doubt(double Now) { DoubtedUntil = Now + DoubtSeconds; }
 
+void upstream::rest(double Seconds, double Now) {
+  RestsUntil = std::max(RestsUntil, Now + std::min(Seconds, LongestRest));
+}
+
 void upstream::answered() {
   Strikes = 0;
   DoubtedUntil = 0;
@@ -135,6 +141,20 @@
   return true;
 }
 
+double upstream_table::soonestRest(const std::string &Service,
+                                   double Now) const {
+  double Soonest = 0;
+  for (const auto &Each : ofService(Service)) {
+    if (Each->takesNew(Now))
+      return 0;
+    bool Rests = !Each->Gone && !Each->leaving();
+    double Seconds = Each->restsUntil() - Now;
+    if (Rests && (Soonest == 0 || Seconds < Soonest))
+      Soonest = Seconds;
+  }
+  return Soonest;
+}
+
 const std::vector<std::shared_ptr<upstream>> &
 upstream_table::ofService(const std::string &Service) const {
   static const std::vector<std::shared_ptr<upstream>> None;
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -56,9 +56,15 @@
   void failed(double Now);
   void answered();
   void leave() { Leaves = true; }
+  /// Wants no requests from this gateway for so long, up to a bound.
+  void rest(double Seconds, double Now);
+  /// When its rest is over; in the past: it does not rest.
+  double restsUntil() const { return RestsUntil; }
   /// Ends soon, as planned.
   bool leaving() const { return Leaves || Listed.Leaving; }
-  bool takesNew() const { return !Gone && !leaving(); }
+  bool takesNew(double Now) const {
+    return !Gone && !leaving() && Now >= RestsUntil;
+  }
 
 private:
   uint32_t Told = 0; ///< Requests that ran or waited.
@@ -67,6 +73,7 @@
   double SuspectUntil = 0;
   double UnprovenUntil = 0;
   double DoubtedUntil = 0;
+  double RestsUntil = 0;
   unsigned Strikes = 0;
   bool Leaves = false; ///< Said so itself, before the list did.
 };
@@ -91,6 +98,9 @@
   /// over until the list can tell. False where too many of its service are
   /// doubted in this way: then each gateway finds out for itself.
   bool doubt(uint64_t Place, double Now);
+  /// Seconds until the first of those that rest takes requests again; 0: one
+  /// takes them now, or none ever will.
+  double soonestRest(const std::string &Service, double Now) const;
   /// The software version most upstreams of the service had when it was seen
   /// first, or that was set since.
   const std::string &settledVersion(const std::string &Service) const;
--- a/tests/system/rest_test.cpp
+++ b/tests/system/rest_test.cpp
@@ -94,11 +94,16 @@
 
 BOOST_AUTO_TEST_CASE(that_all_rest_are_told_to_callers_at_once) {
   resting_world World(2);
-  for (auto &[Id, Replica] : World.Replicas)
-    World.refuse(*Replica, Id == "i-1" ? "3" : "30");
-  for (auto &[Id, Replica] : World.Replicas)
-    World.untilRefused(*Replica);
-  int Before = World.Replicas["i-1"]->arrivals();
+  replica &Soon = *World.Replicas["i-1"];
+  replica &Late = *World.Replicas["i-2"];
+  World.refuse(Soon, "3");
+  World.refuse(Late, "30");
+  int Others = Late.arrivals();
+  World.untilRefused(Soon);
+  World.until("the other has refused too", [&] {
+    return World.ask("/safe/x") == 503 && Late.arrivals() > Others;
+  });
+  int Before = Soon.arrivals();
   std::set<std::string> Advice;
   for (int I = 0; I < 5; ++I) {
     caller_answer Answer = World.request("/unsafe/x");
@@ -109,7 +114,7 @@
     BOOST_TEST(Seconds < 10);
     Advice.insert(Answer.header("retry-after"));
   }
-  BOOST_TEST(World.Replicas["i-1"]->arrivals() == Before);
+  BOOST_TEST(Soon.arrivals() == Before);
   BOOST_TEST(Advice.size() > 1U);
 }
 
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -538,7 +538,7 @@
   auto Left = Table.update({listed("i-1"), listed("i-3")});
   BOOST_REQUIRE(Left.size() == 1U);
   BOOST_TEST(Left[0]->Gone);
-  BOOST_TEST(!Left[0]->takesNew());
+  BOOST_TEST(!Left[0]->takesNew(0));
   BOOST_TEST(Table.all().at("i-1")->InFlight == 3U);
   // Every gateway has the upstreams in the same order.
   upstream_table Other;
@@ -559,7 +559,7 @@
   auto First = Table.all().at("i-0");
   BOOST_TEST(Table.doubt(First->Place, 10));
   BOOST_TEST(First->suspect(10.5));
-  BOOST_TEST(First->takesNew());
+  BOOST_TEST(First->takesNew(0));
   BOOST_TEST(!First->suspect(20));
   BOOST_TEST(Table.doubt(First->Place, 20));
   First->answered();
@@ -599,7 +599,7 @@
   BOOST_TEST((Left[0] == First));
   BOOST_TEST(First->Gone);
   auto Second = Table.all().at("i-1");
-  BOOST_TEST(Second->takesNew());
+  BOOST_TEST(Second->takesNew(0));
   BOOST_TEST(!Second->unproven(0.1));
   BOOST_TEST(Second->load(0.1) == 0);
   // Memory and told work go by the place.
@@ -610,13 +610,47 @@
   // A list from before changes nothing back, also where it says that it leaves.
   BOOST_TEST(Table.update({Started(1000, true)}).empty());
   BOOST_TEST((Table.all().at("i-1") == Second));
-  BOOST_TEST(Second->takesNew());
+  BOOST_TEST(Second->takesNew(0));
   // Gateways that hear of it first now agree on its place.
   upstream_table Other;
   Other.update({Started(2000)});
   BOOST_TEST(Other.all().at("i-1")->Place == Second->Place);
 }
 
+BOOST_AUTO_TEST_CASE(keeps_work_from_those_that_rest_until_their_time_is_over) {
+  upstream_table Table;
+  Table.update({listed("i-1"), listed("i-2")});
+  auto First = Table.all().at("i-1");
+  const std::string &Service = First->Listed.Service;
+  First->rest(3, 10);
+  First->rest(1, 11); // The longer one holds.
+  BOOST_TEST(!First->takesNew(12.9));
+  BOOST_TEST(First->takesNew(13));
+  BOOST_TEST_CONTEXT("and does not take them for failed") {
+    BOOST_TEST(!First->suspect(11));
+    BOOST_TEST(!First->unproven(11));
+  }
+  BOOST_TEST_CONTEXT("nor loses them to an absurd time") {
+    First->rest(31536000, 20);
+    BOOST_TEST(!First->takesNew(21));
+    BOOST_TEST(First->takesNew(20 + 60));
+  }
+  BOOST_TEST_CONTEXT("and knows when the first takes work again") {
+    BOOST_TEST(Table.soonestRest(Service, 30) == 0);
+    auto Second = Table.all().at("i-2");
+    Second->rest(5, 30);
+    BOOST_TEST(Table.soonestRest(Service, 31) == 4);
+    Second->leave();
+    BOOST_TEST(Table.soonestRest(Service, 31) == 49);
+    First->leave();
+    BOOST_TEST(Table.soonestRest(Service, 31) == 0);
+  }
+  BOOST_TEST_CONTEXT("also those that a later list names again") {
+    Table.update({listed("i-1"), listed("i-2")});
+    BOOST_TEST(Table.all().at("i-1")->leaving());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(corrects_a_told_load_by_its_own_requests_since) {
   upstream Upstream;
   Upstream.InFlight = 2;
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -210,6 +210,48 @@
   BOOST_TEST(!Facts("HTTP/1.1 200 OK\r\nX-Server-Load: 3,x\r\n\r\n").Load);
 }
 
+BOOST_AUTO_TEST_CASE(tell_what_the_upstream_wants_from_now_on) {
+  auto Facts = [](const std::string &Start, const std::string &Lines) {
+    read_message Message(http_side::Answer);
+    Message.Reader.feed("HTTP/1.1 " + Start + "\r\n" + Lines +
+                        "Content-Length: 0\r\n\r\n");
+    return platform::readAnswer(Message.Reader.head());
+  };
+  struct rest_case {
+    std::string Lines;
+    double Seconds; ///< -1: none.
+    std::string Odd;
+  };
+  const rest_case Cases[] = {
+      {"", -1, ""},
+      {"Retry-After: 3\r\n", 3, ""},
+      {"retry-after: 0.25\r\n", 0.25, ""},
+      {"Retry-After: 0\r\n", 0, ""},
+      {"Retry-After: 2\r\nRetry-After: 5\r\nRetry-After: 1\r\n", 5, ""},
+      {"Retry-After: 2\r\nRetry-After: x\r\n", 2, "x"},
+      {"Retry-After: 31536000\r\n", 31536000, ""},
+      {"Retry-After: -1\r\n", -1, "-1"},
+      {"Retry-After: nan\r\n", -1, "nan"},
+      {"Retry-After: inf\r\n", -1, "inf"},
+      {"Retry-After: 1e999\r\n", -1, "1e999"},
+      {"Retry-After: 3 s\r\n", -1, "3 s"},
+      {"Retry-After: Fri, 04 Dec 2026 08:00:00 GMT\r\n", -1,
+       "Fri, 04 Dec 2026 08:00:00 GMT"},
+  };
+  for (const rest_case &Case : Cases)
+    BOOST_TEST_CONTEXT(Case.Lines) {
+      auto Told = Facts("503 Busy", Case.Lines);
+      BOOST_TEST(Told.RestSeconds.value_or(-1) == Case.Seconds);
+      BOOST_TEST(Told.OddRest == Case.Odd);
+    }
+  BOOST_TEST(!Facts("200 OK", "Retry-After: 3\r\n").RestSeconds);
+  BOOST_TEST(!Facts("421 Other", "Retry-After: 3\r\n").RestSeconds);
+  BOOST_TEST(Facts("200 OK", "Server-Leaving: 1\r\n").Leaving);
+  BOOST_TEST(Facts("503 Busy", "server-leaving: 1\r\n").Leaving);
+  BOOST_TEST(!Facts("200 OK", "Server-Leaving: 0\r\n").Leaving);
+  BOOST_TEST(!Facts("421 Other", "Server-Leaving: 1\r\n").Leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(list_of_upstreams)
