Requests under way look at the clock when their gateway wakes

Cause: timers of the loop count on a clock that stands still while a VM is suspended: a request whose time was over would be ended that much later. Not reproduced: no test here can suspend a VM; with a stopped process (SIGSTOP) that clock runs on, and timers fire as they do now (suite pauses, green before and after). Conclusion: the deadline and the silence of what is under way are looked at anew on waking.

--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -62,6 +62,11 @@
   return Route ? attempt() : start();
 }
 
+void forwarding::woke() {
+  if (HeldFor.empty() && Upstream)
+    armTimer();
+}
+
 void forwarding::start() {
   if (Host.holds(*this))
     return;
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -59,6 +59,8 @@
   /// a part of the time that the caller has. Then it ends, told \p Why.
   void hold(double Seconds, std::string_view Why);
   void resume();
+  /// This process stood still: timers may not have counted that time.
+  void woke();
   /// Answers it without a try.
   void refuse(error_kind Kind, std::string_view Why) { giveUp(Kind, Why); }
   /// Ends it now: the process is about to stop.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -219,6 +219,10 @@
 void gateway_task::woke(double Seconds) {
   WokeAt = steadySeconds();
   UncheckedTimer.startOnce(UncheckedSeconds);
+  // The clock of timers stands still while a VM is suspended, steadySeconds()
+  // does not.
+  for (auto &[Raw, Request] : Requests)
+    Raw->woke();
   logLine(log_level::Warning, "this process stood still",
           {{"seconds", Seconds},
            {"list_age_s", WokeAt - ListHadAt},
