Entries and sidecars know requests that end their engines

Cause: the same as at gateways: an entry sent elsewhere what an engine ended under, and nothing was remembered of it. Mend: what gateways had is a package of its own now (quarantine/): names of requests, ends of upstreams, reports. A sidecar finds out whether its engine has ended under an attempt, tells control with its renewal, refuses what is quarantined; an entry refuses it before it chooses. Control takes reports of gateways and sidecars alike. The unit case of planned ends has become a case on real processes (are_not_those_that_leaving_upstreams_cut), as the check moved.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -121,6 +121,7 @@
   if (!leads(Now))
     return redirect(Peer);
   Nodes.renewed(Peer, Renew, Now);
+  hearCrashes(Renew.crashes(), Now);
   if (Renew.stopping())
     Nodes.left(Peer);
   else
@@ -137,6 +138,8 @@
   Grant->set_lease_seconds(LeaseSeconds);
   if (Renew.config_index() != State.config().index())
     State.config().fillDelta(Renew.config_index(), *Grant->mutable_delta());
+  fillQuarantine(Renew.crashes().quarantine_revision(),
+                 *Grant->mutable_quarantine());
   if (Renew.role() == "entry") {
     Grant->set_entries(Nodes.entries(Now));
     for (wire::account_share &Share : Nodes.sharesOf(Peer, Now))
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -73,7 +73,9 @@
   void countParts(const wire::notice &Notice);
   void tellGateways();
   void pushNotices();
+  void hearCrashes(const wire::crash_news &News, double Now);
   void keepQuarantine(double Now);
+  void fillQuarantine(uint64_t Held, wire::quarantine_news &News) const;
   void noteLeadership();
   void tick();
   void guardVersions(double Now);
--- a/control/gateway_news.cpp
+++ b/control/gateway_news.cpp
@@ -24,12 +24,29 @@
 void control_task::onWatch(const std::string &Peer, const wire::watch &Watch) {
   double Now = steadySeconds();
   Gateways.watched(Peer, Watch, Now);
-  Quarantine.heard(Watch, Now);
+  hearCrashes(Watch.crashes(), Now);
   sendNotice(Peer);
-  if (Watch.crashes_size() + Watch.answered_size() > 0 && leads(Now))
+}
+
+void control_task::hearCrashes(const wire::crash_news &News, double Now) {
+  if (News.crashes_size() + News.answered_size() == 0)
+    return;
+  Quarantine.heard(News, Now);
+  if (leads(Now))
     keepQuarantine(Now);
 }
 
+// Nothing where the receiver holds it already.
+void control_task::fillQuarantine(uint64_t Held,
+                                  wire::quarantine_news &News) const {
+  const quarantine_book &Book = Log->state().quarantine();
+  if (Book.revision() <= Held)
+    return;
+  News.set_revision(Book.revision());
+  for (const wire::quarantined_request &Each : Book.all())
+    *News.add_requests() = Each;
+}
+
 void control_task::keepQuarantine(double Now) {
   for (wire::quarantine_change &Change :
        Quarantine.changes(Log->state().quarantine(), Now)) {
@@ -110,11 +127,7 @@
   if (State.rollouts().revision() > Gateway.RolloutsRevision)
     for (const auto &[Service, Rollout] : State.rollouts().all())
       *Notice->add_rollouts() = Rollout;
-  const quarantine_book &Quarantined = State.quarantine();
-  Notice->set_quarantine_revision(Quarantined.revision());
-  if (Quarantined.revision() > Gateway.QuarantineRevision)
-    for (const wire::quarantined_request &Each : Quarantined.all())
-      *Notice->add_quarantined() = Each;
+  fillQuarantine(Gateway.QuarantineRevision, *Notice->mutable_quarantine());
   for (const wire::member &Member : Core.members().members()) {
     wire::control_vm *Vm = Notice->add_control_vms();
     Vm->set_id(Member.id());
--- a/control/quarantine_keeper.cpp
+++ b/control/quarantine_keeper.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-void quarantine_keeper::heard(const wire::watch &Watch, double Now) {
-  for (const wire::request_name &Name : Watch.answered())
+void quarantine_keeper::heard(const wire::crash_news &News, double Now) {
+  for (const wire::request_name &Name : News.answered())
     Evidence.answered(digestOf(Name), Now);
-  for (const wire::crash_report &Report : Watch.crashes())
+  for (const wire::crash_report &Report : News.crashes())
     Evidence.ended(
         {.Request = digestOf(Report.request()), .Upstream = Report.upstream()},
         Now);
--- a/control/quarantine_keeper.h
+++ b/control/quarantine_keeper.h
@@ -1,6 +1,6 @@
 //===- quarantine_keeper.h - Decides which requests to quarantine -*- C++ -*-//
 //
-// Puts together what gateways tell of requests that upstreams ended under, and
+// Puts together what processes tell of requests that upstreams ended under, and
 // proposes what the replicated book should take in and let go. A VM that comes
 // to lead hears it all again. Pure: times are passed in.
 //
@@ -21,7 +21,7 @@
   /// Requests are let go after so long: upstreams may have been mended.
   static constexpr double MostSeconds = 3600;
 
-  void heard(const wire::watch &Watch, double Now);
+  void heard(const wire::crash_news &News, double Now);
   /// Changes of \p Book that are due and were not proposed just now.
   std::vector<wire::quarantine_change> changes(const quarantine_book &Book,
                                                double Now);
--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -65,9 +65,11 @@
           [this](const std::string &Upstream) { onLost(Upstream); }),
       Rater(Control, Loop, Options.RatingUrl,
             Options.Node + "/" + hexOf(Incarnation)),
-      Sessions(Control), Context{Incarnation, Control,    Pool,    Rater,
-                                 Sessions,    Outbox,     Metrics, Estimates,
-                                 Prepared,    Allowances, Retries, Random},
+      Sessions(Control),
+      Crashes(Metrics), Context{Incarnation, Control,    Pool,    Rater,
+                                Sessions,    Outbox,     Metrics, Estimates,
+                                Prepared,    Allowances, Retries, Random,
+                                Crashes},
       Server(Loop, limitsOf(Options),
              [this](const exchange &Exchange) { handle(Exchange); }),
       Timer(Loop, [this] { tick(); }) {
@@ -78,6 +80,7 @@
   Control.OnRenew = [this](wire::renew &Renew) {
     Renew.set_estimates_index(EstimatesIndex);
     Renew.set_open_requests(uint32_t(Tasks.size()));
+    Crashes.fill(*Renew.mutable_crashes(), Renew.sent_at());
     double Now = steadySeconds();
     for (const auto &[Account, Use] : Uses) {
       double Rate = Use.Meter.perSecond(Now);
@@ -94,6 +97,7 @@
 void entry_task::onGrant(const wire::grant &Grant) {
   if (EntryCount.update(Control.entries(), steadySeconds()))
     Pool.configure(Control.config(), EntryCount.value());
+  Crashes.hear(Grant.quarantine());
   if (!Grant.has_estimates())
     return;
   Allowances.clear();
@@ -164,6 +168,11 @@
   Facts.Account = Account.Name;
   Facts.Method = Exchange.method();
   Facts.Path = Exchange.path();
+  Facts.Identity = identityOf({.Account = Account.Name,
+                               .Method = Exchange.method(),
+                               .Host = "",
+                               .Target = Exchange.path(),
+                               .Body = Exchange.body()});
   Facts.ContentType = Exchange.header("Content-Type");
   Facts.Key = Exchange.header("Idempotency-Key");
   Facts.Session = Exchange.header("X-Session");
--- a/entry/entry_task.h
+++ b/entry/entry_task.h
@@ -80,6 +80,7 @@
   uint64_t EstimatesIndex = 0;
   std::map<version_name, double> Allowances;
   retry_budget Retries;
+  crash_reports Crashes; ///< Only what control has quarantined.
   entry_context Context;
   std::map<uint64_t, std::shared_ptr<request_task>> Tasks;
   std::map<std::string, account_use> Uses;
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -59,6 +59,10 @@
 //===----------------------------------------------------------------------===//
 
 void request_task::sendAttempt(const std::string &Chosen) {
+  if (Context.Crashes.refuses(Facts.Identity)) {
+    freeClaim();
+    return refuse(error_kind::Quarantined, "upstreams end under this request");
+  }
   Upstream = Chosen;
   if (Upstream.empty())
     Upstream = Context.Pool.choose(need(Version), Context.Control.config(),
@@ -104,6 +108,7 @@
   Attempt->set_credits(FirstCredits);
   Attempt->set_repeatable(!claimed());
   Attempt->set_idempotency_key(Facts.Key);
+  fillName(Facts.Identity, *Attempt->mutable_request());
   if (!Facts.isChat()) {
     Attempt->set_body(Facts.Body);
     return Message;
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -20,6 +20,8 @@
 #include "net/http_server.h"
 #include "policy/limits.h"
 #include "policy/version_choice.h"
+#include "quarantine/crash_reports.h"
+#include "quarantine/request_identity.h"
 #include "wire/attempt_key.h"
 #include <memory>
 #include <set>
@@ -40,6 +42,7 @@
   std::map<version_name, double> &Allowances; ///< Of rolling versions.
   retry_budget &Retries;
   std::mt19937_64 &Random;
+  crash_reports &Crashes;
 };
 
 /// What the entry found out before the request began.
@@ -59,6 +62,7 @@
   double QualityTarget = 0.8;
   uint32_t Priority = 1;
   std::string Session;
+  short_digest Identity{}; ///< The same for each try by its caller.
   std::string Key; ///< Idempotency-Key; under one the request runs once.
   double Arrived = 0;
   double Deadline = 0;
--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -53,7 +53,7 @@
   double Now = steadySeconds();
   HeardAt = HeadAt = Now;
   if (!AnswerFacts.OtherIncarnation)
-    State.Crashes->answers(*Upstream, SentAt);
+    State.Crashes->answers(Upstream->Place, SentAt);
   heardWishes(AnswerFacts);
   if (AnswerFacts.Load)
     heardLoad(*AnswerFacts.Load);
@@ -225,14 +225,14 @@
   if (!Answer.NotRun)
     Upstream->answered();
   if (AnswerIsEvents) {
-    State.Crashes->answered(Identity);
+    State.Reports->answered(Identity);
     passOn(Events.takeRest());
     return finish();
   }
   if (Answer.NotRun) {
     if (OtherIncarnation) {
       Upstream->leave();
-      State.Crashes->ended(*Upstream, "another has its address");
+      State.Crashes->ended(watched(*Upstream), "another has its address");
       State.Peers->ended(*Upstream);
       --Attempts; // The one that was meant has ended.
       Answer = {};
@@ -244,7 +244,7 @@
   countAnswer(Failed);
   MayHaveRun = true;
   if (Answer.Status < 300)
-    State.Crashes->answered(Identity);
+    State.Reports->answered(Identity);
   if (Failed && Route->repeatable()) {
     leaveUpstream();
     return again(true, "failed at the upstream");
@@ -279,10 +279,10 @@
              {"others_there", int64_t(Upstream->InFlight) - 1}});
   if (Where == broken_at::Refused) {
     Upstream->doubt(steadySeconds());
-    State.Crashes->ended(*Upstream, "connection refused");
+    State.Crashes->ended(watched(*Upstream), "connection refused");
     State.Peers->ended(*Upstream);
   } else if (Sent && Where != broken_at::Garbled) {
-    State.Crashes->brokeOff(Upstream, Identity);
+    brokenOff();
   }
   // The head of a broken answer is none.
   if (!HeadSent)
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -83,7 +83,12 @@
     return giveUp(error_kind::Unauthorized, "the key is missing or not known");
   double Deadline = Facts.DeadlineSeconds.value_or(NoDeadline);
   EndsAt = BegunAt + std::min(Deadline, Route->TimeoutSeconds);
-  Identity = identityOf(Head, Body, Account ? Account->Name : "");
+  Identity =
+      identityOf({.Account = Account ? std::string_view(Account->Name) : "",
+                  .Method = Head.Method,
+                  .Host = Host ? std::string_view(*Host) : "",
+                  .Target = Head.Target,
+                  .Body = Body});
   Service = pickService();
   State.Retries.try_emplace(Service, State.RetryBounds, State.Gateways)
       .first->second.requestSeen(BegunAt);
@@ -189,7 +194,7 @@
     return onTimer();
   if (Host.holds(*this))
     return;
-  if (State.Crashes->refuses(Identity)) {
+  if (State.Reports->refuses(Identity)) {
     ComeBackAfter = QuarantineSeconds;
     return conclude("upstreams end under this request",
                     error_kind::Quarantined);
@@ -204,7 +209,7 @@
   Upstream = std::move(Selected.Upstream);
   // What an upstream may have ended under is sent to none that has ended too:
   // it would seem to have ended that one as well.
-  bool Suspect = BrokenOff || State.Crashes->suspects(Identity);
+  bool Suspect = BrokenOff || State.Reports->suspects(Identity);
   Connection = Host.acquire(Upstream, Suspect ? connection_kind::New
                                               : connection_kind::Any);
   Tried.insert(Upstream->Listed.Id);
@@ -410,7 +415,13 @@
   BrokenOff = true;
   bool LivedWhenSent = Connection->fresh() || HeardAt > SentAt;
   if (LivedWhenSent)
-    State.Crashes->brokeOff(Upstream, Identity);
+    brokenOff();
+}
+
+// One that was leaving ends as planned, with whatever it still has.
+void forwarding::brokenOff() {
+  if (!Upstream->leaving())
+    State.Crashes->brokeOff(watched(*Upstream), Identity);
 }
 
 void forwarding::leaveUpstream() {
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -12,12 +12,12 @@
 #include "base/error.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_state.h"
-#include "gateway/request_identity.h"
 #include "gateway/selection.h"
 #include "gateway/spare_answer.h"
 #include "gateway/upstream_connection.h"
 #include "net/caller_connection.h"
 #include "policy/model_choice.h"
+#include "quarantine/request_identity.h"
 #include <set>
 #include <span>
 
@@ -103,6 +103,7 @@
   double patience() const;
   double spareDueAt() const;
   void armTimer();
+  void brokenOff();
   void noteSilence();
   void leaveUpstream();
   void promptRead();
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -5,7 +5,6 @@
 
 #include "base/metrics.h"
 #include "catalog/routing.h"
-#include "gateway/crash_watch.h"
 #include "gateway/peer_work.h"
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
@@ -15,6 +14,7 @@
 #include "policy/prompt_memory.h"
 #include "policy/prompt_pace.h"
 #include "policy/retry_share.h"
+#include "quarantine/crash_watch.h"
 #include <map>
 #include <memory>
 #include <random>
@@ -22,6 +22,12 @@
 
 namespace olivevalve {
 
+inline watched_upstream watched(const upstream &Upstream) {
+  return {.Place = Upstream.Place,
+          .Name = Upstream.Listed.Id,
+          .Address = Upstream.Listed.Address};
+}
+
 struct gateway_state {
   struct ev_loop *Loop = nullptr;
   metrics *Metrics = nullptr;
@@ -30,6 +36,7 @@
   std::shared_ptr<const routing_table> Routing; ///< Null: not known yet.
                                                 ///< Changes in place.
   upstream_table Upstreams;
+  crash_reports *Reports = nullptr;
   crash_watch *Crashes = nullptr;
   peer_work *Peers = nullptr; ///< What the other gateways have under way.
   software_versions Versions;
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -51,7 +51,8 @@
 gateway_task::gateway_task(link_context &Context, struct ev_loop *Loop,
                            metrics &Metrics, gateway_options NewOptions)
     : Loop(Loop), Options(std::move(NewOptions)),
-      Incarnation(randomIncarnation()), Crashes(Loop, Metrics),
+      Incarnation(randomIncarnation()), Reports(Metrics),
+      Crashes(Loop, Metrics, Reports),
       Peers(Loop, State.Upstreams,
             {.Incarnation = Incarnation, .Address = Options.NewsAddress}),
       Listener(Loop, [this](int Socket) { Callers.take(Socket); }),
@@ -78,14 +79,22 @@
   ListRetry = ListRetrySeconds;
   State.RetryBounds = Options.Retries;
   State.Peers = &Peers;
+  State.Reports = &Reports;
   State.Crashes = &Crashes;
-  Crashes.OnEnded = [this](upstream &Upstream) {
-    Upstream.doubt(steadySeconds());
-    Peers.ended(Upstream);
+  Crashes.OnEnded = [this](const watched_upstream &Ended) {
+    auto Upstream = State.Upstreams.at(Ended.Place);
+    if (!Upstream)
+      return;
+    Upstream->doubt(steadySeconds());
+    Peers.ended(*Upstream);
+  };
+  Reports.OnReport = [this] { Peers.hasNews(); };
+  Peers.OnTell = [this](wire::work_news &News) {
+    Reports.fillNew(*News.mutable_crashes());
+  };
+  Peers.OnNews = [this](const wire::work_news &News) {
+    Reports.hear(News.crashes());
   };
-  Crashes.OnReport = [this] { Peers.hasNews(); };
-  Peers.OnTell = [this](wire::work_news &News) { Crashes.fill(News); };
-  Peers.OnNews = [this](const wire::work_news &News) { Crashes.hear(News); };
   State.Random.seed(randomIncarnation());
   State.Pins.setLifetime(Options.SessionSeconds * SessionMargin);
   Watch.OnAsk = [this](wire::watch &Ask) {
@@ -96,7 +105,7 @@
     State.Versions.fillTallies(Ask);
     for (uint64_t Key : State.Pins.takeUntold())
       Ask.add_staying(Key);
-    Crashes.fill(Ask);
+    Reports.fill(*Ask.mutable_crashes(), Ask.sent_at());
   };
   Watch.OnRouting = [this](const std::shared_ptr<routing_table> &Routing) {
     takeRouting(Routing);
@@ -110,7 +119,10 @@
                {"stage", wire::rollout_stage_Name(Rollout.stage())}});
   };
   Watch.OnQuarantine = [this](const wire::notice &Notice) {
-    Crashes.hear(Notice);
+    bool FromLeader = Notice.gateways_revision() > 0;
+    if (FromLeader)
+      Reports.acknowledged(Notice.watch_sent_at(), Notice.leader());
+    Reports.hear(Notice.quarantine());
   };
   Watch.OnStaying = [this](uint64_t Key) {
     State.Pins.heardStaying(Key, steadySeconds());
@@ -131,7 +143,7 @@
     bool Doubted = State.Upstreams.doubt(Place, steadySeconds());
     State.Metrics->count("told_ended", Doubted ? "passed over" : "not heeded");
     if (auto Upstream = State.Upstreams.at(Place))
-      Crashes.ended(*Upstream, "told by another gateway");
+      Crashes.ended(watched(*Upstream), "told by another gateway");
   };
   Watch.OnUpstreams = [this](double Age, const wire::notice &Notice) {
     hearList(Age, Notice);
@@ -394,7 +406,7 @@
   for (const auto &Upstream : Left) {
     State.Memory.forget(Upstream->Place);
     if (!Upstream->leaving())
-      Crashes.ended(*Upstream, "not listed any more");
+      Crashes.ended(watched(*Upstream), "not listed any more");
     for (upstream_connection *Idle : std::vector(Upstream->Idle))
       Idle->drop();
   }
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -86,6 +86,7 @@
   gateway_options Options;
   uint64_t Incarnation;
   gateway_state State;
+  crash_reports Reports;
   crash_watch Crashes;
   peer_work Peers;
   tcp_listener Listener;
--- a/gateway/spare_answer.cpp
+++ b/gateway/spare_answer.cpp
@@ -49,7 +49,7 @@
 void spare_answer::onAnswerEnd() {
   Parts.Connection = nullptr; // Free again, or closed.
   Parts.Upstream->answered();
-  State.Crashes->answered(Parts.Request);
+  State.Reports->answered(Parts.Request);
   Bytes.append(Parts.Events.takeRest());
   Whole = true;
   release();
@@ -57,8 +57,8 @@
 
 void spare_answer::onBroken(broken_at Where) {
   Parts.Connection = nullptr;
-  if (Where != broken_at::Garbled)
-    State.Crashes->brokeOff(Parts.Upstream, Parts.Request);
+  if (Where != broken_at::Garbled && !Parts.Upstream->leaving())
+    State.Crashes->brokeOff(watched(*Parts.Upstream), Parts.Request);
   release();
 }
 
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -31,7 +31,6 @@
 struct upstream {
   platform::listed_upstream Listed;
   bool Gone = false;  ///< Not listed any more.
-  bool Ended = false; ///< By what it told itself, and nothing heard since.
   uint64_t Place = 0; ///< In the order of the service, alike everywhere.
   uint32_t InFlight = 0;
   double PromptSeconds = 0; ///< Of its time, for own prompts not read yet.
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -39,7 +39,7 @@
   std::function<void(const wire::notice &)> OnRollouts;
   /// A session that no canary must take over, as another gateway told.
   std::function<void(uint64_t Key)> OnStaying;
-  /// Which requests are to go to no upstream, whenever that has changed.
+  /// What a control VM knows of requests that are to go to no upstream.
   std::function<void(const wire::notice &)> OnQuarantine;
   /// How many gateways there are, whenever that has changed.
   std::function<void(uint32_t Count)> OnGateways;
--- a/gateway/end_probe.cpp
+++ b/quarantine/end_probe.cpp
@@ -1,6 +1,6 @@
 //===- end_probe.cpp - Whether anything listens at an address -------------===//
 
-#include "gateway/end_probe.h"
+#include "quarantine/end_probe.h"
 #include <utility>
 
 namespace olivevalve {
--- a/gateway/end_probe.h
+++ b/quarantine/end_probe.h
@@ -1,7 +1,7 @@
 //===- end_probe.h - Whether anything listens at an address -----*- C++ -*-===//
 
-#ifndef OLIVEVALVE_GATEWAY_END_PROBE_H
-#define OLIVEVALVE_GATEWAY_END_PROBE_H
+#ifndef OLIVEVALVE_QUARANTINE_END_PROBE_H
+#define OLIVEVALVE_QUARANTINE_END_PROBE_H
 
 #include "net/tcp_stream.h"
 #include <optional>
@@ -34,4 +34,4 @@
 
 } // namespace olivevalve
 
-#endif // OLIVEVALVE_GATEWAY_END_PROBE_H
+#endif // OLIVEVALVE_QUARANTINE_END_PROBE_H
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -2,6 +2,7 @@
 
 #include "sidecar/sidecar_task.h"
 #include "base/clock.h"
+#include "base/digest.h"
 #include "base/error.h"
 #include "base/fields.h"
 #include "base/log.h"
@@ -26,6 +27,8 @@
 constexpr double LongestWait = 10;
 // The sidecar's copy of a bill waits for the entry's to be counted first.
 constexpr double BillHoldSeconds = 3;
+// Only a leader grants; which one it is makes no difference.
+constexpr uint64_t SomeLeader = 1;
 
 } // namespace
 
@@ -44,8 +47,8 @@
                .DataHall = Options.DataHall,
                .Control = Options.Control}),
       Outbox(Control, Loop, BillHoldSeconds), Http(Loop),
-      Loader(Http, Options.EngineUrl), Queue(QueueLength),
-      Timer(Loop, [this] { tick(); }) {
+      Loader(Http, Options.EngineUrl), Queue(QueueLength), Reports(Metrics),
+      Crashes(Loop, Metrics, Reports), Timer(Loop, [this] { tick(); }) {
   Control.OnRenew = [this](wire::renew &Renew) {
     wire::news &News = *Renew.mutable_upstream_news();
     News = makeNews();
@@ -53,6 +56,15 @@
     News.set_engine_load(EngineLoad.CacheInUse);
     News.set_engine_load_age(steadySeconds() - EngineLoad.At);
     fillVersionLoads(Renew);
+    Reports.fill(*Renew.mutable_crashes(), Renew.sent_at());
+  };
+  Control.OnGrant = [this](const wire::grant &Grant) {
+    Reports.acknowledged(Grant.sent_at(), SomeLeader);
+    Reports.hear(Grant.quarantine());
+  };
+  Reports.OnReport = [this] { HasCrashReport = true; };
+  Crashes.OnEnded = [this](const watched_upstream &) {
+    EngineEndedAt = steadySeconds();
   };
   Control.OnConfig = [this] { sendNews(); };
   Loader.OnChanged = [this] { sendNews(); };
@@ -113,6 +125,9 @@
 }
 
 absl::Status sidecar_task::check(const wire::attempt &Attempt) const {
+  if (Reports.refuses(digestOf(Attempt.request())))
+    return makeError(error_kind::Quarantined,
+                     "upstreams end under this request");
   return admit(Attempt,
                {.Upstream = Options.Upstream,
                 .Incarnation = Incarnation,
@@ -360,6 +375,7 @@
     forget(Ticket, attempt_progress::NotStarted);
     return startNext();
   }
+  noteEngine(*Work, Result.Error.empty());
   bool Failed = !Result.Error.empty() || (isEngine() && Result.Status >= 500);
   error_kind Kind = Failed ? error_kind::EngineFailed : error_kind::None;
   std::string Message = Result.Error;
@@ -374,6 +390,29 @@
   startNext();
 }
 
+watched_upstream sidecar_task::engine() const {
+  size_t Host = Options.EngineUrl.find("//");
+  return {.Place = checksum(Options.Upstream, Incarnation + EngineStart),
+          .Name = Options.Upstream,
+          .Address = Options.EngineUrl.substr(
+              Host == std::string::npos ? 0 : Host + 2)};
+}
+
+// What an attempt says of the engine that ran it, by how it is over.
+void sidecar_task::noteEngine(const running_attempt &Work, bool Answered) {
+  bool StartedAgain = EngineEndedAt > 0 && Work.Started > EngineEndedAt;
+  if (StartedAgain) {
+    ++EngineStart;
+    EngineEndedAt = 0;
+  }
+  short_digest Request = digestOf(Work.Attempt.request());
+  if (!Answered)
+    return Crashes.brokeOff(engine(), Request);
+  Crashes.answers(engine().Place, Work.Started);
+  if (Work.Status < 300)
+    Reports.answered(Request);
+}
+
 void sidecar_task::sendEnd(const running_attempt &Work, error_kind Kind,
                            std::string_view Message) {
   wire::envelope Envelope;
@@ -488,6 +527,8 @@
     return Now > Entry.second + EntryForgetSeconds;
   });
   settleForLostEntries(Now);
+  if (std::exchange(HasCrashReport, false))
+    Control.renewNow();
   if (Now < NextLook)
     return;
   NextLook = Now + LookSeconds;
--- a/sidecar/sidecar_task.h
+++ b/sidecar/sidecar_task.h
@@ -15,6 +15,7 @@
 #include "net/http_client.h"
 #include "policy/replica_choice.h"
 #include "policy/work_queue.h"
+#include "quarantine/crash_watch.h"
 #include "sidecar/attempt_table.h"
 #include "sidecar/engine.h"
 #include "sidecar/version_loader.h"
@@ -111,6 +112,8 @@
   void fillVersionLoads(wire::renew &Renew) const;
   void orderVersions();
   absl::Status check(const wire::attempt &Attempt) const;
+  watched_upstream engine() const;
+  void noteEngine(const running_attempt &Work, bool Answered);
 
   metrics &Metrics;
   sidecar_options Options;
@@ -129,6 +132,11 @@
   std::map<std::string, double> Entries; ///< Peers that want news, since when.
   uint64_t NextTicket = 1;
   int64_t Running = 0;
+  crash_reports Reports;
+  crash_watch Crashes;
+  uint64_t EngineStart = 0;    ///< Counts those that this process has seen.
+  double EngineEndedAt = 0;    ///< 0: not since it started last.
+  bool HasCrashReport = false; ///< That control is to be told soon.
   engine_load EngineLoad;
   bool LoadPending = false;
   bool Stopping = false;
--- a/tests/stand_in.cpp
+++ b/tests/stand_in.cpp
@@ -87,6 +87,10 @@
   }
   ++Started;
   ++Runs[Model];
+  if (directive(Prompt, "crash", 0) > 0) {
+    Crashes = true;
+    return; // Without an answer.
+  }
   auto Fails = Failing.find(Model);
   int Status = int(directive(Prompt, "fail", 0));
   if (Fails != Failing.end())
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -6,7 +6,8 @@
 //
 // A prompt may steer the engine: "tokens=40", "gap=5" (ms between tokens),
 // "first=20" (ms), "fail=500", "cut=3" (breaks off after so many tokens),
-// "pad=1000" (bytes more in each token of a stream).
+// "pad=1000" (bytes more in each token of a stream), "crash=1" (the engine is
+// to end at once: whoever owns it does so).
 //
 //===----------------------------------------------------------------------===//
 
@@ -34,6 +35,8 @@
   stand_in(struct ev_loop *Loop, stand_in_options Options);
   bool bind() { return Server.bind(Options.Address); }
   std::string address() const { return Server.address(); }
+  /// A request came that it does not survive.
+  bool crashes() const { return Crashes; }
 
 private:
   using exchange = std::shared_ptr<http_exchange>;
@@ -81,6 +84,7 @@
   uint64_t Rated = 0;
   uint64_t Taken = 0; ///< Chunks of streams that the sidecar has read.
   bool RatingsOff = false;
+  bool Crashes = false;
   /// Set by the first order of versions: only these are served then.
   bool Managed = false;
   uint64_t Fence = 0;
--- a/tests/system/crashes_test.cpp
+++ b/tests/system/crashes_test.cpp
@@ -241,6 +241,29 @@
     BOOST_TEST(Each->Status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(are_not_those_that_leaving_upstreams_cut) {
+  crashing_world World(1, 1);
+  const std::string Long = "/unsafe/long?late=2500";
+  for (int Round = 0; Round <= EndsAllowed; ++Round) {
+    auto Cut = World.beginAt(Long);
+    std::string Id = "i-" + std::to_string(Round + 1);
+    replica &Leaving = *World.Replicas[Id];
+    World.until("it runs", [&] { return Leaving.runs() > 0; });
+    World.List->put(Leaving, Leaving.address(), "draining");
+    World.addUpstream();
+    World.until("another one serves", [&] {
+      int Before = Leaving.arrivals();
+      return World.ask("/safe/x").Status == 200 && Leaving.arrivals() == Before;
+    });
+    World.run(1); // The gateway has the list.
+    Leaving.crash();
+    World.until("the answer", [&] { return Cut->Done; });
+    BOOST_TEST(Cut->Status != 200);
+  }
+  World.run(SpreadSeconds);
+  BOOST_TEST(World.ask(Long).Status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(are_not_those_that_living_upstreams_broke_off) {
   crashing_world World(6, 1);
   for (const char *How : {"reset", "cut", "garble"}) {
@@ -259,4 +282,47 @@
   }
 }
 
+// The other way through the product: entries, and a sidecar beside each engine.
+BOOST_AUTO_TEST_CASE(end_no_more_engines_behind_sidecars_either) {
+  world World;
+  World.startUsual();
+  int Ends = 0;
+  auto Ask = [&](const std::string &Entry, const std::string &Prompt) {
+    int Before = Ends;
+    auto Answer = World.begin(
+        World.Entries[Entry]->Address.text(),
+        {.Body = chatBody("plan", Prompt), .Headers = {"X-Deadline-Ms: 5000"}});
+    World.until("an answer", [&] {
+      for (auto &[Name, Sidecar] : World.Sidecars)
+        if (Sidecar->Engine->crashes()) {
+          ++Ends;
+          std::string Address = Sidecar->Engine->address();
+          Sidecar->Engine.reset();
+          World.run(0.3);
+          Sidecar->Engine = std::make_unique<stand_in>(
+              World.Loop, stand_in_options{.Address = Address});
+          BOOST_REQUIRE(Sidecar->Engine->bind());
+        }
+      return Answer->Done;
+    });
+    // It has run where an engine ended under it.
+    if (Ends > Before)
+      BOOST_TEST(Answer->outcome() != "not-run");
+    return *Answer;
+  };
+  for (int I = 0; I < ManyTries && Ends < EndsAllowed; ++I)
+    Ask("entry-1", "crash=1");
+  BOOST_REQUIRE(Ends >= EndsAllowed);
+  World.run(SpreadSeconds);
+  int Before = Ends;
+  for (int I = 0; I < ManyTries; ++I)
+    Ask(I % 2 ? "entry-1" : "entry-2", "crash=1");
+  BOOST_TEST(Ends - Before <= FewMore);
+  caller_answer Refused = Ask("entry-2", "crash=1");
+  BOOST_TEST(Refused.Status == 503);
+  BOOST_TEST(Refused.outcome() == "not-run");
+  World.until("another request is served",
+              [&] { return Ask("entry-1", "tokens=3").Status == 200; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
