An attempt is sent to its engine once, by a connection of its own

Callers were told 'not run' of requests that had ended an engine; each such request ended the engine that came back, too, without any attempt of ours. Cause: libcurl sends a request again, unasked, where a connection that had rested breaks before any answer; where that second sending was refused, the whole was taken for never sent. Attempts that may run once (under a claim) went the same way. Why it works: libcurl does so on resting connections only. The engine is on the sidecar's own VM; what a new connection costs there was not measured. Ruled out: telling it by the bytes that were sent: the second sending would still happen.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -77,6 +77,10 @@
     curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &http_client::onHeader);
     curl_easy_setopt(Easy, CURLOPT_HEADERDATA, Fetch.get());
   }
+  if (O.SentOnce) {
+    curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
+  }
   curl_easy_setopt(Easy, CURLOPT_PRIVATE, Fetch.get());
   fetch_id Id = Fetch->Id;
   Fetches.emplace(Id, std::move(Fetch));
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -33,6 +33,9 @@
   std::vector<std::string> Headers; ///< "Name: value".
   double TimeoutSeconds = 0;        ///< 0: none.
   double ConnectSeconds = 2;
+  /// By a connection of its own. By one that rested it may be sent twice: where
+  /// that breaks without an answer, libcurl sends it again.
+  bool SentOnce = false;
   /// Each line of the answer's head.
   std::function<void(std::string_view Line)> OnHeader;
   /// Status and content type, before the first byte.
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -289,6 +289,7 @@
                  Waited);
   uint64_t Ticket = Work.Ticket;
   fetch_options Request = engineRequest(Work.Attempt, Options.EngineUrl);
+  Request.SentOnce = true;
   Work.Attempt.clear_body();
   double Left = Request.TimeoutSeconds - (Now - Work.Arrived);
   Request.TimeoutSeconds = std::max(Left, 0.001);
