--- a/catalog/routing.cpp
+++ b/catalog/routing.cpp
@@ -19,8 +19,7 @@
 constexpr double MaxVersion = 9e15; ///< Exact in a double.
 constexpr double MaxPriority = 9;
 constexpr double MaxWeight = 1e6;
-// Four times the design size of 5,000 routes and 1,000 client accounts: a
-// gateway holds some 1 KB a route, 20 MB of its 88 MB at this bound.
+// Four times the design size and more; a gateway's memory holds it.
 constexpr size_t MostRoutes = 20000;
 constexpr size_t MostAccounts = 20000;
 constexpr size_t MostServices = 2000;
--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -40,9 +40,8 @@
   double SilentSeconds = 30; ///< A silent voter may be replaced after this.
   size_t MaxBatchEntries = 256;
   size_t MaxBatchBytes = 1 << 20;
-  /// Sent to one follower and not answered yet: with 8 of them 16 MB of a
-  /// control VM's 256 MB. Without it a follower that does not read costs the
-  /// leader each change once more: 41 MB after 100 changes of 400 KB.
+  /// Sent to one follower and not answered yet; bounds what the leader holds
+  /// for one that does not read.
   size_t MaxUnansweredBytes = 2 << 20;
 };
 
--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -19,8 +19,7 @@
 // saw twice a second, and it is judged as often.
 constexpr double RolloutSeconds = 0.25;
 // A VM that comes to lead tells changes and not the whole to gateways at
-// versions from then on. Reading 5,000 routes takes 40 ms of a core: 4% at
-// worst.
+// versions from then on. Reading a large table is not cheap.
 constexpr double FollowSeconds = 1;
 // Cells of estimates in one grant, at some 60 bytes each: a node that keeps up
 // gets 3 KB a second at most, under its bound of 4 KB; one that has none yet
--- a/control/gateway_news.cpp
+++ b/control/gateway_news.cpp
@@ -63,9 +63,8 @@
   }
 }
 
-// Gateways ask for what they lack. One whole table of 1,400 routes sent unasked
-// with each notice filled gateways' links for 7 s and control's memory to 264
-// MB.
+// Gateways ask for what they lack: whole tables sent unasked would fill their
+// links and control's memory.
 void control_task::onRoutingAsk(const std::string &Peer,
                                 const wire::routing_ask &Ask) {
   followRouting();
--- a/control/routing_api.cpp
+++ b/control/routing_api.cpp
@@ -147,9 +147,8 @@
 }
 
 // Told by what differs from the last one in the log, committed or not: entries
-// before it come first at every VM, or neither comes. A change of one route in
-// 1,400 is 0.5 KB in the log and to each other VM then, where the document is
-// 450 KB.
+// before it come first at every VM, or neither comes. A change of one route
+// costs what it changes then, in the log and to each other VM.
 wire::routing_change routing_api::changeTo(uint64_t Version,
                                            const std::string &Document) {
   const routing_book &Routing = Log.state().routing();
--- a/control/routing_api.h
+++ b/control/routing_api.h
@@ -24,7 +24,7 @@
   explicit routing_api(replicated_log &Log) : Log(Log) {}
 
   /// The configuration in \p Document if it was the last that an operator sent
-  /// here: reading 5,000 routes anew takes 40 ms of a core.
+  /// here: a large one is not read twice.
   std::optional<routing_config> takeRead(const std::string &Document);
   /// Takes the exchange if its path is one of these calls.
   bool handle(const std::shared_ptr<http_exchange> &Exchange);
--- a/control/routing_news.cpp
+++ b/control/routing_news.cpp
@@ -7,9 +7,7 @@
 
 namespace {
 
-// 13 ms of a gateway's link of 10 Mbit/s: so long may a timely message wait
-// behind one piece. Whole tables of 1,400 routes in one message held lists of
-// upstreams up by 4.7 s there.
+// A timely message may wait behind one piece on a gateway's link.
 constexpr size_t PieceBytes = 16 << 10;
 // Changes that are kept: at ten a second a gateway that was cut off for 25 s
 // still gets what changed and not the whole.
--- a/control/upstream_news.cpp
+++ b/control/upstream_news.cpp
@@ -16,17 +16,15 @@
 // A long list is asked for less often: settings of the platform name 40 calls a
 // second for all callers together, and this keeps to 33.
 constexpr double SecondsPerPage = 0.03;
-// In seconds: one busy answer must not end a list of many pages. Not measured
-// by itself.
+// In seconds: one busy answer must not end a list of many pages.
 constexpr double BusyPatience = 3;
 // Changes that are kept: at one a second more than a gateway misses before it
 // asks for itself.
 constexpr size_t MostChanges = 32;
 
 // A whole list may be so long on its way to many gateways at once; until then
-// it is not sent again with each of their questions. A bound on what the leader
-// sends; a gain in time was not shown: served again 4.5 s after all had been
-// killed with it, 1.5 to 8.5 s without (300 gateways, five runs).
+// it is not sent again with each of their questions, which bounds what the
+// leader sends.
 constexpr double WholeSeconds = 2;
 
 } // namespace
--- a/control/upstream_news.h
+++ b/control/upstream_news.h
@@ -22,8 +22,7 @@
 
 /// The list with its last changes. Pure. A revision names what is listed, so a
 /// control VM that comes to lead has nothing to tell to gateways that hold the
-/// same list from another: 300 gateways were told 3,000 upstreams each, 70 MB,
-/// after each change of the leader.
+/// same list from another.
 class upstream_history {
 public:
   /// Takes in a whole list; false if nothing has changed.
--- a/entry/answer_text.h
+++ b/entry/answer_text.h
@@ -1,8 +1,7 @@
 //===- answer_text.h - The text of an answer, for the rating ----*- C++ -*-===//
 //
 // Takes the text out of a streamed answer while it passes, and out of a plain
-// one. What surrounds a token in a stream is twenty times as long as the token:
-// kept whole, 1,000 streams of 140 tokens held 15 MB of it.
+// one: what surrounds a token in a stream is many times as long as the token.
 //
 //===----------------------------------------------------------------------===//
 
--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -282,7 +282,7 @@
     State.Crashes->ended(watched(*Upstream), "connection refused");
     State.Peers->ended(*Upstream);
   } else if (Sent && Where != broken_at::Garbled) {
-    brokenOff();
+    noteBreak();
   }
   // The head of a broken answer is none.
   if (!HeadSent)
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -415,11 +415,11 @@
   BrokenOff = true;
   bool LivedWhenSent = Connection->fresh() || HeardAt > SentAt;
   if (LivedWhenSent)
-    brokenOff();
+    noteBreak();
 }
 
 // One that was leaving ends as planned, with whatever it still has.
-void forwarding::brokenOff() {
+void forwarding::noteBreak() {
   if (!Upstream->leaving())
     State.Crashes->brokeOff(watched(*Upstream), Identity);
 }
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -103,7 +103,7 @@
   double patience() const;
   double spareDueAt() const;
   void armTimer();
-  void brokenOff();
+  void noteBreak();
   void noteSilence();
   void leaveUpstream();
   void promptRead();
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -19,8 +19,7 @@
 // after it is listed so; the rest is for the gateway's own question.
 constexpr double PatienceForList = 1.6;
 // Where the list is long control asks less often, and the patience is for so
-// many of its pauses: 300 gateways that asked for 3,000 upstreams themselves
-// had 33 KB/s each, 12 with this and the two pauses above and below.
+// many of its pauses: long lists are what fills gateways' links.
 constexpr double PatienceInPeriods = 1.8;
 // At its start a gateway waits so long for control's, once it has the routing:
 // without that it could serve nobody.
@@ -32,7 +31,7 @@
 // shorter one. The loop wakes each SweepSeconds at least.
 constexpr double PauseSeconds = 1;
 // Then it serves on with what it holds, as one that is cut off does: control
-// and the platform both answer within some 0.1 s where they can be reached.
+// and the platform answer much sooner where they can be reached.
 constexpr double UncheckedSeconds = 1;
 constexpr std::string_view NotKnownYet =
     "no routing configuration is known yet";
@@ -226,8 +225,7 @@
 }
 
 // Callers' requests that lay in the sockets would go where it was right to send
-// them before the pause: 20 of 20 were shared out between an upstream that had
-// left 5 s earlier and one that had not.
+// them before the pause.
 void gateway_task::woke(double Seconds) {
   WokeAt = steadySeconds();
   UncheckedTimer.startOnce(UncheckedSeconds);
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -25,8 +25,7 @@
   std::vector<std::string> ControlSeeds;
   retry_window_bounds Retries; ///< Of all gateways together.
   /// How long after its start callers are held until the configuration is
-  /// known. It takes 1.2 s after all VMs lost power at once, as control has to
-  /// elect.
+  /// known. After a loss of all VMs control has to elect first.
   double StartSeconds = 2.5;
   double SessionSeconds = 5;    ///< Requests of a session follow within this.
   double ListSeconds = 2;       ///< Between two questions for the list.
--- a/gateway/peer_work.cpp
+++ b/gateway/peer_work.cpp
@@ -10,12 +10,9 @@
 namespace {
 
 // News go out at once after a pause and at most this often: two gateways that
-// choose within one interval may choose alike. At 0.04 s a tenth of the bytes
-// between data halls were news, and answers were served no better.
+// choose within one interval may choose alike.
 constexpr double LeastInterval = 0.1;
-// With more gateways the interval grows, so that the bytes of each stay: 60 of
-// a data hall told each other 100 KB/s at 0.1 s. News a second old cost 0.01 of
-// what callers are owed where 20 tell each other.
+// With more gateways the interval grows, so that the bytes of each stay.
 constexpr double IntervalPerGateway = 0.005;
 // All that is under way, in case news were lost.
 constexpr double WholeInterval = 1;
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -145,8 +145,7 @@
   if (Notice.upstreams_revision() == 0 || !OnUpstreams)
     return;
   // The time under way counts: this was sent so long after a question of ours,
-  // by our own clock. Lists that waited 4.7 s on a full link passed for fresh
-  // without it.
+  // by our own clock. A list that waited on a full link is as old as that.
   double SentAt = Notice.watch_sent_at() + Notice.watch_held();
   double Age = steadySeconds() - SentAt + Notice.upstreams_age();
   OnUpstreams(Age, Notice);
--- a/lease/routing_fetch.cpp
+++ b/lease/routing_fetch.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-// A piece takes 13 ms of a gateway's link and a round trip of a few; a link
-// that callers' answers fill holds it up for half a second.
+// A link that callers' answers fill holds a piece up for so long.
 constexpr double FirstPauseSeconds = 0.6;
 constexpr double MostPauseSeconds = 4;
 constexpr double PauseGrowth = 2;
--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -11,11 +11,8 @@
 // a gateway of a busy fleet.
 constexpr double SlotTimeStep = 0.02;
 // Parts of the target that a request may wait for a slot: below the first none
-// of the least urgent is refused, above the second all are. What is known of
-// loads is late: with 0.3 and 0.7, gateways in a simulated flood of ten times
-// the load begin 0.80 of what could begin in time in place of 0.93. With 0.02
-// and 0.2 they begin 0.96, but in a played flood of 103 gateways more were
-// refused and fewer served in time; other constants differed there too.
+// of the least urgent is refused, above the second all are. Well under the
+// whole target, as what is known of loads is late.
 constexpr double FirstRefused = 0.1;
 constexpr double AllRefused = 0.4;
 // Each rank of urgency may wait longer by this part of the target: little
--- a/policy/model_choice.cpp
+++ b/policy/model_choice.cpp
@@ -10,8 +10,7 @@
 namespace {
 
 // Below the first confidence an answer is poor, above the second it is good,
-// with an even slope between them. Read off the confidence of the largest
-// model, which is right: 6 in 100 of its answers lie under 0.5, none under 0.3.
+// with an even slope between them.
 constexpr double SurelyPoor = 0.32;
 constexpr double SurelyGood = 0.68;
 // What an answer is worth to its caller for 1,000 tokens, those made counting
--- a/policy/prompt_pace.h
+++ b/policy/prompt_pace.h
@@ -16,7 +16,7 @@
 namespace olivevalve {
 
 /// A token that is made takes an upstream as long as so many that are read,
-/// when it is well filled: 0.12 ms beside 9 us, measured by single requests.
+/// when it is well filled.
 constexpr uint32_t ReadTokensPerMade = 10;
 /// From sending to the first token on a free upstream, beside the prompt.
 constexpr double FirstTokenSeconds = 0.05;
