Data halls can be evacuated and restored

Cause: the operator's calls for it were answered 404, and nothing in the system knew of data halls that upstreams must get nothing in.

Ruled out: a lease for gateways (one that is cut off serves on with what it holds, as it does with the routing); refusing names that are not known (a leader just elected has not heard of all halls, and an order refused is never acknowledged): the client checks names instead.

No functional change without an evacuation

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -139,6 +139,8 @@
     State.config().fillDelta(Renew.config_index(), *Grant->mutable_delta());
   fillQuarantine(Renew.crashes().quarantine_revision(),
                  *Grant->mutable_quarantine());
+  State.evacuations().fillNews(Renew.evacuations_revision(),
+                               *Grant->mutable_evacuations());
   if (Renew.role() == "entry") {
     Grant->set_entries(Nodes.entries(Now));
     for (wire::account_share &Share : Nodes.sharesOf(Peer, Now))
@@ -223,13 +225,15 @@
 }
 
 void control_task::onApplied(uint64_t Index, const apply_result &Result) {
-  if (Result.ConfigIndex == Index && Log->core().isLeader())
+  bool HallsMoved = Log->state().evacuations().revision() != TellsEvacuations;
+  bool ConfigMoved = Result.ConfigIndex == Index;
+  if ((ConfigMoved || HallsMoved) && Log->core().isLeader())
     pushConfig();
   // Entries are applied many at a time, after a start above all: gateways hear
   // only of what the last of them leaves.
   if (Log->state().routing().version() != TellsRouting ||
       Log->state().rollouts().revision() != TellsRollouts ||
-      Log->state().quarantine().revision() != TellsQuarantine)
+      Log->state().quarantine().revision() != TellsQuarantine || HallsMoved)
     tellGateways();
 }
 
@@ -242,6 +246,7 @@
     wire::envelope Message;
     wire::grant *Grant = Message.mutable_grant();
     Log->state().config().fillDelta(Node.Acked, *Grant->mutable_delta());
+    Log->state().evacuations().fillNews(0, *Grant->mutable_evacuations());
     Server.send(Peer, Message);
   }
 }
@@ -307,6 +312,7 @@
   NextRollouts = Now + RolloutSeconds;
   keepQuarantine(Now);
   Gateways.forgetSilent(Now);
+  noteEvacuations();
   for (wire::rollout_step &Step :
        Rollouts.steps(Log->state().rollouts(), Gateways, Now, wallSeconds())) {
     logLine(log_level::Warning, "roll-out of a service moves on",
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -76,6 +76,7 @@
   void hearCrashes(const wire::crash_news &News, double Now);
   void keepQuarantine(double Now);
   void fillQuarantine(uint64_t Held, wire::quarantine_news &News) const;
+  void noteEvacuations();
   void noteLeadership();
   void tick();
   void guardVersions(double Now);
@@ -112,6 +113,8 @@
   uint64_t TellsRouting = 0;  ///< Version that gateways were told last.
   uint64_t TellsRollouts = 0; ///< Revision that gateways were told last.
   uint64_t TellsQuarantine = 0;
+  uint64_t TellsEvacuations = 0;
+  uint64_t EvacuationsInForce = 0; ///< Revision that all gateways hold.
   bool PlacementPending = false;
   timer NewsTimer;
   timer Timer;
--- a/control/gateway_news.cpp
+++ b/control/gateway_news.cpp
@@ -63,6 +63,19 @@
   }
 }
 
+// For operators' logs: from then on nothing new goes to the evacuated halls.
+void control_task::noteEvacuations() {
+  uint64_t Revision = Log->state().evacuations().revision();
+  bool Behind = Gateways.behindEvacuations(Revision) > 0;
+  if (Revision == EvacuationsInForce || Behind || Gateways.gateways().empty())
+    return;
+  EvacuationsInForce = Revision;
+  logLine(log_level::Info, "evacuations in force at all gateways",
+          {{"revision", int64_t(Revision)},
+           {"halls", int64_t(Log->state().evacuations().all().size())},
+           {"gateways", int64_t(Gateways.gateways().size())}});
+}
+
 // Gateways ask for what they lack: whole tables sent unasked would fill their
 // links and control's memory.
 void control_task::onRoutingAsk(const std::string &Peer,
@@ -127,6 +140,8 @@
     for (const auto &[Service, Rollout] : State.rollouts().all())
       *Notice->add_rollouts() = Rollout;
   fillQuarantine(Gateway.QuarantineRevision, *Notice->mutable_quarantine());
+  State.evacuations().fillNews(Gateway.EvacuationsRevision,
+                               *Notice->mutable_evacuations());
   for (const wire::member &Member : Core.members().members()) {
     wire::control_vm *Vm = Notice->add_control_vms();
     Vm->set_id(Member.id());
@@ -164,6 +179,7 @@
   TellsRouting = Log->state().routing().version();
   TellsRollouts = Log->state().rollouts().revision();
   TellsQuarantine = Log->state().quarantine().revision();
+  TellsEvacuations = Log->state().evacuations().revision();
   for (const auto &[Peer, Gateway] : Gateways.gateways())
     sendNotice(Peer);
 }
--- a/control/gateway_table.cpp
+++ b/control/gateway_table.cpp
@@ -35,6 +35,7 @@
              .RoutingVersion = Watch.routing_version(),
              .RolloutsRevision = Watch.rollouts_revision(),
              .QuarantineRevision = Watch.crashes().quarantine_revision(),
+             .EvacuationsRevision = Watch.evacuations_revision(),
              .LastSeen = Now,
              .WatchSentAt = Watch.sent_at(),
              .UpstreamsRevision = Watch.upstreams_revision(),
@@ -42,6 +43,8 @@
              .ToldListAt = Gateway.ToldListAt,
              .GatewaysRevision = Watch.gateways_revision(),
              .ToldStayingAt = Gateway.ToldStayingAt};
+  for (const wire::hall_requests &Hall : Watch.evacuated())
+    Gateway.OpenInHalls[Hall.data_hall()] = Hall.open();
   for (const wire::version_tally &Tally : Watch.tallies())
     Tallies[{Tally.service(), Tally.version()}][Watch.incarnation()] = {
         .Answers = Tally.answers(),
@@ -118,6 +121,22 @@
   return It == Gateways.end() ? nullptr : &It->second;
 }
 
+size_t gateway_table::behindEvacuations(uint64_t Revision) const {
+  return size_t(
+      std::count_if(Gateways.begin(), Gateways.end(), [=](const auto &Each) {
+        return Each.second.EvacuationsRevision < Revision;
+      }));
+}
+
+uint64_t gateway_table::openIn(const std::string &DataHall) const {
+  uint64_t Sum = 0;
+  for (const auto &[Name, Gateway] : Gateways)
+    if (auto It = Gateway.OpenInHalls.find(DataHall);
+        It != Gateway.OpenInHalls.end())
+      Sum += It->second;
+  return Sum;
+}
+
 version_tally gateway_table::answersOf(std::string_view Service,
                                        std::string_view Version) const {
   version_tally Sum;
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -28,6 +28,9 @@
   uint64_t RoutingVersion = 0;
   uint64_t RolloutsRevision = 0;
   uint64_t QuarantineRevision = 0;
+  uint64_t EvacuationsRevision = 0;
+  /// Requests under way, by evacuated data hall.
+  std::map<std::string, uint32_t> OpenInHalls;
   double LastSeen = 0;
   double WatchSentAt = 0;         ///< Its last question, by its own clock.
   uint64_t UpstreamsRevision = 0; ///< Of the list that it holds.
@@ -56,6 +59,10 @@
   void fillStaying(const std::string &Peer, double Now, wire::notice &Notice);
   /// Fills in where gateways hear, if \p Peer was told something else.
   void fillAddresses(const std::string &Peer, wire::notice &Notice) const;
+  /// How many do not hold this revision of the evacuations.
+  size_t behindEvacuations(uint64_t Revision) const;
+  /// Requests that all have under way in an evacuated data hall.
+  uint64_t openIn(const std::string &DataHall) const;
   const std::map<std::string, gateway_record> &gateways() const {
     return Gateways;
   }
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -95,7 +95,7 @@
     std::string_view Path;
     void (operator_api::*Handler)(const exchange &);
   };
-  static constexpr std::array<route, 9> Routes = {{
+  static constexpr std::array<route, 10> Routes = {{
       {"POST", "/v1/changes", &operator_api::changes},
       {"GET", "/v1/objects", &operator_api::objects},
       {"GET", "/v1/status", &operator_api::status},
@@ -105,6 +105,7 @@
       {"POST", "/v1/members/remove", &operator_api::removeMember},
       {"GET", "/v1/quarantine", &operator_api::quarantine},
       {"POST", "/v1/quarantine/release", &operator_api::release},
+      {"GET", "/v1/halls", &operator_api::halls},
   }};
   if (!allowed(*Exchange))
     return refuse(*Exchange, error_kind::Unauthorized,
@@ -319,6 +320,43 @@
   replyJson(*Exchange, 200, {{"quarantine", List}});
 }
 
+// The halls that anything is known of, and those that are evacuated.
+void operator_api::halls(const exchange &Exchange) {
+  const evacuation_book &Book = Control.Log->state().evacuations();
+  std::map<std::string, size_t> Upstreams = Control.Upstreams.byHall();
+  Control.Log->state().config().forEach<upstream_spec>(
+      [&](const upstream_spec &Upstream) { ++Upstreams[Upstream.DataHall]; });
+  std::set<std::string> Names;
+  for (const auto &[Name, Count] : Upstreams)
+    Names.insert(Name);
+  for (const auto &[Name, Evacuation] : Book.all())
+    Names.insert(Name);
+  std::map<std::string, size_t> Processes;
+  for (const auto &[Peer, Gateway] : Control.Gateways.gateways())
+    ++Processes[Gateway.DataHall];
+  for (const auto &[Peer, Node] : Control.Nodes.nodes())
+    ++Processes[Node.DataHall];
+  for (const auto &[Name, Count] : Processes)
+    Names.insert(Name);
+  double Wall = wallSeconds();
+  json List = json::array();
+  for (const std::string &Name : Names) {
+    auto It = Book.all().find(Name);
+    json Item = {{"data_hall", Name},
+                 {"evacuated", It != Book.all().end()},
+                 {"upstreams", Upstreams[Name]},
+                 {"processes", Processes[Name]}};
+    if (It != Book.all().end()) {
+      Item["since_seconds"] = std::max(0.0, Wall - It->second.since_wall());
+      Item["gateways_behind"] =
+          Control.Gateways.behindEvacuations(Book.revision());
+      Item["open_requests"] = Control.Gateways.openIn(Name);
+    }
+    List.push_back(std::move(Item));
+  }
+  replyJson(*Exchange, 200, {{"halls", List}});
+}
+
 void operator_api::release(const exchange &Exchange) {
   auto Body = parseJson(Exchange->body(), "request");
   std::optional<short_digest> Request;
--- a/control/operator_api.h
+++ b/control/operator_api.h
@@ -38,6 +38,7 @@
   void removeMember(const exchange &Exchange);
   void quarantine(const exchange &Exchange);
   void release(const exchange &Exchange);
+  void halls(const exchange &Exchange);
   void waitInForce(const exchange &Exchange, uint64_t Index, bool Repeated);
 
   control_task &Control;
--- a/control/routing_api.cpp
+++ b/control/routing_api.cpp
@@ -1,4 +1,4 @@
-//===- routing_api.cpp - Operators' calls for routes and roll-outs --------===//
+//===- routing_api.cpp - Operators' calls on what is routed where ---------===//
 
 #include "control/routing_api.h"
 #include "base/clock.h"
@@ -15,6 +15,9 @@
 constexpr const char *Json = "application/json";
 constexpr const char *RoutingPath = "/v1/routing";
 constexpr const char *RolloutsPath = "/v1/rollouts";
+constexpr std::string_view EvacuatePath = "/v1/halls/evacuate/";
+constexpr std::string_view RestorePath = "/v1/halls/restore/";
+constexpr size_t MostHallBytes = 256;
 // Orders of more than a day are a slip of the unit.
 constexpr double MaxRolloutSeconds = 86400;
 
@@ -64,7 +67,9 @@
   std::string RolloutPrefix = std::string(RolloutsPath) + "/";
   bool OfRouting = Path == RoutingPath;
   bool OfRollouts = Path == RolloutsPath || Path.starts_with(RolloutPrefix);
-  if (!OfRouting && !OfRollouts)
+  bool Evacuates = Path.starts_with(EvacuatePath);
+  bool Restores = Path.starts_with(RestorePath);
+  if (!OfRouting && !OfRollouts && !Evacuates && !Restores)
     return false;
   if (!Log.core().hasLeaderLease(steadySeconds()))
     sendToLeader(Exchange);
@@ -76,6 +81,11 @@
     beginRollout(Exchange);
   else if (Path != RolloutsPath && Method == "GET")
     readRollout(Exchange, Path.substr(RolloutPrefix.size()));
+  else if (Evacuates && Method == "POST")
+    moveHall(Exchange, std::string_view(Path).substr(EvacuatePath.size()),
+             false);
+  else if (Restores && Method == "POST")
+    moveHall(Exchange, std::string_view(Path).substr(RestorePath.size()), true);
   else
     refuse(*Exchange, error_kind::NotFound, Method + " is not known here");
   return true;
@@ -185,6 +195,29 @@
   propose(Exchange, std::move(Command));
 }
 
+// Any name is taken: a hall of which nothing is left may be evacuated too, and
+// a leader that has just been elected has not heard of all halls yet.
+void routing_api::moveHall(const exchange &Exchange, std::string_view DataHall,
+                           bool Restore) {
+  if (DataHall.empty() || DataHall.size() > MostHallBytes ||
+      !isPrintable(DataHall) || DataHall.find('/') != std::string_view::npos)
+    return refuse(*Exchange, error_kind::BadRequest,
+                  "data hall: must be printable ASCII of 1 to " +
+                      std::to_string(MostHallBytes) + " bytes, without '/'");
+  if (!Exchange->body().empty())
+    return refuse(*Exchange, error_kind::BadRequest,
+                  "body: must be empty; the path names the data hall");
+  logLine(log_level::Info,
+          Restore ? "data hall to be restored" : "data hall to be evacuated",
+          {{"data_hall", DataHall},
+           {"is_evacuated",
+            int64_t(Log.state().evacuations().contains(DataHall))}});
+  wire::command Command;
+  Command.mutable_evacuation()->set_data_hall(std::string(DataHall));
+  Command.mutable_evacuation()->set_restore(Restore);
+  propose(Exchange, std::move(Command));
+}
+
 void routing_api::readRollout(const exchange &Exchange,
                               const std::string &Service) {
   const wire::rollout *Rollout = Log.state().rollouts().find(Service);
--- a/control/routing_api.h
+++ b/control/routing_api.h
@@ -1,8 +1,8 @@
-//===- routing_api.h - Operators' calls for routes and roll-outs -*- C++
-//-*-===//
+//===- routing_api.h - Operators' calls on what is routed where -*- C++ -*-===//
 //
-// Whole routing configurations by highest version, and roll-outs of services'
-// software. Only the leader answers; the others send the caller there.
+// Whole routing configurations by highest version, roll-outs of services'
+// software, and evacuations of data halls. Only the leader answers; the others
+// send the caller there.
 //
 //===----------------------------------------------------------------------===//
 
@@ -36,6 +36,8 @@
   void readRoutingBack(const exchange &Exchange);
   void beginRollout(const exchange &Exchange);
   void readRollout(const exchange &Exchange, const std::string &Service);
+  void moveHall(const exchange &Exchange, std::string_view DataHall,
+                bool Restore);
   void propose(const exchange &Exchange, wire::command Command);
 
   /// The newest document that this VM has put into the log as leader of a term:
--- a/control/upstream_news.cpp
+++ b/control/upstream_news.cpp
@@ -35,8 +35,10 @@
   for (const platform::listed_upstream &Each : Listed)
     Next[Each.Id] = Each;
   uint64_t NextRevision = platform::revisionOf(Next);
-  if (NextRevision == Revision)
+  if (NextRevision == Revision) {
+    Entries = std::move(Next);
     return false;
+  }
   change Change{.Revision = NextRevision};
   for (const auto &[Id, Entry] : Next) {
     auto It = Entries.find(Id);
@@ -49,16 +51,19 @@
       Change.Ids.insert(Id);
   Entries = std::move(Next);
   Revision = NextRevision;
-  Whole.Clear();
-  Whole.set_whole(true);
-  for (const auto &[Id, Entry] : Entries)
-    platform::addTo(Whole, Entry);
   Changes.push_back(std::move(Change));
   if (Changes.size() > MostChanges)
     Changes.pop_front();
   return true;
 }
 
+std::map<std::string, size_t> upstream_history::byHall() const {
+  std::map<std::string, size_t> Counts;
+  for (const auto &[Id, Entry] : Entries)
+    ++Counts[Entry.DataHall];
+  return Counts;
+}
+
 bool upstream_history::knows(uint64_t Held) const {
   return std::any_of(Changes.begin(), Changes.end(), [&](const change &Change) {
     return Change.Revision == Held;
--- a/control/upstream_news.h
+++ b/control/upstream_news.h
@@ -30,6 +30,8 @@
   /// 0: nothing was listed yet.
   uint64_t revision() const { return Revision; }
   size_t size() const { return Entries.size(); }
+  /// How many are listed in each data hall.
+  std::map<std::string, size_t> byHall() const;
   /// True if that revision was listed since the start, and not too long ago.
   bool knows(uint64_t Held) const;
   /// What a holder of \p Held needs to be up to date; all of it if that
@@ -44,8 +46,7 @@
 
   uint64_t Revision = 0;
   std::map<std::string, platform::listed_upstream> Entries; ///< By id.
-  wire::upstream_list Whole;  ///< All of it, as it is told.
-  std::deque<change> Changes; ///< Oldest first.
+  std::deque<change> Changes;                               ///< Oldest first.
 };
 
 /// What a gateway holds of the list, as it said last.
@@ -62,6 +63,7 @@
 
   std::function<void()> OnChange; ///< The list is not what it was.
 
+  std::map<std::string, size_t> byHall() const { return History.byHall(); }
   /// Asks again when it is time; only while this VM \p Leads.
   void tick(double Now, bool Leads);
   /// Fills in the age of the list, and what has changed since the one that the
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -148,7 +148,20 @@
   return absl::OkStatus();
 }
 
+absl::Status halls(const command_options &Options) {
+  return printList(Options, "/v1/halls", "halls",
+                   {{"DATA HALL", "data_hall"},
+                    {"EVACUATED", "evacuated"},
+                    {"SINCE S", "since_seconds"},
+                    {"OPEN REQUESTS", "open_requests"},
+                    {"GATEWAYS BEHIND", "gateways_behind"},
+                    {"UPSTREAMS", "upstreams"},
+                    {"PROCESSES", "processes"}});
+}
+
 absl::Status get(const command_options &Options) {
+  if (!Options.Arguments.empty() && Options.Arguments[0] == "halls")
+    return halls(Options);
   std::string Path = "/v1/objects";
   if (!Options.Arguments.empty())
     Path += "?kind=" + Options.Arguments[0];
@@ -420,6 +433,48 @@
   return absl::OkStatus();
 }
 
+/// True if a process or an upstream of this data hall is known.
+absl::StatusOr<bool> isHall(const command_options &Options,
+                            const std::string &Name) {
+  auto Answer = operator_client(Options.Client).get("/v1/halls");
+  if (!Answer.ok())
+    return Answer.status();
+  for (const json &Hall : (*Answer)["halls"])
+    if (Hall["data_hall"] == Name)
+      return true;
+  return false;
+}
+
+/// Evacuates a data hall, or restores it, if its name is one.
+absl::Status moveHall(const command_options &Options, std::string_view Verb) {
+  if (Options.Arguments.size() != 1)
+    return usage(absl::StrCat(std::string(Verb), " DATA-HALL"));
+  const std::string &Name = Options.Arguments[0];
+  auto Known = isHall(Options, Name);
+  if (!Known.ok())
+    return Known.status();
+  if (!*Known)
+    return makeError(error_kind::NotFound,
+                     Name + ": no such data hall; see 'olivevalvectl halls'");
+  auto Answer = operator_client(Options.Client)
+                    .post("/v1/halls/" + std::string(Verb) + "/" + Name, {});
+  if (!Answer.ok())
+    return Answer.status();
+  print(Verb == "evacuate"
+            ? Name + ": evacuated; 'olivevalvectl halls' shows when it is "
+                     "empty\n"
+            : Name + ": restored\n");
+  return absl::OkStatus();
+}
+
+absl::Status evacuate(const command_options &Options) {
+  return moveHall(Options, "evacuate");
+}
+
+absl::Status restore(const command_options &Options) {
+  return moveHall(Options, "restore");
+}
+
 absl::Status key(const command_options &Options) {
   std::string Secret;
   if (Options.Arguments.empty())
@@ -468,7 +523,9 @@
       {"apply", "-f FILE", "Make the objects of FILE what is in force", apply},
       {"diff", "-f FILE", "Show what apply would change", diff},
       {"check", "-f FILE", "Check FILE without any control VM", check},
-      {"get", "[KIND [NAME]]", "Show objects with their indexes", get},
+      {"get", "[KIND [NAME]]",
+       "Show objects with their indexes; KIND halls: as the command halls",
+       get},
       {"set", "KIND NAME FIELD=VALUE...",
        "Set parameters of a template, account or other object", set},
       {"delete", "KIND NAME", "Delete an object", remove},
@@ -489,6 +546,12 @@
        "Show requests that go to no upstream, as upstreams ended under them",
        quarantine},
       {"release", "REQUEST", "Let a request out of quarantine", release},
+      {"halls", "", "Show data halls, and what still runs in evacuated ones",
+       halls},
+      {"evacuate", "DATA-HALL",
+       "Let upstreams of a data hall take nothing new, what runs there ends",
+       evacuate},
+      {"restore", "DATA-HALL", "Take an evacuation back", restore},
       {"key", "[SECRET]", "Make a client's or operator's key and its digest",
        key},
       {"link-keys", "PREFIX", "Write a key pair for links between processes",
--- a/ctl/operator_client.cpp
+++ b/ctl/operator_client.cpp
@@ -119,7 +119,7 @@
 
 absl::StatusOr<json> operator_client::post(const std::string &Path,
                                            const json &Body) {
-  return call("POST", Path, Body.dump());
+  return call("POST", Path, Body.is_null() ? "" : Body.dump());
 }
 
 } // namespace olivevalve
--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -58,7 +58,8 @@
           LinkContext, Loop,
           {.Node = Options.Node,
            .Incarnation = Incarnation,
-           .DataHall = Options.DataHall},
+           .DataHall = Options.DataHall,
+           .Evacuated = Control.evacuated()},
           [this](const std::string &Upstream, const wire::envelope &Message) {
             onMessage(Upstream, Message);
           },
--- a/entry/upstream_pool.cpp
+++ b/entry/upstream_pool.cpp
@@ -144,10 +144,12 @@
 }
 
 bool upstream_pool::usable(const member &Member, const upstream_spec &Spec,
-                           const upstream_need &Need, trust Trust, double Now) {
+                           const upstream_need &Need, trust Trust,
+                           double Now) const {
   bool Alive =
       Member.News.incarnation() != 0 && Now - Member.HeardAt < SilentSeconds;
-  return Alive && serves(Member, Spec, Need) && !Spec.Leaving &&
+  bool Open = !Spec.Leaving && !Options.Evacuated.contains(Spec.DataHall);
+  return Alive && Open && serves(Member, Spec, Need) &&
          !Member.News.stopping() && Member.News.has_lease() &&
          (Trust == trust::Suspect || Member.Breaker.allows(Now));
 }
--- a/entry/upstream_pool.h
+++ b/entry/upstream_pool.h
@@ -10,6 +10,7 @@
 #define OLIVEVALVE_ENTRY_UPSTREAM_POOL_H
 
 #include "catalog/catalog.h"
+#include "lease/evacuated_halls.h"
 #include "net/link.h"
 #include "policy/replica_choice.h"
 #include <functional>
@@ -24,6 +25,7 @@
   std::string Node;
   uint64_t Incarnation = 0;
   std::string DataHall;
+  const evacuated_halls &Evacuated; ///< Outlives the pool.
 };
 
 /// What kind of work an upstream is wanted for.
@@ -102,8 +104,8 @@
                       uint64_t PrefixScore, double Now) const;
   static bool serves(const member &Member, const upstream_spec &Spec,
                      const upstream_need &Need);
-  static bool usable(const member &Member, const upstream_spec &Spec,
-                     const upstream_need &Need, trust Trust, double Now);
+  bool usable(const member &Member, const upstream_spec &Spec,
+              const upstream_need &Need, trust Trust, double Now) const;
   void tick();
 
   link_context &Context;
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -202,7 +202,7 @@
   selection_request Request = selectionAt(Now);
   selection Selected = select(State, *Routing, Request);
   if (!Selected.Upstream)
-    return conclude(LastTrouble.empty() ? "no upstream" : LastTrouble);
+    return concludeUnsent();
   if (!takenIn(Selected))
     return giveUp(error_kind::QueueFull,
                   "more is asked than can begin in time");
@@ -231,6 +231,22 @@
   send(Now);
 }
 
+// No upstream may have it now.
+void forwarding::concludeUnsent() {
+  if (!LastTrouble.empty())
+    return conclude(LastTrouble);
+  if (!State.Upstreams.allEvacuated(Service))
+    return conclude("no upstream");
+  ComeBackAfter = comeBackAfter(timeOfCaller(), State.Random);
+  conclude("all data halls of this service are evacuated");
+}
+
+// What is left of the caller's time, which may be longer than the operator's.
+double forwarding::timeOfCaller() const {
+  return Facts.DeadlineSeconds.value_or(Route->TimeoutSeconds) -
+         (steadySeconds() - BegunAt);
+}
+
 // Asks the bound that all gateways share for one more arrival. One that is
 // declined counts like any other: each gateway learns by itself which upstreams
 // have ended, so there are many of them at once.
@@ -287,10 +303,7 @@
   double Chance = refusalChanceAt(WaitSeconds);
   if (std::uniform_real_distribution<double>(0, 1)(State.Random) >= Chance)
     return true;
-  // Of the caller's time, which may be longer than the operator's.
-  double Left = Facts.DeadlineSeconds.value_or(Route->TimeoutSeconds) -
-                (steadySeconds() - BegunAt);
-  ComeBackAfter = comeBackAfter(Left, State.Random);
+  ComeBackAfter = comeBackAfter(timeOfCaller(), State.Random);
   return false;
 }
 
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -78,6 +78,8 @@
   bool authorise();
   const std::string &pickService();
   void attempt();
+  void concludeUnsent();
+  double timeOfCaller() const;
   void expectPrompt(const selection_request &Request, double WaitingSeconds);
   void send(double Now);
   bool takeRepeat(std::string_view Why);
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -102,6 +102,11 @@
     Ask.set_upstreams_revision(Listed.revision());
     Ask.set_upstreams_age(steadySeconds() - ListHadAt);
     State.Versions.fillTallies(Ask);
+    for (const auto &[Hall, Open] : State.Upstreams.openInEvacuated()) {
+      wire::hall_requests *Told = Ask.add_evacuated();
+      Told->set_data_hall(Hall);
+      Told->set_open(Open);
+    }
     for (uint64_t Key : State.Pins.takeUntold())
       Ask.add_staying(Key);
     Reports.fill(*Ask.mutable_crashes(), Ask.sent_at());
@@ -123,6 +128,12 @@
       Reports.acknowledged(Notice.watch_sent_at(), Notice.leader());
     Reports.hear(Notice.quarantine());
   };
+  Watch.OnEvacuations = [this](const evacuated_halls &Halls) {
+    State.Upstreams.setEvacuated(Halls.all());
+    for (const auto &[Hall, Open] : State.Upstreams.openInEvacuated())
+      logLine(log_level::Info, "nothing new goes to an evacuated data hall",
+              {{"data_hall", Hall}, {"open_requests", int64_t(Open)}});
+  };
   Watch.OnStaying = [this](uint64_t Key) {
     State.Pins.heardStaying(Key, steadySeconds());
   };
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -97,6 +97,7 @@
   std::map<std::string, std::map<std::string, int>> Versions;
   for (platform::listed_upstream &Listed : List) {
     auto Upstream = incarnationOf(std::move(Listed));
+    Upstream->Evacuated = EvacuatedHalls.contains(Upstream->Listed.DataHall);
     ++Versions[Upstream->Listed.Service][Upstream->Listed.Version];
     ByService[Upstream->Listed.Service].push_back(Upstream);
     Places[Upstream->Place] = Upstream;
@@ -141,15 +142,44 @@
   return true;
 }
 
+std::vector<std::shared_ptr<upstream>>
+upstream_table::setEvacuated(std::set<std::string, std::less<>> DataHalls) {
+  EvacuatedHalls = std::move(DataHalls);
+  std::vector<std::shared_ptr<upstream>> Restored;
+  for (auto &[Id, Upstream] : ById) {
+    bool Was = Upstream->Evacuated;
+    Upstream->Evacuated = EvacuatedHalls.contains(Upstream->Listed.DataHall);
+    if (Was && !Upstream->Evacuated)
+      Restored.push_back(Upstream);
+  }
+  return Restored;
+}
+
+bool upstream_table::allEvacuated(const std::string &Service) const {
+  const auto &All = ofService(Service);
+  return !All.empty() &&
+         std::all_of(All.begin(), All.end(),
+                     [](const auto &Each) { return Each->Evacuated; });
+}
+
+std::map<std::string, uint32_t> upstream_table::openInEvacuated() const {
+  std::map<std::string, uint32_t> Open;
+  for (const std::string &Hall : EvacuatedHalls)
+    Open[Hall] = 0;
+  for (const auto &[Id, Upstream] : ById)
+    if (Upstream->Evacuated)
+      Open[Upstream->Listed.DataHall] += Upstream->InFlight;
+  return Open;
+}
+
 double upstream_table::soonestRest(const std::string &Service,
                                    double Now) const {
   double Soonest = 0;
   for (const auto &Each : ofService(Service)) {
     if (Each->takesNew(Now))
       return 0;
-    bool Rests = !Each->Gone && !Each->leaving();
     double Seconds = Each->restsUntil() - Now;
-    if (Rests && (Soonest == 0 || Seconds < Soonest))
+    if (Each->mayRest() && (Soonest == 0 || Seconds < Soonest))
       Soonest = Seconds;
   }
   return Soonest;
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -12,6 +12,7 @@
 #include "platform/upstream_list.h"
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,8 +31,9 @@
 /// One incarnation.
 struct upstream {
   platform::listed_upstream Listed;
-  bool Gone = false;  ///< Not listed any more.
-  uint64_t Place = 0; ///< In the order of the service, alike everywhere.
+  bool Gone = false;      ///< Not listed any more.
+  bool Evacuated = false; ///< With all of its data hall.
+  uint64_t Place = 0;     ///< In the order of the service, alike everywhere.
   uint32_t InFlight = 0;
   double PromptSeconds = 0; ///< Of its time, for own prompts not read yet.
   uint32_t Connections = 0;
@@ -61,9 +63,9 @@
   double restsUntil() const { return RestsUntil; }
   /// Ends soon, as planned.
   bool leaving() const { return Leaves || Listed.Leaving; }
-  bool takesNew(double Now) const {
-    return !Gone && !leaving() && Now >= RestsUntil;
-  }
+  bool takesNew(double Now) const { return mayRest() && Now >= RestsUntil; }
+  /// It takes requests, now or once its rest is over.
+  bool mayRest() const { return !Gone && !leaving() && !Evacuated; }
 
 private:
   uint32_t Told = 0; ///< Requests that ran or waited.
@@ -97,6 +99,14 @@
   /// over until the list can tell. False where too many of its service are
   /// doubted in this way: then each gateway finds out for itself.
   bool doubt(uint64_t Place, double Now);
+  /// These data halls are evacuated from now on, and no others. Returns the
+  /// upstreams that were and are not any more.
+  std::vector<std::shared_ptr<upstream>>
+  setEvacuated(std::set<std::string, std::less<>> DataHalls);
+  /// All that the service has are evacuated.
+  bool allEvacuated(const std::string &Service) const;
+  /// Requests under way in each evacuated data hall.
+  std::map<std::string, uint32_t> openInEvacuated() const;
   /// Seconds until the first of those that rest takes requests again; 0: one
   /// takes them now, or none ever will.
   double soonestRest(const std::string &Service, double Now) const;
@@ -117,6 +127,7 @@
   std::map<std::string, std::vector<std::shared_ptr<upstream>>> ByService;
   std::map<std::string, std::string> Settled;
   std::unordered_map<uint64_t, std::shared_ptr<upstream>> Places;
+  std::set<std::string, std::less<>> EvacuatedHalls;
 };
 
 } // namespace olivevalve
--- a/lease/control_client.cpp
+++ b/lease/control_client.cpp
@@ -91,6 +91,7 @@
     for (const wire::account_share &Share : Grant.shares())
       Shares[Share.account()] = Share.share();
   }
+  Evacuated.hear(Grant.evacuations());
   if (OnGrant)
     OnGrant(Grant);
   if (!Changed)
@@ -159,6 +160,7 @@
   Renew->set_config_index(Copy.config().index());
   Renew->set_sent_at(steadySeconds());
   Renew->set_stopping(Leaving);
+  Renew->set_evacuations_revision(Evacuated.revision());
   if (OnRenew)
     OnRenew(*Renew);
   LastRenew = steadySeconds();
--- a/lease/control_client.h
+++ b/lease/control_client.h
@@ -11,6 +11,7 @@
 #define OLIVEVALVE_LEASE_CONTROL_CLIENT_H
 
 #include "catalog/node_copy.h"
+#include "lease/evacuated_halls.h"
 #include "net/link.h"
 #include <functional>
 #include <map>
@@ -46,6 +47,8 @@
   /// Entries that hold a lease, and this node's share of an account's limits.
   double shareOf(const std::string &Account) const;
   uint32_t entries() const { return Entries; }
+  /// Whose upstreams get nothing new.
+  const evacuated_halls &evacuated() const { return Evacuated; }
 
   /// Asks the leader; \p Message gets a call number.
   void ask(wire::envelope Message, double Seconds, answer_handler Handler);
@@ -83,6 +86,7 @@
   double LastMove = 0;
   uint32_t Entries = 1;
   std::map<std::string, double> Shares;
+  evacuated_halls Evacuated;
   std::map<uint64_t, question> Questions;
   uint64_t NextCall = 1;
   bool Leaving = false;
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -136,6 +136,7 @@
   Watch->set_routing_version(routingVersion());
   Watch->set_sent_at(steadySeconds());
   Watch->set_rollouts_revision(RolloutsRevision);
+  Watch->set_evacuations_revision(Evacuated.revision());
   if (OnAsk)
     OnAsk(*Watch);
   linkTo(Current).send(Message);
@@ -222,6 +223,8 @@
     RolloutsRevision = Notice.rollouts_revision();
     OnRollouts(Notice);
   }
+  if (Evacuated.hear(Notice.evacuations()))
+    OnEvacuations(Evacuated);
   if (OnQuarantine)
     OnQuarantine(Notice);
   for (uint64_t Key : Notice.staying())
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -10,6 +10,7 @@
 #ifndef OLIVEVALVE_LEASE_CONTROL_WATCH_H
 #define OLIVEVALVE_LEASE_CONTROL_WATCH_H
 
+#include "lease/evacuated_halls.h"
 #include "lease/routing_fetch.h"
 #include "net/link.h"
 #include <functional>
@@ -41,6 +42,8 @@
   std::function<void(uint64_t Key)> OnStaying;
   /// What a control VM knows of requests that are to go to no upstream.
   std::function<void(const wire::notice &)> OnQuarantine;
+  /// The evacuated data halls are not what they were.
+  std::function<void(const evacuated_halls &)> OnEvacuations;
   /// How many gateways there are, whenever that has changed.
   std::function<void(uint32_t Count)> OnGateways;
   /// Where all of them hear of each other's work, whenever that has changed.
@@ -86,6 +89,7 @@
   uint64_t LeaderVersion = 0; ///< Of the routing, in that notice.
   routing_fetch Routing;
   uint64_t RolloutsRevision = 0;
+  evacuated_halls Evacuated;
   uint32_t Gateways = 0;
   uint64_t GatewaysRevision = 0;
   bool Leaderless = false; ///< The VM asked now does not know who leads.
--- /dev/null
+++ b/lease/evacuated_halls.cpp
@@ -0,0 +1,27 @@
+//===- evacuated_halls.cpp - Where nothing new goes -----------------------===//
+
+#include "lease/evacuated_halls.h"
+#include "base/log.h"
+
+namespace olivevalve {
+
+bool evacuated_halls::hear(const wire::evacuation_news &News) {
+  if (News.revision() <= Revision)
+    return false;
+  std::set<std::string, std::less<>> Next;
+  for (const wire::evacuation &Each : News.evacuations())
+    Next.insert(Each.data_hall());
+  for (const std::string &Hall : Next)
+    if (!Halls.contains(Hall))
+      logLine(log_level::Info, "data hall evacuated",
+              {{"data_hall", Hall}, {"revision", int64_t(News.revision())}});
+  for (const std::string &Hall : Halls)
+    if (!Next.contains(Hall))
+      logLine(log_level::Info, "data hall restored",
+              {{"data_hall", Hall}, {"revision", int64_t(News.revision())}});
+  Halls = std::move(Next);
+  Revision = News.revision();
+  return true;
+}
+
+} // namespace olivevalve
--- /dev/null
+++ b/ledger/evacuations.cpp
@@ -0,0 +1,50 @@
+//===- evacuations.cpp - Data halls that get no new requests --------------===//
+
+#include "ledger/evacuations.h"
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+
+namespace olivevalve {
+
+absl::Status evacuation_book::apply(const wire::evacuation_change &Change,
+                                    double Wall) {
+  bool Held = Halls.contains(Change.data_hall());
+  if (Held != Change.restore())
+    return absl::OkStatus();
+  if (Change.restore()) {
+    Halls.erase(Change.data_hall());
+  } else if (Halls.size() >= MostHalls) {
+    return makeError(error_kind::Conflict,
+                     absl::StrCat(MostHalls, " data halls are evacuated; "
+                                             "restore one first"));
+  } else {
+    wire::evacuation &Evacuation = Halls[Change.data_hall()];
+    Evacuation.set_data_hall(Change.data_hall());
+    Evacuation.set_since_wall(Wall);
+  }
+  ++Revision;
+  return absl::OkStatus();
+}
+
+void evacuation_book::fillNews(uint64_t Held,
+                               wire::evacuation_news &News) const {
+  if (Revision <= Held)
+    return;
+  News.set_revision(Revision);
+  for (const auto &[Name, Evacuation] : Halls)
+    *News.add_evacuations() = Evacuation;
+}
+
+void evacuation_book::save(wire::state_image &Image) const {
+  Image.set_evacuations_revision(Revision);
+  for (const auto &[Name, Evacuation] : Halls)
+    *Image.add_evacuations() = Evacuation;
+}
+
+void evacuation_book::load(const wire::state_image &Image) {
+  Revision = Image.evacuations_revision();
+  for (const wire::evacuation &Evacuation : Image.evacuations())
+    Halls[Evacuation.data_hall()] = Evacuation;
+}
+
+} // namespace olivevalve
--- a/ledger/state_machine.cpp
+++ b/ledger/state_machine.cpp
@@ -70,6 +70,9 @@
       Result.Status =
           makeError(error_kind::NotFound, "no such request is quarantined");
     return Result;
+  case wire::command::kEvacuation:
+    Result.Status = Evacuations.apply(Command.evacuation(), Wall);
+    return Result;
   default:
     return Result;
   }
@@ -153,6 +156,7 @@
   Routing.save(Image);
   Rollouts.save(Image);
   Quarantine.save(Image);
+  Evacuations.save(Image);
   return Image.SerializeAsString();
 }
 
@@ -183,6 +187,7 @@
   Next.Routing.load(Image);
   Next.Rollouts.load(Image);
   Next.Quarantine.load(Image);
+  Next.Evacuations.load(Image);
   *this = std::move(Next);
   return true;
 }
--- a/ledger/state_machine.h
+++ b/ledger/state_machine.h
@@ -12,6 +12,7 @@
 #include "catalog/catalog.h"
 #include "ledger/bills.h"
 #include "ledger/claims.h"
+#include "ledger/evacuations.h"
 #include "ledger/pins.h"
 #include "ledger/quarantine.h"
 #include "ledger/ratings.h"
@@ -46,6 +47,7 @@
   const routing_book &routing() const { return Routing; }
   const rollout_book &rollouts() const { return Rollouts; }
   const quarantine_book &quarantine() const { return Quarantine; }
+  const evacuation_book &evacuations() const { return Evacuations; }
 
   std::string image() const;
   bool restore(const std::string &Image);
@@ -72,6 +74,7 @@
   routing_book Routing;
   rollout_book Rollouts;
   quarantine_book Quarantine;
+  evacuation_book Evacuations;
   std::map<std::string, change_record> Changes;
   std::deque<std::string> ChangeOrder;
   std::map<std::string, uint64_t> ReporterSequence;
--- a/sidecar/admission.cpp
+++ b/sidecar/admission.cpp
@@ -61,6 +61,9 @@
   if (!Upstream || Upstream->Leaving)
     return makeError(error_kind::Draining,
                      State.Upstream + " is leaving or not configured");
+  if (State.Evacuated && State.Evacuated->contains(Upstream->DataHall))
+    return makeError(error_kind::Draining,
+                     "data hall " + Upstream->DataHall + " is evacuated");
   const account_spec *Account = Config.account(Attempt.account());
   if (!Account)
     return makeError(error_kind::Unauthorized, "no such client account");
--- a/sidecar/admission.h
+++ b/sidecar/admission.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/status.h"
 #include "catalog/catalog.h"
+#include "lease/evacuated_halls.h"
 #include "wire/wire.pb.h"
 #include <set>
 
@@ -23,6 +24,7 @@
   bool Stopping = false;
   /// What the engine holds; needed for managed upstreams only.
   const std::set<version_name> *Loaded = nullptr;
+  const evacuated_halls *Evacuated = nullptr; ///< Null: none.
 };
 
 /// OK, or the error kind that the entry is told.
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -133,7 +133,8 @@
                 .Incarnation = Incarnation,
                 .HasLease = Control.hasLease(),
                 .Stopping = Stopping,
-                .Loaded = &Loader.loaded()},
+                .Loaded = &Loader.loaded(),
+                .Evacuated = &Control.evacuated()},
                Control.config());
 }
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -53,6 +53,9 @@
   std::string nodeAddressOf(const seeded_control &Node) const {
     return Node.Ip + ":" + std::to_string(NodePort);
   }
+  std::string operatorAddressOf(const seeded_control &Node) const {
+    return Node.Ip + ":" + std::to_string(OperatorPort);
+  }
 
   std::shared_ptr<caller_answer> beginRequest(const std::string &Path,
                                               caller_request Request = {});
