Cold upstreams get no more than they bear, from all gateways together

The list's time was decoded and read by nobody, nor told on to gateways.

Now the list tells whether an upstream is cold, and upstreams of a restored hall are supposed to be for their start's time. Gateways plan half of the bound together (policy/warming): each spaces its requests by its share, and where there are more gateways than requests a rank by upstream says who sends any; one that has just started waits. What is over goes to others of the same software version; where all are cold callers are refused at once with the time of the next free one.

Weighed, not measured: grants by control (a message for each request, or a pause while there is no leader), and a bound on every upstream's rate that is always on (it would bind warm ones).

--- a/catalog/routing.cpp
+++ b/catalog/routing.cpp
@@ -19,6 +19,8 @@
 constexpr double MaxVersion = 9e15; ///< Exact in a double.
 constexpr double MaxPriority = 9;
 constexpr double MaxWeight = 1e6;
+constexpr double MaxColdSeconds = 1e6;
+constexpr double MaxColdRequests = 1e9;
 // Four times the design size and more; a gateway's memory holds it.
 constexpr size_t MostRoutes = 20000;
 constexpr size_t MostAccounts = 20000;
@@ -96,6 +98,10 @@
     Reader.text("health_path", Service.HealthPath);
     Reader.integer("max_connections", Connections, {0, 1e6});
     Service.MaxConnections = uint32_t(Connections);
+    Reader.number("cold_start_s", Service.ColdStartSeconds,
+                  {0, MaxColdSeconds});
+    Reader.number("cold_requests_per_s", Service.ColdRequestsPerSecond,
+                  {0, MaxColdRequests});
     openObject(Reader, "engine", [&](object_reader &Engine) {
       Service.Engine = readEngine(Engine);
     });
--- a/catalog/routing.h
+++ b/catalog/routing.h
@@ -74,6 +74,9 @@
   std::string HealthPath;
   uint32_t MaxConnections = 0; ///< Of all callers together at one upstream.
   std::optional<engine_spec> Engine;
+  double ColdStartSeconds = 0; ///< An upstream is cold for so long.
+  /// That a cold upstream takes from all callers; 0: no limit is told.
+  double ColdRequestsPerSecond = 0;
 };
 
 struct caller_account {
--- a/catalog/routing_parts.cpp
+++ b/catalog/routing_parts.cpp
@@ -39,6 +39,8 @@
   Part.set_name(Service.Name);
   Part.set_health_path(Service.HealthPath);
   Part.set_max_connections(Service.MaxConnections);
+  Part.set_cold_start_seconds(Service.ColdStartSeconds);
+  Part.set_cold_requests_per_second(Service.ColdRequestsPerSecond);
   if (!Service.Engine)
     return Part;
   Part.set_has_engine(true);
@@ -92,7 +94,10 @@
 routed_service decode(const wire::service_part &Part) {
   routed_service Service{.Name = Part.name(),
                          .HealthPath = Part.health_path(),
-                         .MaxConnections = Part.max_connections()};
+                         .MaxConnections = Part.max_connections(),
+                         .ColdStartSeconds = Part.cold_start_seconds(),
+                         .ColdRequestsPerSecond =
+                             Part.cold_requests_per_second()};
   if (!Part.has_engine())
     return Service;
   engine_spec &Engine = Service.Engine.emplace();
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -182,6 +182,8 @@
   Reader.number("retry_slack", Gateway.Retries.Slack, {0, 1e6});
   Reader.number("retry_window_seconds", Gateway.Retries.WindowSeconds,
                 {1, 600});
+  Reader.number("cold_ratio", Gateway.Cold.Ratio, {0, 100});
+  Reader.number("cold_slack", Gateway.Cold.Slack, {0, 1e6});
   Reader.number("start_seconds", Gateway.StartSeconds, {0, 600});
   Reader.number("session_seconds", Gateway.SessionSeconds, {0.1, 86400});
   Reader.integer("max_connections", Connections, {1, 60000});
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -33,6 +33,8 @@
 constexpr double SparePart = 0.75;
 // What upstreams end under is not worth another try soon.
 constexpr double QuarantineSeconds = 300;
+// Callers that cold upstreams cannot take come back spread over so long.
+constexpr double ColdSpreadSeconds = 0.5;
 
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
@@ -202,7 +204,7 @@
   selection_request Request = selectionAt(Now);
   selection Selected = select(State, *Routing, Request);
   if (!Selected.Upstream)
-    return concludeUnsent();
+    return concludeUnsent(Selected);
   if (!takenIn(Selected))
     return giveUp(error_kind::QueueFull,
                   "more is asked than can begin in time");
@@ -221,6 +223,7 @@
   if (Arrivals++ > 0)
     logRepeat();
   ++Upstream->InFlight;
+  noteWarming(Now);
   if (choosesModel())
     Model = Route->Sizes[ModelPlace];
   LastUpstream = Upstream;
@@ -231,8 +234,22 @@
   send(Now);
 }
 
+// A cold upstream gets the next one from this gateway after a while only.
+void forwarding::noteWarming(double Now) {
+  if (!Upstream->cold(Now))
+    return;
+  State.Metrics->count("sent_to_cold_upstreams", Service);
+  auto Share = coldShare(State, *Routing, *Upstream, Now);
+  if (Share && *Share > 0)
+    Upstream->Warming.sent(Now, *Share);
+}
+
 // No upstream may have it now.
-void forwarding::concludeUnsent() {
+void forwarding::concludeUnsent(const selection &Selected) {
+  if (Selected.ColdSeconds > 0 && Attempts == 0) {
+    ComeBackAfter = coldComeBack(Selected.ColdSeconds);
+    return conclude("upstreams are cold and take no more");
+  }
   if (!LastTrouble.empty())
     return conclude(LastTrouble);
   if (!State.Upstreams.allEvacuated(Service))
@@ -241,6 +258,12 @@
   conclude("all data halls of this service are evacuated");
 }
 
+// Not all callers at the same moment.
+double forwarding::coldComeBack(double Seconds) {
+  return std::uniform_real_distribution<double>(
+      Seconds, Seconds + ColdSpreadSeconds)(State.Random);
+}
+
 // What is left of the caller's time, which may be longer than the operator's.
 double forwarding::timeOfCaller() const {
   return Facts.DeadlineSeconds.value_or(Route->TimeoutSeconds) -
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -78,7 +78,9 @@
   bool authorise();
   const std::string &pickService();
   void attempt();
-  void concludeUnsent();
+  void noteWarming(double Now);
+  void concludeUnsent(const selection &Selected);
+  double coldComeBack(double Seconds);
   double timeOfCaller() const;
   void expectPrompt(const selection_request &Request, double WaitingSeconds);
   void send(double Now);
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -14,6 +14,7 @@
 #include "policy/prompt_memory.h"
 #include "policy/prompt_pace.h"
 #include "policy/retry_share.h"
+#include "policy/warming.h"
 #include "quarantine/crash_watch.h"
 #include <map>
 #include <memory>
@@ -44,6 +45,7 @@
   /// That share the upstreams, this one included; 0: nobody has told.
   uint32_t Gateways = 0;
   retry_window_bounds RetryBounds;            ///< Of all gateways.
+  cold_bounds ColdBounds;                     ///< Of all gateways.
   std::map<std::string, retry_share> Retries; ///< By service.
   std::map<std::string, earnings> Earnings;   ///< By service.
   std::map<std::string, service_pace> Paces;  ///< By service.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -33,6 +33,9 @@
 // Then it serves on with what it holds, as one that is cut off does: control
 // and the platform answer much sooner where they can be reached.
 constexpr double UncheckedSeconds = 1;
+// By then the platform's list, and control, have told whether an upstream is
+// cold.
+constexpr double ListLagSeconds = 2.5;
 constexpr std::string_view NotKnownYet =
     "no routing configuration is known yet";
 constexpr std::string_view StoodStill =
@@ -77,6 +80,7 @@
   State.StartedAt = steadySeconds();
   ListRetry = ListRetrySeconds;
   State.RetryBounds = Options.Retries;
+  State.ColdBounds = Options.Cold;
   State.Peers = &Peers;
   State.Reports = &Reports;
   State.Crashes = &Crashes;
@@ -129,7 +133,8 @@
     Reports.hear(Notice.quarantine());
   };
   Watch.OnEvacuations = [this](const evacuated_halls &Halls) {
-    State.Upstreams.setEvacuated(Halls.all());
+    for (const auto &Restored : State.Upstreams.setEvacuated(Halls.all()))
+      supposeCold(*Restored);
     for (const auto &[Hall, Open] : State.Upstreams.openInEvacuated())
       logLine(log_level::Info, "nothing new goes to an evacuated data hall",
               {{"data_hall", Hall}, {"open_requests", int64_t(Open)}});
@@ -184,6 +189,15 @@
   serveHeld();
 }
 
+// The operator may have restarted it meanwhile.
+void gateway_task::supposeCold(upstream &Upstream) const {
+  const routed_service *Service =
+      State.Routing ? State.Routing->service(Upstream.Listed.Service) : nullptr;
+  if (Service && Service->ColdStartSeconds > 0)
+    Upstream.supposeCold(Service->ColdStartSeconds + ListLagSeconds,
+                         steadySeconds());
+}
+
 void gateway_task::shareBounds(uint32_t Gateways) {
   logLine(log_level::Info, "number of gateways that share bounds",
           {{"gateways", int64_t(Gateways)},
@@ -399,7 +413,7 @@
   double HeldAge = steadySeconds() - ListHadAt;
   ListHadAt = std::max(ListHadAt, HadAt);
   size_t Before = State.Upstreams.all().size();
-  auto Left = State.Upstreams.update(Listed.list());
+  auto Left = State.Upstreams.update(Listed.list(), steadySeconds());
   auto Restarted =
       std::count_if(Left.begin(), Left.end(), [this](const auto &Upstream) {
         return State.Upstreams.all().contains(Upstream->Listed.Id);
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -24,6 +24,7 @@
   std::string UpstreamListAddress; ///< The platform's list.
   std::vector<std::string> ControlSeeds;
   retry_window_bounds Retries; ///< Of all gateways together.
+  cold_bounds Cold;            ///< Of all gateways together.
   /// How long after its start callers are held until the configuration is
   /// known. After a loss of all VMs control has to elect first.
   double StartSeconds = 2.5;
@@ -77,6 +78,7 @@
   void hearList(double Age, const wire::notice &Notice);
   void takeList(double HadAt);
   void takeRouting(const std::shared_ptr<routing_table> &Routing);
+  void supposeCold(upstream &Upstream) const;
   void shareBounds(uint32_t Gateways);
   uint32_t connectionsFor(const std::string &Service) const;
   void forgetIdle(upstream_connection &Connection);
--- a/gateway/peer_work.cpp
+++ b/gateway/peer_work.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/peer_work.h"
 #include "base/clock.h"
+#include "base/digest.h"
 #include "base/log.h"
 #include <algorithm>
 
@@ -92,6 +93,17 @@
           {{"gateways", int64_t(Gateways.size())}});
 }
 
+warming_circle peer_work::circleOf(uint64_t Upstream) const {
+  if (Gateways.empty())
+    return {};
+  uint64_t Own = checksum(Socket.address(), Upstream);
+  size_t Before = size_t(std::count_if(
+      Gateways.begin(), Gateways.end(), [=](const std::string &Gateway) {
+        return checksum(Gateway, Upstream) < Own;
+      }));
+  return {.Gateways = Gateways.size() + 1, .Rank = Before};
+}
+
 void peer_work::changed(const upstream &Upstream) {
   if (Gateways.empty())
     return;
--- a/gateway/peer_work.h
+++ b/gateway/peer_work.h
@@ -80,6 +80,9 @@
   bool hearsAll(uint32_t AllGateways) const {
     return AllGateways > 0 && Gateways.size() + 1 >= AllGateways;
   }
+  /// This gateway among those that it hears, in an order that is another for
+  /// each upstream and the same at all of them.
+  warming_circle circleOf(uint64_t Upstream) const;
   /// An upstream has told another gateway how many requests run or wait there.
   std::function<void(uint64_t Upstream, uint32_t Load)> OnLoad;
   /// Another gateway says that an upstream has ended.
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double NoUpstream = 1e9;
+// A gateway that has no share of a cold upstream looks again after so long.
+constexpr double NoShareSeconds = 0.5;
 // Prompts have three or four; a head has room for a thousand.
 constexpr size_t MostParts = 16;
 
@@ -35,9 +37,26 @@
 struct candidates {
   std::vector<std::shared_ptr<upstream>> Wanted;
   std::vector<std::shared_ptr<upstream>> Others;
+  /// Until one of the wanted that are cold may have a request; 0: none is.
+  double ColdSeconds = 0;
 };
 
-candidates candidatesFor(gateway_state &State, const selection_request &Request,
+/// Seconds until this gateway may send a request there; 0: at once.
+double coldWait(const gateway_state &State, const routing_table &Routing,
+                upstream &Upstream, double Now) {
+  if (!Upstream.cold(Now))
+    return 0;
+  if (Upstream.Warming.allows(Now)) {
+    auto Share = coldShare(State, Routing, Upstream, Now);
+    if (!Share || *Share > 0)
+      return 0;
+    Upstream.Warming.waitUntil(Now + NoShareSeconds);
+  }
+  return Upstream.Warming.nextAt() - Now;
+}
+
+candidates candidatesFor(gateway_state &State, const routing_table &Routing,
+                         const selection_request &Request,
                          const session_pin *Pin) {
   const std::string &Service = Request.Service;
   const std::string &Settled = State.Upstreams.settledVersion(Service);
@@ -52,9 +71,17 @@
   for (const auto &Each : State.Upstreams.ofService(Service)) {
     if (!Each->takesNew(Request.Now) || Each->Listed.Version == Barred)
       continue;
-    (Each->Listed.Version == Version ? Found.Wanted : Found.Others)
-        .push_back(Each);
+    bool Wanted = Each->Listed.Version == Version;
+    double Wait = coldWait(State, Routing, *Each, Request.Now);
+    if (Wait == 0)
+      (Wanted ? Found.Wanted : Found.Others).push_back(Each);
+    else if (Wanted && (Found.ColdSeconds == 0 || Wait < Found.ColdSeconds))
+      Found.ColdSeconds = Wait;
   }
+  // One on trial may go to the settled version instead, never the other way
+  // round.
+  if (Pinned.empty() && Version != Settled)
+    Found.ColdSeconds = 0;
   return Found;
 }
 
@@ -208,18 +235,40 @@
   return Outlook;
 }
 
+std::optional<double> coldShare(const gateway_state &State,
+                                const routing_table &Routing,
+                                const upstream &Upstream, double Now) {
+  const routed_service *Service = Routing.service(Upstream.Listed.Service);
+  if (!Service || Service->ColdRequestsPerSecond <= 0)
+    return std::nullopt;
+  if (Now < State.StartedAt + ForgottenSeconds)
+    return 0;
+  // Gateways that hear only those of their own data hall warm that.
+  bool MayWarm = State.Peers->hearsAll(State.Gateways) ||
+                 Upstream.Listed.DataHall == State.DataHall;
+  warming_circle Circle;
+  if (MayWarm && State.Gateways > 0)
+    Circle = State.Gateways == 1 ? warming_circle{.Gateways = 1}
+                                 : State.Peers->circleOf(Upstream.Place);
+  return warmingShare(Service->ColdRequestsPerSecond, State.ColdBounds, Circle);
+}
+
 selection select(gateway_state &State, const routing_table &Routing,
                  const selection_request &Request) {
   const std::string &Session = Request.Facts.Session;
   const session_pin *Pin =
       Session.empty() ? nullptr
                       : State.Pins.find(Request.Service, Session, Request.Now);
-  candidates Found = candidatesFor(State, Request, Pin);
+  candidates Found = candidatesFor(State, Routing, Request, Pin);
   prompt_work Work = promptWork(State, Routing, Request);
   selection Selected =
       pick(State, Routing, Request, std::move(Found.Wanted), Work);
   if (Selected.Upstream)
     return Selected;
+  if (Found.ColdSeconds > 0) {
+    Selected.ColdSeconds = Found.ColdSeconds;
+    return Selected;
+  }
   return pick(State, Routing, Request, std::move(Found.Others), Work);
 }
 
--- a/gateway/selection.h
+++ b/gateway/selection.h
@@ -66,6 +66,9 @@
   double PromptSeconds = 0;  ///< Of its time, for prompts that wait there.
   double WaitSeconds = 0;    ///< For a slot, at one of the less full upstreams.
   double BacklogSeconds = 0; ///< Of prompts, at an upstream on average.
+  /// Null for that all who may have it are cold: one may have it after so many
+  /// seconds. 0: none will soon.
+  double ColdSeconds = 0;
 };
 
 /// What a request would meet if it were sent now.
@@ -79,6 +82,12 @@
 outlook outlookFor(gateway_state &State, const routing_table &Routing,
                    const selection_request &Request);
 
+/// Requests a second that this gateway may send to a cold upstream; nothing:
+/// no limit is known.
+std::optional<double> coldShare(const gateway_state &State,
+                                const routing_table &Routing,
+                                const upstream &Upstream, double Now);
+
 /// The upstream for the request's next attempt.
 selection select(gateway_state &State, const routing_table &Routing,
                  const selection_request &Request);
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -26,6 +26,7 @@
 constexpr double DoubtSeconds = 4;
 // What asks for more is absurd, and would be lost to its service.
 constexpr double LongestRest = 60;
+constexpr double LongestCold = 60;
 // Of a service. A gateway that is wrong about more would send all the others to
 // the rest.
 constexpr double MostDoubted = 0.5;
@@ -60,6 +61,24 @@
   RestsUntil = std::max(RestsUntil, Now + std::min(Seconds, LongestRest));
 }
 
+bool upstream::cold(double Now) const {
+  bool IsListed = ListedColdAt > 0 && Now < ListedColdAt + LongestCold;
+  return IsListed || Now < SupposedColdUntil;
+}
+
+void upstream::supposeCold(double Seconds, double Now) {
+  SupposedColdUntil =
+      std::max(SupposedColdUntil, Now + std::min(Seconds, LongestCold));
+}
+
+void upstream::list(platform::listed_upstream Entry, double Now) {
+  if (Entry.ColdSeconds <= 0)
+    ListedColdAt = 0;
+  else if (ListedColdAt == 0)
+    ListedColdAt = Now;
+  Listed = std::move(Entry);
+}
+
 void upstream::answered() {
   Strikes = 0;
   DoubtedUntil = 0;
@@ -67,7 +86,8 @@
 
 // Without a start the id alone tells: upstreams of before never told one.
 std::shared_ptr<upstream>
-upstream_table::incarnationOf(platform::listed_upstream Listed) const {
+upstream_table::incarnationOf(platform::listed_upstream Listed,
+                              double Now) const {
   auto It = ById.find(Listed.Id);
   if (It != ById.end()) {
     uint64_t Known = It->second->Listed.StartedMs;
@@ -77,7 +97,7 @@
       return It->second;
     if (!Again) {
       Listed.StartedMs = std::max(Listed.StartedMs, Known);
-      It->second->Listed = std::move(Listed);
+      It->second->list(std::move(Listed), Now);
       return It->second;
     }
   }
@@ -85,18 +105,19 @@
   // Told and remembered under its place: what was of the start before does not
   // count for this one, however late it comes.
   New->Place = checksum(Listed.Id, Listed.StartedMs);
-  New->Listed = std::move(Listed);
+  New->list(std::move(Listed), Now);
   return New;
 }
 
 std::vector<std::shared_ptr<upstream>>
-upstream_table::update(std::vector<platform::listed_upstream> List) {
+upstream_table::update(std::vector<platform::listed_upstream> List,
+                       double Now) {
   std::map<std::string, std::shared_ptr<upstream>> Next;
   ByService.clear();
   Places.clear();
   std::map<std::string, std::map<std::string, int>> Versions;
   for (platform::listed_upstream &Listed : List) {
-    auto Upstream = incarnationOf(std::move(Listed));
+    auto Upstream = incarnationOf(std::move(Listed), Now);
     Upstream->Evacuated = EvacuatedHalls.contains(Upstream->Listed.DataHall);
     ++Versions[Upstream->Listed.Service][Upstream->Listed.Version];
     ByService[Upstream->Listed.Service].push_back(Upstream);
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -10,6 +10,7 @@
 
 #include "platform/headers.h"
 #include "platform/upstream_list.h"
+#include "policy/warming.h"
 #include <map>
 #include <memory>
 #include <set>
@@ -38,6 +39,7 @@
   double PromptSeconds = 0; ///< Of its time, for own prompts not read yet.
   uint32_t Connections = 0;
   std::vector<upstream_connection *> Idle;
+  warming_pace Warming; ///< Of this gateway's requests while it is cold.
 
   /// Requests that run or wait there: what it told last, corrected by what
   /// this entry and those that it hears of have sent and got back since.
@@ -64,10 +66,19 @@
   /// Ends soon, as planned.
   bool leaving() const { return Leaves || Listed.Leaving; }
   bool takesNew(double Now) const { return mayRest() && Now >= RestsUntil; }
+  /// It bears few requests: listed so, or supposed to be.
+  bool cold(double Now) const;
+  /// It may be cold for so long from now on, before the list can tell.
+  void supposeCold(double Seconds, double Now);
   /// It takes requests, now or once its rest is over.
   bool mayRest() const { return !Gone && !leaving() && !Evacuated; }
 
 private:
+  friend class upstream_table;
+  void list(platform::listed_upstream Entry, double Now);
+
+  double ListedColdAt = 0; ///< For the first time of this spell; 0: it is not.
+  double SupposedColdUntil = 0;
   uint32_t Told = 0; ///< Requests that ran or waited.
   double ToldAt = 0;
   uint32_t KnownThen = 0; ///< Of them, those of gateways that are heard of.
@@ -86,7 +97,7 @@
   /// is known. An entry with an earlier start than one seen before is late and
   /// changes nothing.
   std::vector<std::shared_ptr<upstream>>
-  update(std::vector<platform::listed_upstream> List);
+  update(std::vector<platform::listed_upstream> List, double Now);
   const std::vector<std::shared_ptr<upstream>> &
   ofService(const std::string &Service) const;
   const std::map<std::string, std::shared_ptr<upstream>> &all() const {
@@ -120,8 +131,8 @@
   void unsettleVersion(const std::string &Service, const std::string &Version);
 
 private:
-  std::shared_ptr<upstream>
-  incarnationOf(platform::listed_upstream Listed) const;
+  std::shared_ptr<upstream> incarnationOf(platform::listed_upstream Listed,
+                                          double Now) const;
 
   std::map<std::string, std::shared_ptr<upstream>> ById;
   std::map<std::string, std::vector<std::shared_ptr<upstream>>> ByService;
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -1,6 +1,7 @@
 //===- replica.cpp - Direct upstreams, their list and their faults --------===//
 
 #include "tests/replica.h"
+#include "base/clock.h"
 #include <algorithm>
 #include <cstdlib>
 
@@ -86,6 +87,20 @@
   return Sum;
 }
 
+int replica::mostInASecond(double Since) const {
+  int Most = 0;
+  size_t Begin = 0;
+  while (Begin < ArrivedAt.size() && ArrivedAt[Begin] < Since)
+    ++Begin;
+  size_t First = Begin;
+  for (size_t I = Begin; I < ArrivedAt.size(); ++I) {
+    while (ArrivedAt[I] - ArrivedAt[First] > 1)
+      ++First;
+    Most = std::max(Most, int(I - First + 1));
+  }
+  return Most;
+}
+
 void replica::crash() {
   Crashed = true;
   Listener.close();
@@ -122,7 +137,7 @@
   http_head Head = Connection.Reader.head();
   std::string Body = std::exchange(Connection.Body, {});
   Connection.Reader.next();
-  ++Arrivals;
+  ArrivedAt.push_back(steadySeconds());
   std::string Id = headerOf(Head, "X-Attempt-Id");
   bool Large = headerOf(Head, "X-Model") == "large";
   std::string Do = queryOf(Head.Target, Large ? "large" : "do");
@@ -242,4 +257,8 @@
                          {"cold_ms", 0}};
 }
 
+void upstream_list_stand_in::setCold(const std::string &Id, double Seconds) {
+  Entries.at(Id)["cold_ms"] = Seconds * 1000;
+}
+
 } // namespace olivevalve
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -25,6 +25,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace olivevalve {
 
@@ -45,7 +46,9 @@
   const std::string &address() const { return Listener.address(); }
   const replica_options &options() const { return Options; }
   /// Requests that reached it, also those that it did not run.
-  int arrivals() const { return Arrivals; }
+  int arrivals() const { return int(ArrivedAt.size()); }
+  /// The most of them within any second from \p Since on.
+  int mostInASecond(double Since) const;
   /// Runs of a request by its attempt id, and of all.
   int runs(const std::string &AttemptId) const;
   int runs() const;
@@ -102,7 +105,7 @@
   std::map<std::string, int> Runs;
   http_head LastHead;
   std::string LastBody;
-  int Arrivals = 0;
+  std::vector<double> ArrivedAt; ///< Steady seconds.
   int Cancelled = 0;
   bool Crashed = false;
 };
@@ -117,6 +120,7 @@
   void put(const replica &Replica, const std::string &At,
            const std::string &State = "ready");
   void remove(const std::string &Id) { Entries.erase(Id); }
+  void setCold(const std::string &Id, double Seconds);
   /// Anything in the place of an entry, as another writer may leave it.
   void putRaw(const std::string &Key, const json &Entry) {
     Entries[Key] = Entry;
--- a/tests/unit/evacuation_test.cpp
+++ b/tests/unit/evacuation_test.cpp
@@ -90,10 +90,11 @@
 
 BOOST_AUTO_TEST_CASE(hold_for_upstreams_that_are_listed_later) {
   upstream_table Table;
-  Table.update({listedIn("a", "lac"), listedIn("b", "charguia")});
+  Table.update({listedIn("a", "lac"), listedIn("b", "charguia")}, 0);
   BOOST_TEST(Table.setEvacuated({"lac"}).empty());
   Table.update(
-      {listedIn("a", "lac"), listedIn("b", "charguia"), listedIn("c", "lac")});
+      {listedIn("a", "lac"), listedIn("b", "charguia"), listedIn("c", "lac")},
+      1);
   for (const auto &Each : Table.ofService("s"))
     BOOST_TEST(Each->takesNew(1) == (Each->Listed.DataHall != "lac"));
   BOOST_TEST(!Table.allEvacuated("s"));
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -490,7 +490,7 @@
 BOOST_AUTO_TEST_CASE(tells_loads_that_upstreams_told) {
   struct ev_loop *Loop = ev_loop_new(0);
   upstream_table Table;
-  Table.update({listed("i-1"), listed("i-2")});
+  Table.update({listed("i-1"), listed("i-2")}, 0);
   const upstream &Full = *Table.all().at("i-1");
   {
     peer_work Tells(Loop, Table, {.Incarnation = 1, .Address = "127.0.0.1:0"});
@@ -532,17 +532,17 @@
 BOOST_AUTO_TEST_CASE(
     keeps_what_it_knows_of_an_incarnation_and_names_those_gone) {
   upstream_table Table;
-  Table.update({listed("i-1"), listed("i-2")});
+  Table.update({listed("i-1"), listed("i-2")}, 0);
   auto First = Table.all().at("i-1");
   First->InFlight = 3;
-  auto Left = Table.update({listed("i-1"), listed("i-3")});
+  auto Left = Table.update({listed("i-1"), listed("i-3")}, 0);
   BOOST_REQUIRE(Left.size() == 1U);
   BOOST_TEST(Left[0]->Gone);
   BOOST_TEST(!Left[0]->takesNew(0));
   BOOST_TEST(Table.all().at("i-1")->InFlight == 3U);
   // Every gateway has the upstreams in the same order.
   upstream_table Other;
-  Other.update({listed("i-3"), listed("i-1")});
+  Other.update({listed("i-3"), listed("i-1")}, 0);
   for (size_t I = 0; I < 2; ++I)
     BOOST_TEST(Other.ofService("llm")[I]->Listed.Id ==
                Table.ofService("llm")[I]->Listed.Id);
@@ -555,7 +555,7 @@
   std::vector<platform::listed_upstream> Listed;
   for (int I = 0; I < 6; ++I)
     Listed.push_back(listed("i-" + std::to_string(I)));
-  Table.update(Listed);
+  Table.update(Listed, 0);
   auto First = Table.all().at("i-0");
   BOOST_TEST(Table.doubt(First->Place, 10));
   BOOST_TEST(First->suspect(10.5));
@@ -585,16 +585,16 @@
     return Listed;
   };
   upstream_table Table;
-  Table.update({Started(1000)});
+  Table.update({Started(1000)}, 0);
   auto First = Table.all().at("i-1");
   First->failed(0);
   First->heardLoad(7, 0);
   // No start told, or the same: it is the same.
-  BOOST_TEST(Table.update({Started(0)}).empty());
-  BOOST_TEST(Table.update({Started(1000)}).empty());
+  BOOST_TEST(Table.update({Started(0)}, 0).empty());
+  BOOST_TEST(Table.update({Started(1000)}, 0).empty());
   BOOST_TEST((Table.all().at("i-1") == First));
 
-  auto Left = Table.update({Started(2000)});
+  auto Left = Table.update({Started(2000)}, 0);
   BOOST_REQUIRE(Left.size() == 1U);
   BOOST_TEST((Left[0] == First));
   BOOST_TEST(First->Gone);
@@ -608,18 +608,18 @@
   BOOST_TEST(!Table.has(First->Place));
 
   // A list from before changes nothing back, also where it says that it leaves.
-  BOOST_TEST(Table.update({Started(1000, true)}).empty());
+  BOOST_TEST(Table.update({Started(1000, true)}, 0).empty());
   BOOST_TEST((Table.all().at("i-1") == Second));
   BOOST_TEST(Second->takesNew(0));
   // Gateways that hear of it first now agree on its place.
   upstream_table Other;
-  Other.update({Started(2000)});
+  Other.update({Started(2000)}, 0);
   BOOST_TEST(Other.all().at("i-1")->Place == Second->Place);
 }
 
 BOOST_AUTO_TEST_CASE(keeps_work_from_those_that_rest_until_their_time_is_over) {
   upstream_table Table;
-  Table.update({listed("i-1"), listed("i-2")});
+  Table.update({listed("i-1"), listed("i-2")}, 0);
   auto First = Table.all().at("i-1");
   const std::string &Service = First->Listed.Service;
   First->rest(3, 10);
@@ -646,7 +646,7 @@
     BOOST_TEST(Table.soonestRest(Service, 31) == 0);
   }
   BOOST_TEST_CONTEXT("also those that a later list names again") {
-    Table.update({listed("i-1"), listed("i-2")});
+    Table.update({listed("i-1"), listed("i-2")}, 0);
     BOOST_TEST(Table.all().at("i-1")->leaving());
   }
 }
@@ -691,7 +691,7 @@
 
 BOOST_AUTO_TEST_CASE(of_a_session_stays_while_a_version_is_tried) {
   upstream_table Upstreams;
-  Upstreams.update({listed("i-1"), listed("i-2", "v2")});
+  Upstreams.update({listed("i-1"), listed("i-2", "v2")}, 0);
   software_versions Versions;
   Versions.take(noticeOf(wire::CANARY), Upstreams);
   BOOST_TEST(Upstreams.settledVersion("llm") == "v1");
@@ -707,7 +707,7 @@
 
 BOOST_AUTO_TEST_CASE(moves_over_when_sound_and_gets_nothing_when_given_up) {
   upstream_table Upstreams;
-  Upstreams.update({listed("i-1"), listed("i-2", "v2")});
+  Upstreams.update({listed("i-1"), listed("i-2", "v2")}, 0);
   software_versions Versions;
   Versions.take(noticeOf(wire::SHIFT), Upstreams);
   BOOST_TEST(Versions.versionFor("llm", "v1", "v1", 1) == "v2");
