--- a/policy/warming.cpp
+++ b/policy/warming.cpp
@@ -29,8 +29,9 @@
   if (Circle.Gateways == 0)
     return 0;
   size_t Planned = plannedRequests(RequestsPerSecond, Bounds);
+  size_t OfEach = Planned / Circle.Gateways;
   bool GetsOneMore = Circle.Rank < Planned % Circle.Gateways;
-  return double(Planned / Circle.Gateways + GetsOneMore);
+  return double(OfEach + GetsOneMore);
 }
 
 void warming_pace::sent(double Now, double Share) {
--- a/tests/system/evacuation_test.cpp
+++ b/tests/system/evacuation_test.cpp
@@ -217,8 +217,8 @@
     putObject("upstream", "b", Upstreams["b"]);
   }
   caller_answer ask() {
-    return world::ask(Entries["entry-1"]->Address.text(),
-                      {.Body = chatBody("plan", "x")});
+    return call(Entries["entry-1"]->Address.text(),
+                {.Body = chatBody("plan", "x")});
   }
   json hall(const std::string &Name) {
     json Halls = json::parse(ctl({"get", "halls", "-o", "json"}).Text);
