Upstreams that fail more than the others are passed over

Cause: one of two upstreams that were left of a service failed each request at once (a lying health answer while a data hall was empty). Its load was the least, so it got half of the requests; 129 to 162 of some 750 callers in two seconds got its 500, as most may not be repeated. A failure with an answer counted as an answer.

Now gateways tell each other answers and failures by upstream; one that fails a third and three times as often as the others of its kind (policy/ answer_tally) is suspect, and gets a request now and then. What all fail alike is the requests' matter. Ruled out: leaving it to the platform's health, which was false; counting at each gateway alone (two answers a second of one upstream).

--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -299,8 +299,10 @@
 void forwarding::countAnswer(bool Failed) {
   if (!Upstream)
     return;
-  State.Versions.count(Service, Upstream->Listed.Version, Failed,
-                       steadySeconds() - SentAt);
+  double Now = steadySeconds();
+  State.Versions.count(Service, Upstream->Listed.Version, Failed, Now - SentAt);
+  Upstream->Answers.add(1, Failed, Now);
+  State.Peers->answered(*Upstream, Failed);
 }
 
 // Where all upstreams rest, once the first of them takes requests again, and
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -36,6 +36,8 @@
 // By then the platform's list, and control, have told whether an upstream is
 // cold.
 constexpr double ListLagSeconds = 2.5;
+// In one message of another gateway; more is absurd.
+constexpr uint32_t MostAnswersTold = 1000;
 constexpr std::string_view NotKnownYet =
     "no routing configuration is known yet";
 constexpr std::string_view StoodStill =
@@ -154,6 +156,12 @@
     if (auto Upstream = State.Upstreams.at(Place))
       Upstream->heardLoad(Load, steadySeconds(), Peers.at(Place).InFlight);
   };
+  Peers.OnAnswers = [this](uint64_t Place, uint32_t Answers,
+                           uint32_t Failures) {
+    if (auto Upstream = State.Upstreams.at(Place))
+      Upstream->Answers.add(std::min(Answers, MostAnswersTold), Failures,
+                            steadySeconds());
+  };
   Peers.OnEnded = [this](uint64_t Place) {
     bool Doubted = State.Upstreams.doubt(Place, steadySeconds());
     State.Metrics->count("told_ended", Doubted ? "passed over" : "not heeded");
--- a/gateway/peer_work.cpp
+++ b/gateway/peer_work.cpp
@@ -128,6 +128,15 @@
   changed(Upstream);
 }
 
+void peer_work::answered(const upstream &Upstream, bool Failed) {
+  if (Gateways.empty())
+    return;
+  answers &Untold = UntoldAnswers[Upstream.Place];
+  ++Untold.All;
+  Untold.Failures += Failed;
+  changed(Upstream);
+}
+
 void peer_work::ended(const upstream &Upstream) {
   if (Gateways.empty())
     return;
@@ -170,7 +179,9 @@
     bool Told =
         Whole ? Upstream->InFlight > 0 : Changed.contains(Upstream->Place);
     bool Ended = UntoldEnded.contains(Upstream->Place);
-    if (!Told && !HasLoad && !Ended)
+    auto Answers = UntoldAnswers.find(Upstream->Place);
+    bool HasAnswers = Answers != UntoldAnswers.end();
+    if (!Told && !HasLoad && !Ended && !HasAnswers)
       continue;
     wire::upstream_work *Work = News.add_works();
     Work->set_upstream(Upstream->Place);
@@ -179,9 +190,14 @@
     if (HasLoad)
       Work->set_told_load(Load->second + 1);
     Work->set_ended(Ended);
+    if (HasAnswers) {
+      Work->set_answers(Answers->second.All);
+      Work->set_failures(Answers->second.Failures);
+    }
   }
   UntoldLoads.clear();
   UntoldEnded.clear();
+  UntoldAnswers.clear();
   Changed.clear();
   if (OnTell)
     OnTell(News);
@@ -204,6 +220,8 @@
   for (const wire::upstream_work &Work : News.works()) {
     if (OnLoad && Work.told_load() > 0)
       OnLoad(Work.upstream(), Work.told_load() - 1);
+    if (OnAnswers && Work.answers() > 0)
+      OnAnswers(Work.upstream(), Work.answers(), Work.failures());
     if (OnEnded && Work.ended())
       OnEnded(Work.upstream());
   }
--- a/gateway/peer_work.h
+++ b/gateway/peer_work.h
@@ -71,6 +71,8 @@
   void changed(const upstream &Upstream);
   /// An upstream has told how many requests run or wait there.
   void heardLoad(const upstream &Upstream, uint32_t Load);
+  /// An upstream has answered this gateway.
+  void answered(const upstream &Upstream, bool Failed);
   /// An upstream has ended: another has its address, or nobody.
   void ended(const upstream &Upstream);
   /// There is something to tell beside work.
@@ -85,6 +87,9 @@
   warming_circle circleOf(uint64_t Upstream) const;
   /// An upstream has told another gateway how many requests run or wait there.
   std::function<void(uint64_t Upstream, uint32_t Load)> OnLoad;
+  /// An upstream has answered another gateway.
+  std::function<void(uint64_t Upstream, uint32_t Answers, uint32_t Failures)>
+      OnAnswers;
   /// Another gateway says that an upstream has ended.
   std::function<void(uint64_t Upstream)> OnEnded;
   /// Adds to what the others are told, and hears what they tell beside work.
@@ -105,6 +110,11 @@
   wire::work_news Untold;     ///< Prompts sent since the last news.
   std::unordered_map<uint64_t, uint32_t> UntoldLoads; ///< By upstream.
   std::set<uint64_t> UntoldEnded;
+  struct answers {
+    uint32_t All = 0;
+    uint32_t Failures = 0;
+  };
+  std::unordered_map<uint64_t, answers> UntoldAnswers; ///< By upstream.
   work_of_others Others;
   datagram_socket Socket;
   timer Timer;
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -85,6 +85,17 @@
   return Found;
 }
 
+answer_counts answersOf(const std::vector<std::shared_ptr<upstream>> &Upstreams,
+                        double Now) {
+  answer_counts Sum;
+  for (const auto &Each : Upstreams) {
+    answer_counts Counts = Each->Answers.at(Now);
+    Sum.Answers += Counts.Answers;
+    Sum.Failures += Counts.Failures;
+  }
+  return Sum;
+}
+
 std::vector<upstream_view>
 viewsOf(const gateway_state &State, const selection_request &Request,
         const std::vector<std::shared_ptr<upstream>> &Upstreams) {
@@ -93,7 +104,11 @@
   std::vector<upstream_view> Views;
   Views.reserve(Upstreams.size());
   bool HearsAll = State.Peers->hearsAll(State.Gateways);
+  answer_counts All = answersOf(Upstreams, Now);
   for (const auto &Each : Upstreams) {
+    answer_counts Own = Each->Answers.at(Now);
+    bool Fails = failsMore(Own, {.Answers = All.Answers - Own.Answers,
+                                 .Failures = All.Failures - Own.Failures});
     upstream_work Others = State.Peers->at(Each->Place);
     Views.push_back(
         {.Id = Each->Listed.Id,
@@ -103,7 +118,8 @@
          .LoadKnown = HearsAll || Each->loadKnown(Now),
          .Slots = double(Each->Listed.Slots),
          .SameHall = Each->Listed.DataHall == State.DataHall,
-         .Suspect = Each->suspect(Now) || (Once && Each->unproven(Now)),
+         .Suspect =
+             Fails || Each->suspect(Now) || (Once && Each->unproven(Now)),
          .PromptSeconds = Each->PromptSeconds + Others.PromptSeconds});
   }
   return Views;
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -10,6 +10,7 @@
 
 #include "platform/headers.h"
 #include "platform/upstream_list.h"
+#include "policy/answer_tally.h"
 #include "policy/warming.h"
 #include <map>
 #include <memory>
@@ -39,6 +40,7 @@
   double PromptSeconds = 0; ///< Of its time, for own prompts not read yet.
   uint32_t Connections = 0;
   std::vector<upstream_connection *> Idle;
+  answer_tally Answers; ///< To all gateways that are heard of.
   warming_pace Warming; ///< Of this gateway's requests while it is cold.
 
   /// Requests that run or wait there: what it told last, corrected by what
--- /dev/null
+++ b/tests/system/failing_test.cpp
@@ -0,0 +1,62 @@
+//===- failing_test.cpp - An upstream that fails its requests -------------===//
+//
+// One whose answers are failures, though the list shows it ready, gets few
+// requests while the others answer well.
+//
+//===----------------------------------------------------------------------===//
+
+#include "boost/test/unit_test.hpp"
+#include "tests/gateway_world.h"
+
+using namespace olivevalve;
+
+namespace {
+
+class failing_world : public gateway_world {
+public:
+  explicit failing_world(size_t Upstreams) {
+    for (size_t I = 1; I <= Upstreams; ++I)
+      addReplica({.Id = "i-" + std::to_string(I)});
+    BOOST_REQUIRE_EQUAL(putRouting(usualRouting()).Status, 200);
+    startGateway("gateway-1");
+    untilGatewayReady("gateway-1");
+    until("upstreams are known",
+          [&] { return request("/unsafe/x").Status == 200; });
+  }
+  /// Callers that got a failure.
+  int failuresOf(int Requests) {
+    int Failures = 0;
+    for (int I = 0; I < Requests; ++I)
+      Failures += request("/unsafe/x").Status == 500;
+    return Failures;
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(failing_upstreams)
+
+BOOST_AUTO_TEST_CASE(get_few_requests_that_may_not_be_repeated) {
+  failing_world World(3);
+  World.Replicas["i-1"]->Fails = true;
+  BOOST_TEST(World.failuresOf(300) < 30);
+  BOOST_TEST_CONTEXT("until they answer well again") {
+    World.Replicas["i-1"]->Fails = false;
+    int Before = World.Replicas["i-1"]->runs();
+    World.until("it gets some", [&] {
+      World.request("/unsafe/x");
+      return World.Replicas["i-1"]->runs() > Before + 10;
+    });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_used_where_all_fail_alike) {
+  failing_world World(2);
+  for (auto &[Id, Replica] : World.Replicas)
+    Replica->Fails = true;
+  World.failuresOf(100);
+  for (auto &[Id, Replica] : World.Replicas)
+    BOOST_TEST(Replica->runs() > 20);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
