The price of an upstream's time goes by the size of its works

Cause: the backlog that makes the largest model dear was stated in targets (1.65); reading by the largest model slows every stream beside it, long before answers begin late.

Now it is stated in works, as gateways see them: what is left on average of the largest model's request at work when another comes (0.56 s on the shifted site, 1.5 s on grown Qasr).

A fixed bound per fleet is ruled out: nothing may hang on which one it is. The unit cases keep their bounds; their calls name works

--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -161,6 +161,8 @@
   selection_request Request = selectionAt(Now);
   Request.ModelPlace = Largest;
   outlook Outlook = outlookFor(State, *Routing, Request);
+  work_sizes &Works = State.Works[Service];
+  Works.weighed(Outlook.UpstreamSeconds);
   auto Larger = largerModel(
       {.Models = Route->Sizes.size(),
        .Place = ModelPlace,
@@ -168,9 +170,8 @@
        .Size = size(),
        .LargestCost = costOf(*Routing, *Route, Service, Largest),
        .LargestSeconds = Outlook.UpstreamSeconds,
-       .WorthOfSecond =
-           worthOfSecond(State.Earnings[Service].perSecond(),
-                         Outlook.BacklogSeconds, Route->TargetSeconds),
+       .WorthOfSecond = worthOfSecond(State.Earnings[Service].perSecond(),
+                                      Outlook.BacklogSeconds, Works.residual()),
        .RefusedShare = refusalChanceAt(Outlook.WaitSeconds),
        .InTime =
            Now + Outlook.FirstTokenSeconds < BegunAt + Route->TargetSeconds});
@@ -179,6 +180,7 @@
            {"confidence", Confidence},
            {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
            {"backlog_s", Outlook.BacklogSeconds},
+           {"work_s", Works.residual()},
            {"slot_wait_s", Outlook.WaitSeconds},
            {"upstream_s", Outlook.UpstreamSeconds},
            {"earned_per_s", State.Earnings[Service].perSecond()},
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -48,6 +48,7 @@
   cold_bounds ColdBounds;                     ///< Of all gateways.
   std::map<std::string, retry_share> Retries; ///< By service.
   std::map<std::string, earnings> Earnings;   ///< By service.
+  std::map<std::string, work_sizes> Works;    ///< By service.
   std::map<std::string, service_pace> Paces;  ///< By service.
   prompt_pace Pace;
   prompt_memory Memory; ///< Of all upstreams.
--- a/policy/model_choice.cpp
+++ b/policy/model_choice.cpp
@@ -22,14 +22,14 @@
 constexpr double NextRank = 0.6;
 // Models' costs are for tokens made; one that is read costs a quarter.
 constexpr double CostOfRead = 0.25;
-// So many targets: with a mean backlog as long, answers hardly begin in time.
-// At 1 the largest model is left alone too early: 0.643 of what callers are
-// owed beside 0.667 on 58 upstreams that read 38 tokens in a millisecond.
-constexpr double FatalBacklog = 1.65;
+// So many works: with a mean backlog as long, an upstream is never free and
+// each second more is a second's wait for others.
+constexpr double FatalWorks = 4;
 // An answer that begins late is worth so much of one in time.
 constexpr double LateWorth = 0.28;
 // Of what was earned before the last request: some 200 requests count.
 constexpr double EarningsKept = 0.995;
+constexpr double WorkKept = 0.995;
 constexpr double Thousand = 1000;
 
 } // namespace
@@ -55,12 +55,17 @@
   Seconds = EarningsKept * Seconds + NewSeconds;
 }
 
+void work_sizes::weighed(double Seconds) {
+  Sum = WorkKept * Sum + Seconds;
+  Squares = WorkKept * Squares + Seconds * Seconds;
+}
+
 // What waits already waits longer for it. A short wait costs hardly anything,
 // as answers still begin in time; a long one all that the upstream would earn
 // meanwhile.
 double worthOfSecond(double WorthPerSecond, double BacklogSeconds,
-                     double TargetSeconds) {
-  double Part = BacklogSeconds / (FatalBacklog * std::max(TargetSeconds, 1e-3));
+                     double WorkSeconds) {
+  double Part = BacklogSeconds / (FatalWorks * std::max(WorkSeconds, 1e-3));
   return WorthPerSecond * std::min(1.0, Part * Part);
 }
 
--- a/policy/model_choice.h
+++ b/policy/model_choice.h
@@ -55,10 +55,25 @@
 /// What a good answer is worth to its caller, in the unit of models' cost.
 double worthOf(const request_size &Size);
 
+/// How long the largest model's requests keep an upstream at work.
+class work_sizes {
+public:
+  /// One of them is weighed; it would take so long.
+  void weighed(double Seconds);
+  /// What is left of the one that is at work when another comes, on average: a
+  /// few long ones weigh more than many short ones. 0 before any.
+  double residual() const { return Sum > 0 ? Squares / Sum : 0; }
+
+private:
+  double Sum = 0;
+  double Squares = 0;
+};
+
 /// What a second of an upstream's time is worth to the requests that wait or
-/// will come. \p WorthPerSecond: that the first models earn.
+/// will come. \p WorthPerSecond: that the first models earn. \p WorkSeconds:
+/// residual of the works there; a backlog is long beside these.
 double worthOfSecond(double WorthPerSecond, double BacklogSeconds,
-                     double TargetSeconds);
+                     double WorkSeconds);
 
 /// How likely an answer is poor whose model has this confidence, 0 to 1.
 double poorChance(double Confidence);
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -392,19 +392,42 @@
 BOOST_AUTO_TEST_CASE(
     leaves_the_largest_to_those_in_most_doubt_when_prompts_wait) {
   constexpr double Earned = 15; // For a second of an upstream.
-  double Short = worthOfSecond(Earned, 0.3, 4);
-  double Long = worthOfSecond(Earned, 8, 4);
+  constexpr double WorkSeconds = 1.65;
+  double Short = worthOfSecond(Earned, 0.3, WorkSeconds);
+  double Long = worthOfSecond(Earned, 8, WorkSeconds);
   BOOST_TEST(asks(Appraisal, 0.55, Short));
   BOOST_TEST(!asks(Appraisal, 0.55, Long));
   BOOST_TEST(!asks(Appraisal, 0.2, Long));
-  BOOST_TEST(worthOfSecond(Earned, 100, 4) == Earned);
+  BOOST_TEST(worthOfSecond(Earned, 100, WorkSeconds) == Earned);
   BOOST_TEST(worthOfSecond(Earned, 1, 0) == Earned);
-  BOOST_TEST(worthOfSecond(0, 1, 4) == 0);
+  BOOST_TEST(worthOfSecond(0, 1, WorkSeconds) == 0);
   // What would come too late is worth little.
   BOOST_TEST(!asks(Appraisal, 0.5, 0, false));
   BOOST_TEST(asks(Appraisal, 0.2, 0, false));
 }
 
+// The same backlog is a short one where works are long.
+BOOST_AUTO_TEST_CASE(measures_a_backlog_by_the_works_of_its_fleet) {
+  work_sizes Short;
+  work_sizes Long;
+  BOOST_TEST(Short.residual() == 0);
+  for (int I = 0; I < 1000; ++I) {
+    Short.weighed(0.2);
+    Long.weighed(2);
+  }
+  BOOST_TEST(Short.residual() == 0.2, boost::test_tools::tolerance(1e-9));
+  constexpr double Earned = 15;
+  double OfShort = worthOfSecond(Earned, 1, Short.residual());
+  double OfLong = worthOfSecond(Earned, 1, Long.residual());
+  BOOST_TEST(!asks(Appraisal, 0.55, OfShort));
+  BOOST_TEST(asks(Appraisal, 0.55, OfLong));
+  BOOST_TEST_CONTEXT("one long work among many short ones counts") {
+    for (int I = 0; I < 20; ++I)
+      Short.weighed(2);
+    BOOST_TEST(Short.residual() > 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(learns_what_a_second_of_an_upstream_earns) {
   earnings Earnings;
   BOOST_TEST(Earnings.perSecond() == 0);
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -143,6 +143,7 @@
     double Read =
         paceOf(Large) * (SharedTokens + OwnTokens - Memory.kept(Place, Pieces));
     double Backlog = Options.HeedsBacklog ? meanBacklog() : 0;
+    Works.weighed(Read);
     auto Larger =
         largerModel({.Models = 2,
                      .Place = Small,
@@ -151,7 +152,7 @@
                      .LargestCost = LargeCost,
                      .LargestSeconds = Read,
                      .WorthOfSecond = worthOfSecond(Earnings.perSecond(),
-                                                    Backlog, TargetSeconds),
+                                                    Backlog, Works.residual()),
                      .InTime = !Options.HeedsBacklog ||
                                waitAt(Place) + Read < TargetSeconds});
     if (Larger)
@@ -165,6 +166,7 @@
   std::vector<played_upstream> Upstreams;
   prompt_memory Memory; ///< What the gateway knows.
   earnings Earnings;
+  work_sizes Works;
   std::mt19937_64 Random{11};
   double Now = 0;
   uint64_t Owns = 0;
