--- a/bench/bench.h
+++ b/bench/bench.h
@@ -41,6 +41,16 @@
   double Squares = 0;
 };
 
+/// What an upstream that has just started gets from all gateways.
+struct warming_row {
+  std::string Scenario;
+  std::string Policy;
+  double MostInASecond = 0;
+  double Bound = 0; ///< That many within any second at most.
+  double SentPerSecond = 0;
+};
+std::vector<warming_row> benchWarming();
+
 /// Cost at the quality target.
 struct choice_row {
   std::string Workload;
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -95,6 +95,26 @@
   return Rows;
 }
 
+void printWarming(const std::vector<warming_row> &Warming) {
+  std::printf("\n%-32s %-20s %14s %9s %9s\n", "COLD UPSTREAM", "POLICY",
+              "MOST IN 1 s", "BOUND", "SENT/s");
+  for (const warming_row &Row : Warming)
+    std::printf("%-32s %-20s %14.0f %9.0f %9.1f\n", Row.Scenario.c_str(),
+                Row.Policy.c_str(), Row.MostInASecond, Row.Bound,
+                Row.SentPerSecond);
+}
+
+json toJson(const std::vector<warming_row> &Warming) {
+  json Rows = json::array();
+  for (const warming_row &Row : Warming)
+    Rows.push_back({{"scenario", Row.Scenario},
+                    {"policy", Row.Policy},
+                    {"most_in_a_second", Row.MostInASecond},
+                    {"bound", Row.Bound},
+                    {"sent_per_second", Row.SentPerSecond}});
+  return Rows;
+}
+
 void printNews(const std::vector<news_row> &News) {
   std::printf("\n%-32s %12s %12s %9s %9s\n", "NEWS OF ESTIMATES", "BYTES/s",
               "WHOLE TABLE", "BEHIND", "OFF (SE)");
@@ -171,12 +191,14 @@
   if (Json) {
     json Out = toJson(Choice, Rollout, Replicas);
     Out["placement"] = toJson(Placement);
+    Out["warming"] = toJson(benchWarming());
     Out["bench"] = Signature.value();
     std::printf("%s\n", Out.dump(2).c_str());
     return 0;
   }
   printText(Choice, Rollout, Replicas);
   printPlacement(Placement);
+  printWarming(benchWarming());
   printNews(benchNews());
   std::printf("\nBench: %llu\n", (unsigned long long)Signature.value());
   return 0;
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -31,6 +31,12 @@
   Exchange.reply(Answer.HttpStatus, Json, errorBody(Kind, Message), Headers);
 }
 
+struct hall_facts {
+  size_t Upstreams = 0;
+  size_t Processes = 0;
+  bool Evacuated = false;
+};
+
 // Reads the body of POST /v1/changes.
 absl::StatusOr<wire::change_set> readChangeSet(const std::string &Body) {
   auto Value = parseJson(Body, "request");
@@ -322,32 +328,27 @@
 
 // The halls that anything is known of, and those that are evacuated.
 void operator_api::halls(const exchange &Exchange) {
-  const evacuation_book &Book = Control.Log->state().evacuations();
-  std::map<std::string, size_t> Upstreams = Control.Upstreams.byHall();
+  std::map<std::string, hall_facts> Halls;
+  for (const auto &[Name, Count] : Control.Upstreams.byHall())
+    Halls[Name].Upstreams += Count;
   Control.Log->state().config().forEach<upstream_spec>(
-      [&](const upstream_spec &Upstream) { ++Upstreams[Upstream.DataHall]; });
-  std::set<std::string> Names;
-  for (const auto &[Name, Count] : Upstreams)
-    Names.insert(Name);
-  for (const auto &[Name, Evacuation] : Book.all())
-    Names.insert(Name);
-  std::map<std::string, size_t> Processes;
+      [&](const upstream_spec &Each) { ++Halls[Each.DataHall].Upstreams; });
   for (const auto &[Peer, Gateway] : Control.Gateways.gateways())
-    ++Processes[Gateway.DataHall];
+    ++Halls[Gateway.DataHall].Processes;
   for (const auto &[Peer, Node] : Control.Nodes.nodes())
-    ++Processes[Node.DataHall];
-  for (const auto &[Name, Count] : Processes)
-    Names.insert(Name);
-  double Wall = wallSeconds();
+    ++Halls[Node.DataHall].Processes;
+  const evacuation_book &Book = Control.Log->state().evacuations();
+  for (const auto &[Name, Evacuation] : Book.all())
+    Halls[Name].Evacuated = true;
   json List = json::array();
-  for (const std::string &Name : Names) {
-    auto It = Book.all().find(Name);
+  for (const auto &[Name, Facts] : Halls) {
     json Item = {{"data_hall", Name},
-                 {"evacuated", It != Book.all().end()},
-                 {"upstreams", Upstreams[Name]},
-                 {"processes", Processes[Name]}};
-    if (It != Book.all().end()) {
-      Item["since_seconds"] = std::max(0.0, Wall - It->second.since_wall());
+                 {"evacuated", Facts.Evacuated},
+                 {"upstreams", Facts.Upstreams},
+                 {"processes", Facts.Processes}};
+    if (Facts.Evacuated) {
+      double Since = Book.all().at(Name).since_wall();
+      Item["since_seconds"] = std::max(0.0, wallSeconds() - Since);
       Item["gateways_behind"] =
           Control.Gateways.behindEvacuations(Book.revision());
       Item["open_requests"] = Control.Gateways.openIn(Name);
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -368,6 +368,11 @@
                           Peers.receivedBytes());
   State.Metrics->gauge("callers", double(Callers.size()));
   State.Metrics->gauge("open_requests", double(Requests.size()));
+  uint32_t OpenInEvacuated = 0;
+  for (const auto &[Hall, Open] : State.Upstreams.openInEvacuated())
+    OpenInEvacuated += Open;
+  State.Metrics->gauge("open_requests_in_evacuated_halls",
+                       double(OpenInEvacuated));
 }
 
 double gateway_task::listPatience() const {
