--- a/gateway/answering.cpp
+++ b/gateway/answering.cpp
@@ -112,69 +112,6 @@
   State.Peers->heardLoad(*Upstream, Requests);
 }
 
-// The answer that has begun is ready: it is kept until the caller has one of
-// the larger model. Let go of at once it was lost where the larger model's
-// upstream refused, and its caller was told that nothing had run.
-void forwarding::askLargerModel() {
-  auto Keep = shared_from_this();
-  Upstream->answered();
-  countAnswer(false);
-  logLine(log_level::Info, "larger model asked",
-          {{"id", Facts.AttemptId},
-           {"confidence", Confidence},
-           {"upstream", Upstream->Listed.Id},
-           {"asked", Model},
-           {"asks", Route->Sizes[LargerPlace]},
-           {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
-           {"seconds_there", steadySeconds() - SentAt}});
-  Spare = std::make_unique<spare_answer>(
-      State,
-      spare_answer_parts{.Upstream = std::exchange(Upstream, nullptr),
-                         .Connection = std::exchange(Connection, nullptr),
-                         .Answer = std::exchange(Answer, {}),
-                         .Events = std::exchange(Events, {}),
-                         .ModelPlace = ModelPlace,
-                         .Confidence = Confidence,
-                         .Request = Identity});
-  ModelPlace = LargerPlace;
-  MayHaveRun = true;
-  attempt();
-}
-
-// The larger model gives nothing in time: the caller gets what was kept, and
-// what lacks comes from the same connection or another upstream.
-void forwarding::goBack(std::string_view Why) {
-  auto Keep = shared_from_this();
-  logLine(log_level::Info, "back to the smaller model's answer",
-          {{"id", Facts.AttemptId},
-           {"why", Why},
-           {"whole", int64_t(Spare->whole())},
-           {"bytes", int64_t(Spare->events().size())},
-           {"seconds", steadySeconds() - BegunAt}});
-  std::unique_ptr<spare_answer> Back = std::exchange(Spare, nullptr);
-  spare_answer_parts Parts = Back->take(*this);
-  WentBack = AnswerIsEvents = Counted = true;
-  LastTrouble = Why;
-  Upstream = std::move(Parts.Upstream);
-  Connection = Parts.Connection;
-  Answer = std::move(Parts.Answer);
-  Events = std::move(Parts.Events);
-  ModelPlace = Parts.ModelPlace;
-  Model = Route->Sizes[ModelPlace];
-  Confidence = Parts.Confidence;
-  HeardAt = steadySeconds();
-  if (Upstream)
-    LastUpstream = Upstream;
-  passOn(Back->events());
-  if (Back->whole())
-    return finish();
-  if (Connection)
-    return armTimer();
-  Answer = {};
-  Events.restart();
-  again(true, Why);
-}
-
 // All of a stream has come.
 void forwarding::finish() {
   if (!HeadSent)
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -27,7 +27,6 @@
 // Of the time that a caller has, the part that it may be held: enough is left
 // to be served elsewhere.
 constexpr double HeldPart = 0.33;
-constexpr std::string_view AnyModel = "*";
 // Of the time that a caller has, the part after which it gets the answer of the
 // smaller model: what is left is enough to have the rest of it elsewhere.
 constexpr double SparePart = 0.75;
@@ -134,64 +133,10 @@
           .Now = Now};
 }
 
-request_size forwarding::size() const {
-  return {.ReadTokens = Facts.Model->PromptTokens,
-          .MadeTokens = likelyTokens(*Facts.Model),
-          .Priority = Route->Priority};
-}
-
 uint32_t forwarding::priority() const {
   return Account && Account->Priority ? *Account->Priority : Route->Priority;
 }
 
-bool forwarding::choosesModel() const {
-  return Facts.Model && Facts.Model->Model == AnyModel && !Route->Sizes.empty();
-}
-
-// The caller holds nothing of the answer yet, so it may be dropped for one of
-// a larger model.
-bool forwarding::asksLargerModel() {
-  // One more attempt than the larger model's, for the way back.
-  bool MayComeBack = Attempts + 1 < Route->MaxAttempts;
-  if (!choosesModel() || HeadSent || WentBack || Confidence < 0 ||
-      !MayComeBack || !mayTryAgain(true))
-    return false;
-  double Now = steadySeconds();
-  size_t Largest = Route->Sizes.size() - 1;
-  selection_request Request = selectionAt(Now);
-  Request.ModelPlace = Largest;
-  outlook Outlook = outlookFor(State, *Routing, Request);
-  work_sizes &Works = State.Works[Service];
-  Works.weighed(Outlook.UpstreamSeconds);
-  auto Larger = largerModel(
-      {.Models = Route->Sizes.size(),
-       .Place = ModelPlace,
-       .Confidence = Confidence,
-       .Size = size(),
-       .LargestCost = costOf(*Routing, *Route, Service, Largest),
-       .LargestSeconds = Outlook.UpstreamSeconds,
-       .WorthOfSecond = worthOfSecond(State.Earnings[Service].perSecond(),
-                                      Outlook.BacklogSeconds, Works.residual()),
-       .RefusedShare = refusalChanceAt(Outlook.WaitSeconds),
-       .InTime =
-           Now + Outlook.FirstTokenSeconds < BegunAt + Route->TargetSeconds});
-  logLine(log_level::Debug, "larger model weighed",
-          {{"id", Facts.AttemptId},
-           {"confidence", Confidence},
-           {"prompt_tokens", int64_t(Facts.Model->PromptTokens)},
-           {"backlog_s", Outlook.BacklogSeconds},
-           {"work_s", Works.residual()},
-           {"slot_wait_s", Outlook.WaitSeconds},
-           {"upstream_s", Outlook.UpstreamSeconds},
-           {"earned_per_s", State.Earnings[Service].perSecond()},
-           {"first_token_s", Outlook.FirstTokenSeconds},
-           {"asked", int64_t(Larger.has_value())}});
-  if (!Larger || !takeRepeat("larger model"))
-    return false;
-  LargerPlace = *Larger;
-  return true;
-}
-
 void forwarding::attempt() {
   double Now = steadySeconds();
   if (left(Now) < LeastSeconds)
@@ -332,22 +277,6 @@
   return false;
 }
 
-// What the upstream will have to read, for the choices of this gateway and the
-// others, and what it keeps then.
-void forwarding::expectPrompt(const selection_request &Request,
-                              double WaitingSeconds) {
-  prompt_work Work = promptWork(State, *Routing, Request);
-  if (Attempts == 1)
-    State.Earnings[Service].earned(worthOf(size()), Work.WholeSeconds);
-  PromptSeconds = readSeconds(State, *Routing, Request, Work, *Upstream);
-  Upstream->PromptSeconds += PromptSeconds;
-  ExpectedSeconds = FirstTokenSeconds + WaitingSeconds + PromptSeconds;
-  Pieces = std::move(Work.Pieces);
-  KeptTokens = State.Memory.kept(Upstream->Place, Pieces);
-  State.Memory.sent(Upstream->Place, Pieces);
-  State.Peers->sent(*Upstream, Pieces);
-}
-
 std::string_view forwarding::hallKind() const {
   return Upstream->Listed.DataHall == State.DataHall ? "own hall"
                                                      : "other hall";
@@ -476,23 +405,6 @@
   Upstream = nullptr;
 }
 
-// Of the prompt of the attempt in hand, what the upstream was not known to
-// keep.
-std::span<const prompt_piece> forwarding::unkeptPieces() const {
-  std::span<const prompt_piece> Rest = Pieces;
-  for (uint32_t Tokens = 0; Tokens < KeptTokens; Rest = Rest.subspan(1))
-    Tokens += Rest.front().Tokens;
-  return Rest;
-}
-
-// The upstream has read the prompt of the attempt in hand, or will not.
-void forwarding::promptRead() {
-  if (PromptSeconds == 0)
-    return;
-  Upstream->PromptSeconds -= std::exchange(PromptSeconds, 0);
-  State.Peers->changed(*Upstream);
-}
-
 bool forwarding::mayTryAgain(bool WasRun) const {
   bool KeepsWayBack = Spare && !Spare->whole();
   return Attempts + KeepsWayBack < Route->MaxAttempts &&
--- a/tests/gateway_world.cpp
+++ b/tests/gateway_world.cpp
@@ -134,6 +134,14 @@
   until(Name + " is ready", [&] { return ready(GatewayHealth); });
 }
 
+void gateway_world::startServing(const json &Routing, const json &Changes) {
+  BOOST_REQUIRE_EQUAL(putRouting(Routing).Status, 200);
+  startGateway("gateway-1", Changes);
+  untilGatewayReady("gateway-1");
+  until("upstreams are known",
+        [&] { return request("/safe/x").Status == 200; });
+}
+
 json gateway_world::usualRouting() {
   auto Route = [](const char *Name, const char *Kind, int Attempts,
                   double TargetMs) {
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -36,6 +36,9 @@
   void startGatewayBehind(const std::string &Control, const std::string &Name,
                           const json &Changes = {});
   void untilGatewayReady(const std::string &Name);
+  /// Puts the routing in force and starts a gateway; returns once a request
+  /// was served.
+  void startServing(const json &Routing, const json &Changes = {});
   /// The routing with the usual routes, under the next version.
   json usualRouting();
   /// The same with so many routes more, "/r0/", "/r1/" and so on.
--- a/tests/system/evacuation_test.cpp
+++ b/tests/system/evacuation_test.cpp
@@ -23,10 +23,7 @@
     addReplica({.Id = "c-2", .DataHall = "charguia"});
     addReplica({.Id = "l-1", .DataHall = "lac"});
     addReplica({.Id = "l-2", .DataHall = "lac"});
-    BOOST_REQUIRE_EQUAL(putRouting(usualRouting()).Status, 200);
-    startGateway("gateway-1");
-    untilGatewayReady("gateway-1");
-    until("upstreams are known", [&] { return ask("/safe/x") == 200; });
+    startServing(usualRouting());
   }
   int ask(const std::string &Path, caller_request Request = {}) {
     return request(Path, std::move(Request)).Status;
--- a/tests/system/failing_test.cpp
+++ b/tests/system/failing_test.cpp
@@ -17,11 +17,7 @@
   explicit failing_world(size_t Upstreams) {
     for (size_t I = 1; I <= Upstreams; ++I)
       addReplica({.Id = "i-" + std::to_string(I)});
-    BOOST_REQUIRE_EQUAL(putRouting(usualRouting()).Status, 200);
-    startGateway("gateway-1");
-    untilGatewayReady("gateway-1");
-    until("upstreams are known",
-          [&] { return request("/unsafe/x").Status == 200; });
+    startServing(usualRouting());
   }
   /// Callers that got a failure.
   int failuresOf(int Requests) {
--- a/tests/system/rest_test.cpp
+++ b/tests/system/rest_test.cpp
@@ -23,10 +23,7 @@
   explicit resting_world(size_t Upstreams) {
     for (size_t I = 1; I <= Upstreams; ++I)
       addReplica({.Id = "i-" + std::to_string(I)});
-    BOOST_REQUIRE_EQUAL(putRouting(usualRouting()).Status, 200);
-    startGateway("gateway-1");
-    untilGatewayReady("gateway-1");
-    until("upstreams are known", [&] { return ask("/safe/x") == 200; });
+    startServing(usualRouting());
   }
   int ask(const std::string &Path, caller_request Request = {}) {
     return request(Path, std::move(Request)).Status;
--- a/tests/system/warming_test.cpp
+++ b/tests/system/warming_test.cpp
@@ -31,11 +31,7 @@
     json Routing = usualRouting();
     Routing["services"][0]["cold_start_s"] = ColdStartSeconds;
     Routing["services"][0]["cold_requests_per_s"] = Bears;
-    BOOST_REQUIRE_EQUAL(putRouting(Routing).Status, 200);
-    startGateway("gateway-1", {{"cold_ratio", Ratio}, {"cold_slack", Slack}});
-    untilGatewayReady("gateway-1");
-    until("upstreams are known",
-          [&] { return request("/safe/x").Status == 200; });
+    startServing(Routing, {{"cold_ratio", Ratio}, {"cold_slack", Slack}});
     run(StartSeconds);
   }
   void setCold(const std::string &Id) {
