--- a/tests/system/evacuation_test.cpp
+++ b/tests/system/evacuation_test.cpp
@@ -154,6 +154,30 @@
   }
 }
 
+// An order that was sent again elsewhere lies unread at the first VM asked.
+BOOST_AUTO_TEST_CASE(are_not_moved_by_a_copy_that_a_frozen_leader_reads_late) {
+  hall_world World;
+  World.untilVoters(3);
+  seeded_control *Frozen = World.leaderOf();
+  BOOST_REQUIRE(Frozen != nullptr);
+  Frozen->Process->signal(SIGSTOP);
+  auto Late = World.begin(World.operatorAddressOf(*Frozen),
+                          {.Path = "/v1/halls/evacuate/charguia", .Key = ""});
+  World.run(0.3);
+  BOOST_TEST(World.order("evacuate", "charguia").Status == 200);
+  BOOST_TEST(World.order("restore", "charguia").Status == 200);
+  Frozen->Process->signal(SIGCONT);
+  World.until("the copy is answered", [&] { return Late->Done; });
+  BOOST_TEST(Late->Status != 200);
+  World.run(InForceSeconds);
+  BOOST_TEST(World.hall("charguia")["evacuated"] == false);
+  int Before = World.arrivalsIn("charguia");
+  World.until("a request goes there", [&] {
+    World.ask("/safe/x");
+    return World.arrivalsIn("charguia") > Before;
+  });
+}
+
 BOOST_AUTO_TEST_CASE(need_a_clear_order) {
   hall_world World;
   BOOST_TEST(World.order("restore", "charguia").Status == 200);
