--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -85,9 +85,16 @@
   return Found;
 }
 
-answer_counts answersOf(const std::vector<std::shared_ptr<upstream>> &Upstreams,
-                        double Now) {
+/// Answers of all of them; none where none can fail more than the others: there
+/// may be thousands, asked for each request.
+answer_counts
+answersToCompare(const std::vector<std::shared_ptr<upstream>> &Upstreams,
+                 double Now) {
+  bool Any = std::any_of(Upstreams.begin(), Upstreams.end(),
+                         [](const auto &U) { return U->Answers.mayFail(); });
   answer_counts Sum;
+  if (!Any)
+    return Sum;
   for (const auto &Each : Upstreams) {
     answer_counts Counts = Each->Answers.at(Now);
     Sum.Answers += Counts.Answers;
@@ -96,6 +103,16 @@
   return Sum;
 }
 
+/// It fails more than the others, of which \p All are with its own.
+bool failsAmong(const answer_counts &All, const upstream &Upstream,
+                double Now) {
+  if (!Upstream.Answers.mayFail())
+    return false;
+  answer_counts Own = Upstream.Answers.at(Now);
+  return failsMore(Own, {.Answers = All.Answers - Own.Answers,
+                         .Failures = All.Failures - Own.Failures});
+}
+
 std::vector<upstream_view>
 viewsOf(const gateway_state &State, const selection_request &Request,
         const std::vector<std::shared_ptr<upstream>> &Upstreams) {
@@ -104,11 +121,8 @@
   std::vector<upstream_view> Views;
   Views.reserve(Upstreams.size());
   bool HearsAll = State.Peers->hearsAll(State.Gateways);
-  answer_counts All = answersOf(Upstreams, Now);
+  answer_counts All = answersToCompare(Upstreams, Now);
   for (const auto &Each : Upstreams) {
-    answer_counts Own = Each->Answers.at(Now);
-    bool Fails = failsMore(Own, {.Answers = All.Answers - Own.Answers,
-                                 .Failures = All.Failures - Own.Failures});
     upstream_work Others = State.Peers->at(Each->Place);
     Views.push_back(
         {.Id = Each->Listed.Id,
@@ -118,8 +132,8 @@
          .LoadKnown = HearsAll || Each->loadKnown(Now),
          .Slots = double(Each->Listed.Slots),
          .SameHall = Each->Listed.DataHall == State.DataHall,
-         .Suspect =
-             Fails || Each->suspect(Now) || (Once && Each->unproven(Now)),
+         .Suspect = failsAmong(All, *Each, Now) || Each->suspect(Now) ||
+                    (Once && Each->unproven(Now)),
          .PromptSeconds = Each->PromptSeconds + Others.PromptSeconds});
   }
   return Views;
--- a/policy/answer_tally.cpp
+++ b/policy/answer_tally.cpp
@@ -25,6 +25,8 @@
   return {.Answers = Counts.Answers * Kept, .Failures = Counts.Failures * Kept};
 }
 
+bool answer_tally::mayFail() const { return Counts.Failures >= LeastFailures; }
+
 void answer_tally::add(uint32_t Answers, uint32_t Failures, double Now) {
   Counts = at(Now);
   CountedAt = std::max(CountedAt, Now);
--- a/policy/answer_tally.h
+++ b/policy/answer_tally.h
@@ -25,6 +25,8 @@
 public:
   void add(uint32_t Answers, uint32_t Failures, double Now);
   answer_counts at(double Now) const;
+  /// False: failsMore() is false for it, whatever the others do.
+  bool mayFail() const;
 
 private:
   answer_counts Counts;
