--- a/tests/system/list_test.cpp
+++ b/tests/system/list_test.cpp
@@ -76,8 +76,7 @@
   BOOST_TEST(World.served());
 }
 
-// Hundreds of gateways that started together kept the platform busy with their
-// own questions for as long as half a minute.
+// Many gateways that start together would keep the platform from answering.
 BOOST_AUTO_TEST_CASE(are_left_to_control_by_gateways_that_start) {
   gateway_world World;
   World.addReplica({.Id = "i-1"});
