--- a/policy/model_choice.cpp
+++ b/policy/model_choice.cpp
@@ -16,8 +16,8 @@
 // What an answer is worth to its caller for 1,000 tokens, those made counting
 // as ReadTokensPerMade each, in the unit that the operator states the models'
 // cost in: of the most urgent route, and so much less with each rank of
-// priority. With 0.35 and 0.7 the largest model is asked for more than it is
-// worth where upstreams are busy: 0.70 beside 0.72 of what callers are owed.
+// priority. Higher ones have the largest model asked for more than it is worth
+// where upstreams are busy.
 constexpr double WorthPerThousand = 0.3;
 constexpr double NextRank = 0.6;
 // Models' costs are for tokens made; one that is read costs a quarter.
--- a/policy/upstream_choice.cpp
+++ b/policy/upstream_choice.cpp
@@ -30,11 +30,10 @@
 constexpr double SecondKeeps = 0.3 * WeightOfReading;
 // Gateways that choose the one that seems emptiest, all from news of the same
 // moment ago, fill it far above the others. From this fill on, on average, each
-// chooses among so few by lot, and as many of other data halls. In a simulated
-// flood of ten times the load 0.94 of what could begin in time does, 0.85 if
-// only from a fill of 0.8 on, when the first wave has piled up; below it, what
-// upstreams keep of prompts is worth more. With one lot over all data halls,
-// gateways that know their own begin 0.81 in place of 0.93.
+// chooses among so few by lot, and as many of other data halls: gateways that
+// know only their own would lose by one lot over all. Fuller, the first wave
+// of a flood has piled up already; emptier, what upstreams keep of prompts is
+// worth more.
 constexpr double DrawFromFill = 0.5;
 constexpr size_t DrawnByLot = 3;
 // In the mean that tells whether all are full, an absurd load counts for no
@@ -56,8 +55,7 @@
                      [](const upstream_view &U) { return !U.Suspect; });
 }
 
-// What nobody has told of would look empty, and all gateways would send there:
-// 100 gateways that know a fifth of the work took a mean load of 6 for 1.
+// What nobody has told of would look empty, and all gateways would send there.
 void supposeLoads(std::vector<upstream_view> &Upstreams) {
   std::vector<double> Known;
   for (const upstream_view &Each : Upstreams)
--- a/policy/version_choice.cpp
+++ b/policy/version_choice.cpp
@@ -124,8 +124,7 @@
 
 // For a target that no arm reaches. Of arms that nothing is known of the first
 // listed counts, a version alone: with the cheapest, a cascade, the first
-// ratings taught less, and 90 in place of 100% of Laurentien's cells met their
-// target.
+// ratings would teach less.
 size_t bestAlone(const std::vector<scored_arm> &Arms) {
   size_t Best = 0;
   for (size_t I = 1; I < Arms.size(); ++I)
