Gateways log limits that upstreams state, sends to such upstreams, unread headers

A limit is now decoded and logged when it begins, changes or ends; each send to such an upstream has a line and is counted. Nothing is decided by it yet.

Unit tests: platform_headers/carry_the_request_limit_of_the_upstream; all unit tests pass.

--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -180,6 +180,7 @@
   recordColdRequest(Now);
   if (choosesModel())
     Model = Route->Sizes[ModelIndex];
+  logLimitedSend(Now);
   LastUpstream = Upstream;
   if (Facts.Model)
     recordPrompt(Request, Selected.PrefillSeconds);
@@ -198,6 +199,21 @@
     Upstream->Warming.recordRequest(Now, *Rate);
 }
 
+void forwarding::logLimitedSend(double Now) const {
+  auto Limit = Upstream->Limit.requestsPerSecond();
+  if (!Limit)
+    return;
+  State.Metrics->count("sent_to_limited_upstreams", Service);
+  logLine(log_level::Info, "request sent to an upstream that states a limit",
+          {{"id", Facts.AttemptId},
+           {"upstream", Upstream->Listed.Id},
+           {"limit_per_s", *Limit},
+           {"stated_s_ago", Now - Upstream->Limit.statedAt()},
+           {"arrival", int64_t(SendCount)},
+           {"model", Model},
+           {"gateways", int64_t(State.Gateways)}});
+}
+
 // No upstream may take the request now.
 void forwarding::concludeNotSent(const selection &Selected) {
   if (Selected.ColdSeconds > 0 && Attempts == 0) {
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -92,6 +92,7 @@
   const std::string &pickService();
   void attempt();
   void recordColdRequest(double Now);
+  void logLimitedSend(double Now) const;
   void concludeNotSent(const selection &Selected);
   double coldRetryAfter(double Seconds);
   double callerSecondsLeft() const;
@@ -103,6 +104,9 @@
   bool admit(const selection &Selected);
   double refusalChanceAt(double Seconds) const;
   void applyUpstreamHints(const platform::answer_facts &Hints);
+  void applyBackoff(const platform::answer_facts &Hints, double Now);
+  void applyRequestLimit(const platform::answer_facts &Hints, double Now);
+  void recordUnreadHeader(const std::string &Name);
   void recordLoadReport(const platform::reported_load &Load);
   selection_request selectionAt(double Now) const;
   bool choosesModel() const;
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -25,6 +25,8 @@
 // of the time until the first of them takes requests again.
 constexpr double RetryAfterSpread = 0.25;
 
+// Header names that are recorded; bounds what a faulty upstream can add.
+constexpr size_t MaxUnreadHeaders = 16;
 // More requests than any upstream has; bounds the sum of the two counts that an
 // upstream reports.
 constexpr uint32_t MaxReportedRequests = 1 << 20;
@@ -85,7 +87,7 @@
 }
 
 // Applies what the upstream asks of this gateway: to send nothing more as it is
-// leaving, or to back off.
+// leaving, to back off, or to send less.
 void forwarding::applyUpstreamHints(const platform::answer_facts &Hints) {
   double Now = steadySeconds();
   if (Hints.Leaving && !Upstream->leaving()) {
@@ -93,6 +95,14 @@
             {{"upstream", Upstream->Listed.Id}, {"id", Facts.AttemptId}});
     Upstream->markLeaving();
   }
+  applyBackoff(Hints, Now);
+  if (!Hints.OtherIncarnation)
+    applyRequestLimit(Hints, Now);
+  if (!Hints.UnreadHeader.empty())
+    recordUnreadHeader(Hints.UnreadHeader);
+}
+
+void forwarding::applyBackoff(const platform::answer_facts &Hints, double Now) {
   if (!Hints.MalformedRetryAfter.empty())
     logLine(log_level::Warning,
             "upstream's Retry-After is not a number of seconds",
@@ -109,6 +119,34 @@
            {"kept_s", Upstream->backoffUntil() - Now}});
 }
 
+// A limit that cannot be read neither sets nor ends one.
+void forwarding::applyRequestLimit(const platform::answer_facts &Hints,
+                                   double Now) {
+  if (Hints.MalformedRequestLimit != Upstream->MalformedLimit) {
+    Upstream->MalformedLimit = Hints.MalformedRequestLimit;
+    if (!Upstream->MalformedLimit.empty())
+      logLine(log_level::Warning,
+              "upstream's request limit is not a number of at least 0",
+              {{"upstream", Upstream->Listed.Id},
+               {"value", Upstream->MalformedLimit}});
+  }
+  if (!Hints.RequestLimit && !Hints.MalformedRequestLimit.empty())
+    return;
+  limit_change Change =
+      Upstream->Limit.recordResponse(Hints.RequestLimit, SentAt, Now);
+  logLimitChange(*Upstream, Change, "own request", Facts.AttemptId);
+}
+
+// Shows operators that upstreams ask for something that this version ignores.
+void forwarding::recordUnreadHeader(const std::string &Name) {
+  if (State.UnreadHeaders.size() >= MaxUnreadHeaders ||
+      !State.UnreadHeaders.insert(Name).second)
+    return;
+  State.Metrics->count("unread_upstream_headers", Name);
+  logLine(log_level::Warning, "upstreams send a header that is not read",
+          {{"header", Name}, {"upstream", Upstream->Listed.Id}});
+}
+
 void forwarding::recordLoadReport(const platform::reported_load &Load) {
   uint64_t Sum = uint64_t(Load.Running) + Load.Waiting;
   auto Requests = uint32_t(std::min<uint64_t>(Sum, MaxReportedRequests));
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace olivevalve {
@@ -61,6 +62,8 @@
   prefill_estimator PrefillEstimator;
   /// Prompt blocks that each upstream is expected to have cached.
   prefix_cache_model PrefixCaches;
+  /// Names of upstreams' headers that this version does not read.
+  std::set<std::string> UnreadHeaders;
   std::mt19937_64 Random{1};
 };
 
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -2,7 +2,9 @@
 
 #include "gateway/upstream_table.h"
 #include "base/digest.h"
+#include "base/log.h"
 #include <algorithm>
+#include <array>
 
 namespace olivevalve {
 
@@ -33,6 +35,11 @@
 // reports of other gateways. If more could be, one gateway that reports wrongly
 // would make all others send everything to the remaining upstreams.
 constexpr double MaxPresumedFraction = 0.5;
+// By limit_change.
+constexpr std::array<std::string_view, 4> LimitChangeMessages = {
+    "", "upstream states a request limit",
+    "upstream states another request limit",
+    "upstream states no request limit any more"};
 
 } // namespace
 
@@ -93,6 +100,19 @@
   PresumedCrashedUntil = 0;
 }
 
+void logLimitChange(const upstream &Upstream, limit_change Change,
+                    std::string_view Source, std::string_view AttemptId) {
+  if (Change == limit_change::None)
+    return;
+  std::string_view Message = LimitChangeMessages[size_t(Change)];
+  logLine(log_level::Info, Message,
+          {{"upstream", Upstream.Listed.Id},
+           {"service", Upstream.Listed.Service},
+           {"limit_per_s", Upstream.Limit.requestsPerSecond().value_or(-1)},
+           {"known_from", Source},
+           {"id", AttemptId}});
+}
+
 // Without a start time the id alone identifies the incarnation: older upstreams
 // never reported one.
 std::shared_ptr<upstream>
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -12,6 +12,7 @@
 #include "platform/headers.h"
 #include "platform/upstream_list.h"
 #include "policy/answer_tally.h"
+#include "policy/named_limit.h"
 #include "policy/warmup.h"
 #include <map>
 #include <memory>
@@ -51,6 +52,10 @@
   std::vector<upstream_connection *> Idle;
   /// To all gateways that report to this one, and to itself.
   answer_tally Answers;
+  /// The request limit that the upstream states.
+  named_limit Limit;
+  /// The last stated limit that could not be read.
+  std::string MalformedLimit;
   /// Spaces this gateway's requests while the upstream is cold.
   warmup_pacer Warming;
 
@@ -126,6 +131,12 @@
   bool AnnouncedLeaving = false;
 };
 
+/// Logs that the limit that \p Upstream states began, changed or ended.
+/// \p Source: from where this gateway knows; \p AttemptId: of the response that
+/// showed it, if it was an own one.
+void logLimitChange(const upstream &Upstream, limit_change Change,
+                    std::string_view Source, std::string_view AttemptId = {});
+
 /// All upstreams of the list, and the stable software version of each service.
 class upstream_table {
 public:
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -210,6 +210,50 @@
   BOOST_TEST(!Facts("HTTP/1.1 200 OK\r\nX-Server-Load: 3,x\r\n\r\n").Load);
 }
 
+BOOST_AUTO_TEST_CASE(carry_the_request_limit_of_the_upstream) {
+  auto Facts = [](const std::string &Start, const std::string &Lines) {
+    read_message Message(http_side::Answer);
+    Message.Reader.feed("HTTP/1.1 " + Start + "\r\n" + Lines +
+                        "Content-Length: 0\r\n\r\n");
+    return platform::readAnswer(Message.Reader.head());
+  };
+  struct limit_case {
+    std::string Lines;
+    double PerSecond; ///< -1: no valid limit.
+    std::string Odd;
+  };
+  const std::string Long(400, '9');
+  const limit_case Cases[] = {
+      {"", -1, ""},
+      {"Server-Limit: 1.7\r\n", 1.7, ""},
+      {"server-limit: 50\r\n", 50, ""},
+      {"Server-Limit: 0\r\n", 0, ""},
+      {"Server-Limit: 3\r\nServer-Limit: 1.5\r\n", 1.5, ""},
+      {"Server-Limit: 3\r\nServer-Limit: x\r\n", 3, "x"},
+      {"Server-Limit: -2\r\n", -1, "-2"},
+      {"Server-Limit: nan\r\n", -1, "nan"},
+      {"Server-Limit: inf\r\n", -1, "inf"},
+      {"Server-Limit: 2 a second\r\n", -1, "2 a second"},
+      {"Server-Limit: " + Long + "\r\n", -1, Long.substr(0, 64)},
+  };
+  for (const limit_case &Case : Cases)
+    BOOST_TEST_CONTEXT(Case.Lines) {
+      auto Parsed = Facts("200 OK", Case.Lines);
+      BOOST_TEST(Parsed.RequestLimit.value_or(-1) == Case.PerSecond);
+      BOOST_TEST(Parsed.MalformedRequestLimit == Case.Odd);
+    }
+  BOOST_TEST_CONTEXT("another incarnation states its own limit") {
+    BOOST_TEST(!Facts("421 Other", "Server-Limit: 2\r\n").RequestLimit);
+  }
+  BOOST_TEST_CONTEXT("headers that are not read are reported") {
+    BOOST_TEST(Facts("200 OK", "Server-Mood: 1\r\n").UnreadHeader ==
+               "Server-Mood");
+    BOOST_TEST(Facts("200 OK", "X-Server-Load: 1,0,8\r\nServer: a\r\n"
+                               "Server-Limit: 2\r\nServer-Leaving: 1\r\n")
+                   .UnreadHeader.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(carry_retry_after_and_leaving_of_the_upstream) {
   auto Facts = [](const std::string &Start, const std::string &Lines) {
     read_message Message(http_side::Answer);
