--- a/tests/gateway_world.cpp
+++ b/tests/gateway_world.cpp
@@ -259,6 +259,12 @@
 
 std::shared_ptr<client_response>
 gateway_world::beginRequest(const std::string &Path, client_request Request) {
+  return beginRequestAt(GatewayAddress.text(), Path, std::move(Request));
+}
+
+std::shared_ptr<client_response>
+gateway_world::beginRequestAt(const std::string &Address,
+                              const std::string &Path, client_request Request) {
   LastId = nextId();
   Request.Path = Path;
   Request.Key = "";
@@ -270,7 +276,7 @@
   if (!OwnDeadline)
     Request.Headers.push_back("X-Deadline-Ms: 5000");
   Request.Headers.push_back("X-Attempt-Id: " + LastId);
-  return begin(GatewayAddress.text(), std::move(Request));
+  return begin(Address, std::move(Request));
 }
 
 client_response gateway_world::request(const std::string &Path,
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -78,6 +78,10 @@
   /// returns at once. Sets LastId.
   std::shared_ptr<client_response> beginRequest(const std::string &Path,
                                                 client_request Request = {});
+  /// Like beginRequest(), at the gateway with this address.
+  std::shared_ptr<client_response> beginRequestAt(const std::string &Address,
+                                                  const std::string &Path,
+                                                  client_request Request = {});
   /// Like beginRequest(), but waits for the response.
   client_response request(const std::string &Path, client_request Request = {});
   std::string nextId() { return "attempt-" + std::to_string(++Requests); }
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -88,14 +88,14 @@
   return Sum;
 }
 
-int replica::maxArrivalsPerSecond(double Since) const {
+int replica::maxArrivals(double Since, double Seconds) const {
   int Max = 0;
   size_t Begin = 0;
   while (Begin < ArrivedAt.size() && ArrivedAt[Begin] < Since)
     ++Begin;
   size_t First = Begin;
   for (size_t I = Begin; I < ArrivedAt.size(); ++I) {
-    while (ArrivedAt[I] - ArrivedAt[First] > 1)
+    while (ArrivedAt[I] - ArrivedAt[First] > Seconds)
       ++First;
     Max = std::max(Max, int(I - First + 1));
   }
@@ -128,10 +128,12 @@
                                 const std::string &Extra) const {
   std::string Confidence = std::to_string(int(this->Confidence * 100));
   std::string Leaving = AnnouncesShutdown ? "Server-Leaving: 1\r\n" : "";
+  std::string Limit =
+      RequestLimit.empty() ? "" : "Server-Limit: " + RequestLimit + "\r\n";
   return "HTTP/1.1 " + std::to_string(Status) + " Word\r\nX-Attempt-Id: " + Id +
          "\r\nX-Response-Seal: seal-of-" + Options.Id +
          "\r\nX-Server-Load: " + Load + "\r\nX-Confidence: " + Confidence +
-         "\r\n" + Leaving + Extra;
+         "\r\n" + Leaving + Limit + Extra;
 }
 
 void replica::serve(connection &Connection) {
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -61,7 +61,9 @@
   int arrivals() const { return int(ArrivedAt.size()); }
   /// Returns the largest number of requests received within one second, over
   /// all seconds after \p Since (steady clock).
-  int maxArrivalsPerSecond(double Since) const;
+  int maxArrivalsPerSecond(double Since) const { return maxArrivals(Since, 1); }
+  /// The same within \p Seconds.
+  int maxArrivals(double Since, double Seconds) const;
   /// Returns how often the request with this attempt id was run.
   int runs(const std::string &AttemptId) const;
   /// Returns how many requests were run in total.
@@ -84,6 +86,9 @@
   std::string RetryAfter; ///< Retry-After of refusals; empty: no such header.
   /// Announces with each response that the upstream is shutting down.
   bool AnnouncesShutdown = false;
+  /// Requests per second that each response names as the upstream's limit, for
+  /// all gateways together; empty: none is named.
+  std::string RequestLimit;
   /// Load reported with each response: running requests, waiting requests,
   /// slots.
   std::string Load = "1,0,8";
