One place says whether an upstream may be sent a request; stated limits are shared

Cause: no code read the limit.

Change: gateway/send_permit answers for every path whether an upstream may be sent a request now, and if not, why and until when; it is asked again when a connection comes up. The shares by rank of cold upstreams (policy/warmup, now policy/shared_rate) hold for any window, so that one mechanism serves both bounds. Gateways tell one another of limits; a response without one ends it only if its request was sent after the limit was stated; gateways without a share probe, within a tenth of the bound. Where all upstreams are held back, callers are refused at once, with times to return one after another.

Ruled out: that gateways kept to the limit each by itself (one sent 29 of 30), and that a larger model or a retry went round it (nothing was there to go round).

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -44,15 +44,16 @@
   double Squares = 0;
 };
 
-/// Requests that all gateways together send to a cold upstream.
-struct warmup_row {
+/// Requests that all gateways together send to an upstream that takes few.
+struct shared_rate_row {
   std::string Scenario;
   std::string Policy;
-  double MaxSentInASecond = 0; ///< Most requests within any one second.
-  double Bound = 0;         ///< Highest number allowed within any one second.
-  double SentPerSecond = 0; ///< Mean over the run.
+  double MaxInWindow = 0;    ///< Most requests within any window.
+  double Bound = 0;          ///< Highest number allowed within any window.
+  double SentPerSecond = 0;  ///< Mean over the run.
+  double TakenPerSecond = 0; ///< What the upstream says it takes.
 };
-std::vector<warmup_row> benchWarmup();
+std::vector<shared_rate_row> benchSharedRate();
 
 /// Cost and quality of a policy that chooses versions. A cell is one template
 /// for one client account; each cell has a quality target.
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -96,23 +96,24 @@
   return Rows;
 }
 
-void printWarmup(const std::vector<warmup_row> &Warmup) {
-  std::printf("\n%-32s %-20s %14s %9s %9s\n", "COLD UPSTREAM", "POLICY",
-              "MOST IN 1 s", "BOUND", "SENT/s");
-  for (const warmup_row &Row : Warmup)
-    std::printf("%-32s %-20s %14.0f %9.0f %9.1f\n", Row.Scenario.c_str(),
-                Row.Policy.c_str(), Row.MaxSentInASecond, Row.Bound,
-                Row.SentPerSecond);
+void printSharedRate(const std::vector<shared_rate_row> &Rates) {
+  std::printf("\n%-40s %-16s %15s %7s %8s %8s\n", "UPSTREAM THAT TAKES FEW",
+              "POLICY", "MOST IN WINDOW", "BOUND", "SENT/s", "TAKEN/s");
+  for (const shared_rate_row &Row : Rates)
+    std::printf("%-40s %-16s %15.0f %7.0f %8.2f %8.1f\n", Row.Scenario.c_str(),
+                Row.Policy.c_str(), Row.MaxInWindow, Row.Bound,
+                Row.SentPerSecond, Row.TakenPerSecond);
 }
 
-json toJson(const std::vector<warmup_row> &Warmup) {
+json toJson(const std::vector<shared_rate_row> &Rates) {
   json Rows = json::array();
-  for (const warmup_row &Row : Warmup)
+  for (const shared_rate_row &Row : Rates)
     Rows.push_back({{"scenario", Row.Scenario},
                     {"policy", Row.Policy},
-                    {"most_in_a_second", Row.MaxSentInASecond},
+                    {"most_in_window", Row.MaxInWindow},
                     {"bound", Row.Bound},
-                    {"sent_per_second", Row.SentPerSecond}});
+                    {"sent_per_second", Row.SentPerSecond},
+                    {"taken_per_second", Row.TakenPerSecond}});
   return Rows;
 }
 
@@ -192,14 +193,14 @@
   if (Json) {
     json Out = toJson(Choice, Rollout, Replicas);
     Out["placement"] = toJson(Placement);
-    Out["warming"] = toJson(benchWarmup());
+    Out["shared_rate"] = toJson(benchSharedRate());
     Out["bench"] = Signature.value();
     std::printf("%s\n", Out.dump(2).c_str());
     return 0;
   }
   printText(Choice, Rollout, Replicas);
   printPlacement(Placement);
-  printWarmup(benchWarmup());
+  printSharedRate(benchSharedRate());
   printEstimateUpdates(benchEstimateUpdates());
   std::printf("\nBench: %llu\n", (unsigned long long)Signature.value());
   return 0;
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -190,6 +190,9 @@
                 {1, 600});
   Reader.number("cold_ratio", Gateway.Cold.Ratio, {0, 100});
   Reader.number("cold_slack", Gateway.Cold.Slack, {0, 1e6});
+  Reader.number("limit_ratio", Gateway.Limit.Ratio, {0, 100});
+  Reader.number("limit_slack", Gateway.Limit.Slack, {0, 1e6});
+  Reader.number("limit_window_seconds", Gateway.Limit.WindowSeconds, {1, 600});
   Reader.number("start_seconds", Gateway.StartSeconds, {0, 600});
   Reader.number("session_seconds", Gateway.SessionSeconds, {0.1, 86400});
   Reader.integer("max_connections", Connections, {1, 60000});
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -34,9 +34,6 @@
 // Retry-After for requests under which upstreams crash: an early retry is of no
 // use.
 constexpr double QuarantineRetryAfterSeconds = 300;
-// Retry-After of callers that cold upstreams cannot take is spread over this
-// time.
-constexpr double ColdRetrySpreadSeconds = 0.5;
 
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
@@ -177,10 +174,9 @@
   if (SendCount++ > 0)
     logRetry();
   ++Upstream->InFlight;
-  recordColdRequest(Now);
   if (choosesModel())
     Model = Route->Sizes[ModelIndex];
-  logLimitedSend(Now);
+  recordPacedRequest(permitFor(State, *Routing, *Upstream, Now), Now);
   LastUpstream = Upstream;
   if (Facts.Model)
     recordPrompt(Request, Selected.PrefillSeconds);
@@ -189,17 +185,12 @@
   send(Now);
 }
 
-// Delays this gateway's next request to a cold upstream.
-void forwarding::recordColdRequest(double Now) {
-  if (!Upstream->cold(Now))
-    return;
-  State.Metrics->count("sent_to_cold_upstreams", Service);
-  auto Rate = coldRequestRate(State, *Routing, *Upstream, Now);
-  if (Rate && *Rate > 0)
-    Upstream->Warming.recordRequest(Now, *Rate);
-}
-
-void forwarding::logLimitedSend(double Now) const {
+// Counts and logs requests to upstreams that take few, and spaces out the next
+// ones.
+void forwarding::recordPacedRequest(const send_permit &Permit, double Now) {
+  Upstream->Pacer.recordRequest(Now);
+  if (Upstream->cold(Now))
+    State.Metrics->count("sent_to_cold_upstreams", Service);
   auto Limit = Upstream->Limit.requestsPerSecond();
   if (!Limit)
     return;
@@ -209,6 +200,7 @@
            {"upstream", Upstream->Listed.Id},
            {"limit_per_s", *Limit},
            {"stated_s_ago", Now - Upstream->Limit.statedAt()},
+           {"own_gap_s", Permit.GapSeconds},
            {"arrival", int64_t(SendCount)},
            {"model", Model},
            {"gateways", int64_t(State.Gateways)}});
@@ -216,9 +208,9 @@
 
 // No upstream may take the request now.
 void forwarding::concludeNotSent(const selection &Selected) {
-  if (Selected.ColdSeconds > 0 && Attempts == 0) {
-    RetryAfterSeconds = coldRetryAfter(Selected.ColdSeconds);
-    return conclude("all upstreams are warming up and take no more requests");
+  if (Selected.Held.Seconds > 0 && Attempts == 0) {
+    RetryAfterSeconds = retryAfterReopening(Selected.Held);
+    return conclude("all upstreams have a limit and take no more requests");
   }
   if (!LastFailure.empty())
     return conclude(LastFailure);
@@ -228,10 +220,14 @@
   conclude("all data halls of this service are evacuated");
 }
 
-// Random, so that callers do not all retry at the same moment.
-double forwarding::coldRetryAfter(double Seconds) {
-  return std::uniform_real_distribution<double>(
-      Seconds, Seconds + ColdRetrySpreadSeconds)(State.Random);
+// Callers are told to return one after another, as fast as this gateway may
+// send requests then.
+double forwarding::retryAfterReopening(const reopening &Reopening) {
+  return State.Returns[Service].secondsUntilTurn(
+      {.SoonestSeconds = Reopening.Seconds,
+       .TurnsPerSecond = Reopening.RequestsPerSecond,
+       .LeftSeconds = callerSecondsLeft()},
+      steadySeconds(), State.Random);
 }
 
 // Seconds left of the caller's deadline, which may be later than the route's.
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -91,10 +91,9 @@
   bool authorise();
   const std::string &pickService();
   void attempt();
-  void recordColdRequest(double Now);
-  void logLimitedSend(double Now) const;
+  void recordPacedRequest(const send_permit &Permit, double Now);
   void concludeNotSent(const selection &Selected);
-  double coldRetryAfter(double Seconds);
+  double retryAfterReopening(const reopening &Reopening);
   double callerSecondsLeft() const;
   void recordPrompt(const selection_request &Request, double WaitingSeconds);
   void send(double Now);
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -21,10 +21,6 @@
 // Retry-After of a refusal: another upstream or gateway usually has room within
 // a fraction of a second.
 constexpr double DefaultRetryAfterSeconds = 0.3;
-// While all upstreams are backing off, Retry-After is spread over this fraction
-// of the time until the first of them takes requests again.
-constexpr double RetryAfterSpread = 0.25;
-
 // Header names that are recorded; bounds what a faulty upstream can add.
 constexpr size_t MaxUnreadHeaders = 16;
 // More requests than any upstream has; bounds the sum of the two counts that an
@@ -134,7 +130,8 @@
     return;
   limit_change Change =
       Upstream->Limit.recordResponse(Hints.RequestLimit, SentAt, Now);
-  logLimitChange(*Upstream, Change, "own request", Facts.AttemptId);
+  recordLimitChange(State, *Upstream, Change, "own request", Facts.AttemptId,
+                    Now);
 }
 
 // Shows operators that upstreams ask for something that this version ignores.
@@ -288,17 +285,15 @@
   State.Peers->reportResponse(*Upstream, Failed);
 }
 
-// If all upstreams are backing off: a time after the first of them takes
-// requests again, with jitter so that callers do not all retry at once.
+// If no upstream takes requests now: a time after the first of them does again.
 header_field forwarding::retryAfterLine() {
-  double Soonest =
-      Route ? State.Upstreams.soonestBackoffEnd(Service, steadySeconds()) : 0;
-  double Seconds =
-      RetryAfterSeconds > 0 ? RetryAfterSeconds : DefaultRetryAfterSeconds;
-  if (RetryAfterSeconds == 0 && Soonest > 0)
-    Seconds = std::uniform_real_distribution<double>(
-        Soonest, Soonest * (1 + RetryAfterSpread) +
-                     DefaultRetryAfterSeconds)(State.Random);
+  if (RetryAfterSeconds > 0)
+    return {"Retry-After", std::to_string(RetryAfterSeconds)};
+  reopening Reopening;
+  if (Route)
+    Reopening = reopeningOf(State, Service, steadySeconds());
+  double Seconds = Reopening.Seconds > 0 ? retryAfterReopening(Reopening)
+                                         : DefaultRetryAfterSeconds;
   return {"Retry-After", std::to_string(Seconds)};
 }
 
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -14,7 +14,7 @@
 #include "policy/prefill_estimator.h"
 #include "policy/prefix_cache_model.h"
 #include "policy/retry_share.h"
-#include "policy/warmup.h"
+#include "policy/shared_rate.h"
 #include "quarantine/crash_watch.h"
 #include <map>
 #include <memory>
@@ -49,9 +49,12 @@
   /// control has reported it.
   uint32_t Gateways = 0;
   retry_window_bounds RetryBounds; ///< For all gateways together.
-  cold_bounds ColdBounds;          ///< For all gateways together.
+  shared_bound ColdBounds;         ///< Of cold upstreams.
+  shared_bound LimitBounds;        ///< Of upstreams that state a limit.
   /// This gateway's shares of the retry bound, by service.
   std::map<std::string, retry_share> Retries;
+  /// Times at which refused callers return, by service.
+  std::map<std::string, return_schedule> Returns;
   /// Utility per second of upstream time, by service.
   std::map<std::string, utility_rate> UtilityRates;
   /// Upstream time of requests to the largest model, by service.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -95,6 +95,7 @@
   ListRetryDelay = ListRetrySeconds;
   State.RetryBounds = Options.Retries;
   State.ColdBounds = Options.Cold;
+  State.LimitBounds = Options.Limit;
   State.Peers = &Peers;
   State.Reports = &Reports;
   State.Crashes = &Crashes;
@@ -173,6 +174,15 @@
       Upstream->Answers.add(std::min(Answers, MaxReportedAnswers), Failures,
                             steadySeconds());
   };
+  Peers.OnLimit = [this](uint64_t Key, const limit_report &Report) {
+    auto Upstream = State.Upstreams.at(Key);
+    if (!Upstream)
+      return;
+    double Now = steadySeconds();
+    recordLimitChange(State, *Upstream,
+                      Upstream->Limit.recordReport(Report, Now),
+                      "another gateway", "", Now);
+  };
   Peers.OnCrash = [this](uint64_t Key) {
     bool PresumedCrashed = State.Upstreams.presumeCrashed(Key, steadySeconds());
     State.Metrics->count("told_ended",
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -26,7 +26,10 @@
   std::string UpstreamListAddress; ///< The platform's list.
   std::vector<std::string> ControlSeeds;
   retry_window_bounds Retries; ///< For all gateways together.
-  cold_bounds Cold;            ///< For all gateways together.
+  shared_bound Cold;           ///< Of cold upstreams.
+  /// Of upstreams that state a limit.
+  shared_bound Limit{
+      .Ratio = 1.5, .Slack = 5, .WindowSeconds = 4, .ProbePart = 0.1};
   /// How long after the start requests are parked until the routing
   /// configuration and the list are received. After a loss of all VMs control
   /// first has to elect a leader.
--- a/gateway/peer_work.cpp
+++ b/gateway/peer_work.cpp
@@ -5,6 +5,7 @@
 #include "base/digest.h"
 #include "base/log.h"
 #include <algorithm>
+#include <cmath>
 
 namespace olivevalve {
 
@@ -23,6 +24,29 @@
 constexpr double MsPerSecond = 1000;
 // Prompts in one report: some 40 bytes each, and a datagram holds 1,400.
 constexpr int MaxPromptsPerReport = 25;
+// Groups that are remembered; upstreams come and go.
+constexpr size_t MaxGroups = 4096;
+// The upper bits of a checksum that give a fraction from 0 to below 1.
+constexpr unsigned FractionShift = 32;
+constexpr uint64_t FractionRange = uint64_t(1) << 32;
+
+void fillLimit(const limit_report &Report, wire::upstream_limit &Message) {
+  Message.set_stated(Report.RequestsPerSecond.has_value());
+  Message.set_requests_per_second(Report.RequestsPerSecond.value_or(0));
+  Message.set_age_seconds(Report.AgeSeconds);
+}
+
+/// Empty: the values are not plausible.
+std::optional<limit_report> readLimit(const wire::upstream_limit &Message) {
+  double Rate = Message.requests_per_second();
+  double Age = Message.age_seconds();
+  if (!std::isfinite(Rate) || Rate < 0 || !std::isfinite(Age) || Age < 0)
+    return std::nullopt;
+  limit_report Report{.AgeSeconds = Age};
+  if (Message.stated())
+    Report.RequestsPerSecond = Rate;
+  return Report;
+}
 
 } // namespace
 
@@ -90,19 +114,29 @@
 void peer_work::setGateways(const std::vector<std::string> &Addresses) {
   Gateways = {Addresses.begin(), Addresses.end()};
   Gateways.erase(Socket.address());
+  Groups.clear();
   logLine(log_level::Info, "gateways that report their work",
           {{"gateways", int64_t(Gateways.size())}});
 }
 
-warmup_group peer_work::warmupGroup(uint64_t Upstream) const {
+gateway_group peer_work::groupFor(uint64_t Upstream) const {
   if (Gateways.empty())
     return {};
+  if (auto It = Groups.find(Upstream); It != Groups.end())
+    return It->second;
+  if (Groups.size() >= MaxGroups)
+    Groups.clear();
   uint64_t Own = checksum(Socket.address(), Upstream);
   size_t Rank = size_t(std::count_if(Gateways.begin(), Gateways.end(),
                                      [=](const std::string &Gateway) {
                                        return checksum(Gateway, Upstream) < Own;
                                      }));
-  return {.Gateways = Gateways.size() + 1, .Rank = Rank};
+  size_t Count = Gateways.size() + 1;
+  double Fraction = double(Own >> FractionShift) / double(FractionRange);
+  return Groups[Upstream] = {.Gateways = Count,
+                             .Rank = Rank,
+                             .Phase =
+                                 (double(Rank) + Fraction) / double(Count)};
 }
 
 void peer_work::reportChange(const upstream &Upstream) {
@@ -182,7 +216,9 @@
     bool Ended = PendingCrashes.contains(Upstream->Key);
     auto Answers = PendingAnswers.find(Upstream->Key);
     bool HasAnswers = Answers != PendingAnswers.end();
-    if (!Included && !HasLoad && !Ended && !HasAnswers)
+    auto Limit = Upstream->Limit.report(steadySeconds());
+    bool TellsLimit = Complete && Limit;
+    if (!Included && !HasLoad && !Ended && !HasAnswers && !TellsLimit)
       continue;
     wire::upstream_work *Work = Report.add_works();
     Work->set_upstream(Upstream->Key);
@@ -191,6 +227,8 @@
     if (HasLoad)
       Work->set_told_load(Load->second + 1);
     Work->set_ended(Ended);
+    if (Limit)
+      fillLimit(*Limit, *Work->mutable_limit());
     if (HasAnswers) {
       Work->set_answers(Answers->second.All);
       Work->set_failures(Answers->second.Failures);
@@ -223,6 +261,9 @@
       OnLoad(Work.upstream(), Work.told_load() - 1);
     if (OnAnswers && Work.answers() > 0)
       OnAnswers(Work.upstream(), Work.answers(), Work.failures());
+    if (OnLimit && Work.has_limit())
+      if (auto Limit = readLimit(Work.limit()))
+        OnLimit(Work.upstream(), *Limit);
     if (OnCrash && Work.ended())
       OnCrash(Work.upstream());
   }
--- a/gateway/peer_work.h
+++ b/gateway/peer_work.h
@@ -75,7 +75,8 @@
   /// Reports that a prompt was sent to an upstream.
   void reportPrompt(const upstream &Upstream,
                     std::span<const prompt_block> Blocks);
-  /// Reports that this gateway's work at an upstream has changed.
+  /// Reports that this gateway's work at an upstream has changed, or the limit
+  /// that the upstream states to it.
   void reportChange(const upstream &Upstream);
   /// Reports a load that an upstream has reported: requests that run or wait
   /// there.
@@ -94,15 +95,17 @@
   bool receivesFromAll(uint32_t AllGateways) const {
     return AllGateways > 0 && Gateways.size() + 1 >= AllGateways;
   }
-  /// The gateways that may send requests to an upstream while it is cold, and
-  /// the rank of this one. The order differs by upstream and is the same at all
-  /// gateways.
-  warmup_group warmupGroup(uint64_t Upstream) const;
+  /// The gateways that share the bound of an upstream, and the rank of this
+  /// one. The order differs by upstream and is the same at all gateways.
+  gateway_group groupFor(uint64_t Upstream) const;
   /// Called when an upstream has reported its load to another gateway.
   std::function<void(uint64_t Upstream, uint32_t Load)> OnLoad;
   /// Called when an upstream has responded to another gateway.
   std::function<void(uint64_t Upstream, uint32_t Answers, uint32_t Failures)>
       OnAnswers;
+  /// Called when another gateway reports the limit that an upstream states, or
+  /// that it states none any more.
+  std::function<void(uint64_t Upstream, const limit_report &Report)> OnLimit;
   /// Called when another gateway reports that an upstream has crashed.
   std::function<void(uint64_t Upstream)> OnCrash;
   /// Called before a report is sent, to add to it.
@@ -121,6 +124,8 @@
   const upstream_table &Upstreams;
   peer_work_options Options;
   std::set<std::string> Gateways;
+  /// Results of groupFor() for the present gateways, by upstream.
+  mutable std::unordered_map<uint64_t, gateway_group> Groups;
   std::set<uint64_t> Changed; ///< Since the last report, by upstream.
   wire::work_news Pending;    ///< Prompts sent since the last report.
   std::unordered_map<uint64_t, uint32_t> PendingLoads; ///< By upstream.
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr double UnavailableSeconds = 1e9;
-// Delay until a gateway with no share of a cold upstream checks it again.
-constexpr double NoShareRetrySeconds = 0.5;
 // Prompts have three or four blocks; a request head has room for a thousand.
 constexpr size_t MaxPromptBlocks = 16;
 
@@ -39,25 +37,11 @@
 struct candidates {
   std::vector<std::shared_ptr<upstream>> Preferred;
   std::vector<std::shared_ptr<upstream>> Alternatives;
-  /// Seconds until a preferred upstream that is cold may take a request; 0:
-  /// none is cold.
-  double ColdSeconds = 0;
+  /// When preferred upstreams that this gateway may send no more take requests
+  /// again.
+  reopening Held;
 };
 
-/// Seconds until this gateway may send a request there; 0: at once.
-double coldWait(const gateway_state &State, const routing_table &Routing,
-                upstream &Upstream, double Now) {
-  if (!Upstream.cold(Now))
-    return 0;
-  if (Upstream.Warming.allows(Now)) {
-    auto Rate = coldRequestRate(State, Routing, Upstream, Now);
-    if (!Rate || *Rate > 0)
-      return 0;
-    Upstream.Warming.blockUntil(Now + NoShareRetrySeconds);
-  }
-  return Upstream.Warming.nextAt() - Now;
-}
-
 candidates candidatesFor(gateway_state &State, const routing_table &Routing,
                          const selection_request &Request,
                          const session_pin *Pin) {
@@ -72,19 +56,24 @@
   std::string_view Reverted = State.Versions.revertedVersion(Service);
   candidates Found;
   for (const auto &Each : State.Upstreams.ofService(Service)) {
-    if (!Each->acceptsRequests(Request.Now) || Each->Listed.Version == Reverted)
+    if (Each->Listed.Version == Reverted)
       continue;
     bool Preferred = Each->Listed.Version == Version;
-    double Wait = coldWait(State, Routing, *Each, Request.Now);
-    if (Wait == 0)
+    send_permit Permit = permitFor(State, Routing, *Each, Request.Now);
+    if (Permit.granted()) {
       (Preferred ? Found.Preferred : Found.Alternatives).push_back(Each);
-    else if (Preferred && (Found.ColdSeconds == 0 || Wait < Found.ColdSeconds))
-      Found.ColdSeconds = Wait;
+      continue;
+    }
+    State.Metrics->count("upstreams_passed_over", nameOf(Permit.Reason));
+    bool Shared = Permit.Reason == hold_reason::WarmUp ||
+                  Permit.Reason == hold_reason::Limit;
+    if (Preferred && Shared)
+      Found.Held.add(Permit);
   }
   // A request that is newly assigned to the version being rolled out goes to
   // the stable version rather than wait, never the other way round.
   if (Pinned.empty() && Version != Stable)
-    Found.ColdSeconds = 0;
+    Found.Held = {};
   return Found;
 }
 
@@ -276,25 +265,6 @@
   return Estimate;
 }
 
-std::optional<double> coldRequestRate(const gateway_state &State,
-                                      const routing_table &Routing,
-                                      const upstream &Upstream, double Now) {
-  const routed_service *Service = Routing.service(Upstream.Listed.Service);
-  if (!Service || Service->ColdRequestsPerSecond <= 0)
-    return std::nullopt;
-  if (Now < State.StartedAt + RestartDelaySeconds)
-    return 0;
-  // Gateways that receive reports only from their own data hall send to the
-  // cold upstreams of that data hall only.
-  bool MaySend = State.Peers->receivesFromAll(State.Gateways) ||
-                 Upstream.Listed.DataHall == State.DataHall;
-  warmup_group Circle;
-  if (MaySend && State.Gateways > 0)
-    Circle = State.Gateways == 1 ? warmup_group{.Gateways = 1}
-                                 : State.Peers->warmupGroup(Upstream.Key);
-  return warmupRate(Service->ColdRequestsPerSecond, State.ColdBounds, Circle);
-}
-
 selection select(gateway_state &State, const routing_table &Routing,
                  const selection_request &Request) {
   const std::string &Session = Request.Facts.Session;
@@ -307,8 +277,8 @@
       pick(State, Routing, Request, std::move(Found.Preferred), Work);
   if (Selected.Upstream)
     return Selected;
-  if (Found.ColdSeconds > 0) {
-    Selected.ColdSeconds = Found.ColdSeconds;
+  if (Found.Held.Seconds > 0) {
+    Selected.Held = Found.Held;
     return Selected;
   }
   return pick(State, Routing, Request, std::move(Found.Alternatives), Work);
--- a/gateway/selection.h
+++ b/gateway/selection.h
@@ -8,7 +8,7 @@
 #ifndef OLIVEVALVE_GATEWAY_SELECTION_H
 #define OLIVEVALVE_GATEWAY_SELECTION_H
 
-#include "gateway/gateway_state.h"
+#include "gateway/send_permit.h"
 #include "platform/headers.h"
 #include "policy/upstream_choice.h"
 #include <set>
@@ -84,9 +84,9 @@
   /// Expected seconds until a slot is free at one of the less loaded upstreams.
   double WaitSeconds = 0;
   double BacklogSeconds = 0; ///< Mean prefill work per upstream, seconds.
-  /// If no upstream was selected because all that may take the request are
-  /// cold: seconds until one of them may take it. Else 0.
-  double ColdSeconds = 0;
+  /// If no upstream was selected because this gateway may send no more to those
+  /// that could take the request: when it may again.
+  reopening Held;
 };
 
 /// Expected waiting and upstream time of a request if it were sent now.
@@ -104,12 +104,6 @@
                                  const routing_table &Routing,
                                  const selection_request &Request);
 
-/// Requests per second that this gateway may send to a cold upstream; 0: none
-/// at present, nullopt: no limit is configured.
-std::optional<double> coldRequestRate(const gateway_state &State,
-                                      const routing_table &Routing,
-                                      const upstream &Upstream, double Now);
-
 /// Selects the upstream for the next attempt of \p Request. Upstreams with the
 /// software version that the request is assigned to are preferred.
 selection select(gateway_state &State, const routing_table &Routing,
--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -56,6 +56,7 @@
                                const std::string &Id, bool NewHeadOnly) {
   User = &NewUser;
   AttemptId = Id;
+  AssignedAt = steadySeconds();
   HeadOnly = NewHeadOnly;
   Skipping = false;
   Reused = IdleSince > 0;
@@ -63,11 +64,11 @@
   Stream.write(Bytes);
 }
 
-// The request is sent only now, so an upstream that stopped taking requests
-// while the connection was set up is not sent this one.
+// The request is sent only now, so an upstream that stopped taking requests, or
+// began to take only few, while the connection was set up is not sent this one.
 void upstream_connection::onConnected() {
   ConnectTimer.stop();
-  if (User && !Upstream->acceptsRequests(steadySeconds()))
+  if (User && !Upstream->stillAccepts(AssignedAt, steadySeconds()))
     fail(broken_at::Declined);
 }
 
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -93,6 +93,7 @@
   timer ConnectTimer;
   upstream_user *User = nullptr;
   std::string AttemptId;
+  double AssignedAt = 0; ///< When the current request was passed to send().
   platform::answer_facts Facts;
   bool Skipping = false; ///< The current response belongs to another request.
   bool Reused = false;
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -2,9 +2,7 @@
 
 #include "gateway/upstream_table.h"
 #include "base/digest.h"
-#include "base/log.h"
 #include <algorithm>
-#include <array>
 
 namespace olivevalve {
 
@@ -35,11 +33,6 @@
 // reports of other gateways. If more could be, one gateway that reports wrongly
 // would make all others send everything to the remaining upstreams.
 constexpr double MaxPresumedFraction = 0.5;
-// By limit_change.
-constexpr std::array<std::string_view, 4> LimitChangeMessages = {
-    "", "upstream states a request limit",
-    "upstream states another request limit",
-    "upstream states no request limit any more"};
 
 } // namespace
 
@@ -82,6 +75,12 @@
   return IsListed || Now < AssumedColdUntil;
 }
 
+bool upstream::stillAccepts(double AssignedAt, double Now) const {
+  bool LimitIsNewer = Limit.requestsPerSecond() && Limit.beganAt() > AssignedAt;
+  bool ColdIsNewer = cold(Now) && ListedColdAt > AssignedAt;
+  return acceptsRequests(Now) && !LimitIsNewer && !ColdIsNewer;
+}
+
 void upstream::assumeCold(double Seconds, double Now) {
   AssumedColdUntil =
       std::max(AssumedColdUntil, Now + std::min(Seconds, MaxColdSeconds));
@@ -100,19 +99,6 @@
   PresumedCrashedUntil = 0;
 }
 
-void logLimitChange(const upstream &Upstream, limit_change Change,
-                    std::string_view Source, std::string_view AttemptId) {
-  if (Change == limit_change::None)
-    return;
-  std::string_view Message = LimitChangeMessages[size_t(Change)];
-  logLine(log_level::Info, Message,
-          {{"upstream", Upstream.Listed.Id},
-           {"service", Upstream.Listed.Service},
-           {"limit_per_s", Upstream.Limit.requestsPerSecond().value_or(-1)},
-           {"known_from", Source},
-           {"id", AttemptId}});
-}
-
 // Without a start time the id alone identifies the incarnation: older upstreams
 // never reported one.
 std::shared_ptr<upstream>
@@ -225,19 +211,6 @@
   return Open;
 }
 
-double upstream_table::soonestBackoffEnd(const std::string &Service,
-                                         double Now) const {
-  double Soonest = 0;
-  for (const auto &Each : ofService(Service)) {
-    if (Each->acceptsRequests(Now))
-      return 0;
-    double Seconds = Each->backoffUntil() - Now;
-    if (Each->acceptsAfterBackoff() && (Soonest == 0 || Seconds < Soonest))
-      Soonest = Seconds;
-  }
-  return Soonest;
-}
-
 const std::vector<std::shared_ptr<upstream>> &
 upstream_table::ofService(const std::string &Service) const {
   static const std::vector<std::shared_ptr<upstream>> None;
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -13,7 +13,7 @@
 #include "platform/upstream_list.h"
 #include "policy/answer_tally.h"
 #include "policy/named_limit.h"
-#include "policy/warmup.h"
+#include "policy/shared_rate.h"
 #include <map>
 #include <memory>
 #include <set>
@@ -56,8 +56,8 @@
   named_limit Limit;
   /// The last stated limit that could not be read.
   std::string MalformedLimit;
-  /// Spaces this gateway's requests while the upstream is cold.
-  warmup_pacer Warming;
+  /// Spaces this gateway's requests while the upstream takes few.
+  request_pacer Pacer;
 
   /// Estimated number of requests that run or wait at the upstream: the load
   /// that it last reported, corrected by what this gateway and those that
@@ -100,6 +100,9 @@
   bool acceptsRequests(double Now) const {
     return acceptsAfterBackoff() && Now >= BackoffUntil;
   }
+  /// May still be sent a request that was assigned to it at \p AssignedAt:
+  /// takes requests, and has begun to take few only before that.
+  bool stillAccepts(double AssignedAt, double Now) const;
   /// Just started and able to take few requests: listed as cold, or assumed to
   /// be.
   bool cold(double Now) const;
@@ -131,12 +134,6 @@
   bool AnnouncedLeaving = false;
 };
 
-/// Logs that the limit that \p Upstream states began, changed or ended.
-/// \p Source: from where this gateway knows; \p AttemptId: of the response that
-/// showed it, if it was an own one.
-void logLimitChange(const upstream &Upstream, limit_change Change,
-                    std::string_view Source, std::string_view AttemptId = {});
-
 /// All upstreams of the list, and the stable software version of each service.
 class upstream_table {
 public:
@@ -169,9 +166,6 @@
   bool allEvacuated(const std::string &Service) const;
   /// This gateway's requests in flight in each evacuated data hall.
   std::map<std::string, uint32_t> openInEvacuated() const;
-  /// Seconds until the first upstream in backoff takes requests again; 0: one
-  /// takes them now, or none ever will.
-  double soonestBackoffEnd(const std::string &Service, double Now) const;
   /// The stable software version of the service: the one that most of its
   /// upstreams had when the service was first listed, or the one set since;
   /// empty if the service was never listed.
--- a/policy/admission.cpp
+++ b/policy/admission.cpp
@@ -27,6 +27,10 @@
 // The Retry-After is spread over the range from this fraction of the largest
 // value to the largest value.
 constexpr double MinRetryAfterShare = 0.5;
+// Callers that return at the same end of a backoff are spread over this
+// fraction of the time until then, and over this time.
+constexpr double ReturnSpread = 0.25;
+constexpr double ReturnSpreadSeconds = 0.3;
 
 } // namespace
 
@@ -81,6 +85,23 @@
 // The value is large, because a traffic spike lasts longer than the requests
 // queued in it and most callers retry only once. It is randomized, so that
 // callers do not retry at the same moment.
+double return_schedule::secondsUntilTurn(const return_request &Request,
+                                         double Now, std::mt19937_64 &Random) {
+  double Soonest = Request.SoonestSeconds;
+  if (Request.TurnsPerSecond <= 0)
+    return std::uniform_real_distribution<double>(
+        Soonest, Soonest * (1 + ReturnSpread) + ReturnSpreadSeconds)(Random);
+  double Gap = 1 / Request.TurnsPerSecond;
+  double TurnAt = std::max(Now + Soonest, LastTurnAt + Gap);
+  double Latest = std::max(Soonest, Request.LeftSeconds * MaxRetryAfterShare);
+  if (TurnAt > Now + Latest)
+    return std::uniform_real_distribution<double>(Soonest, Latest)(Random);
+  LastTurnAt = TurnAt;
+  double Spread = std::min(Gap, ReturnSpreadSeconds);
+  return TurnAt - Now +
+         std::uniform_real_distribution<double>(0, Spread)(Random);
+}
+
 double retryAfterSeconds(double LeftSeconds, std::mt19937_64 &Random) {
   double Max = std::max(0.0, LeftSeconds) * MaxRetryAfterShare;
   double Min = Max * MinRetryAfterShare;
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -47,6 +47,28 @@
 double refusalProbability(double WaitSeconds, double TargetSeconds,
                           uint32_t Priority);
 
+/// What a refused caller can expect.
+struct return_request {
+  double SoonestSeconds = 0; ///< Until the first request can be sent again.
+  /// Requests that can be sent per second from then on; 0: any number.
+  double TurnsPerSecond = 0;
+  double LeftSeconds = 0; ///< Until the caller's deadline.
+};
+
+/// Gives the callers that one gateway refuses because upstreams take few
+/// requests a time each at which to return: in the order of their requests, and
+/// no faster than the upstreams take them.
+class return_schedule {
+public:
+  /// The Retry-After in seconds, randomized. A caller whose turn comes too late
+  /// takes none.
+  double secondsUntilTurn(const return_request &Request, double Now,
+                          std::mt19937_64 &Random);
+
+private:
+  double LastTurnAt = 0;
+};
+
 /// The Retry-After for a refused request, in seconds, randomized.
 /// \p LeftSeconds: time left until the caller's deadline.
 double retryAfterSeconds(double LeftSeconds, std::mt19937_64 &Random);
--- a/tests/system/limit_test.cpp
+++ b/tests/system/limit_test.cpp
@@ -128,4 +128,114 @@
   BOOST_TEST(Limited.maxArrivals(Since, WindowSeconds) <= MaxInWindow);
 }
 
+BOOST_AUTO_TEST_CASE(stay_within_it_while_a_gateway_restarts) {
+  limit_world World(4, 3);
+  replica &Limited = *World.Replicas["i-1"];
+  World.stateLimit(Limited, std::to_string(LimitPerSecond));
+  auto &Restarted = World.Fleet.front();
+  Restarted.Process->kill();
+  Restarted.Process->start();
+  World.until("the gateway serves again",
+              [&] { return World.serves(Restarted); });
+  Restarted.ToldAt = 0;
+  World.stateLimit(Limited, std::to_string(LimitPerSecond));
+  double Since = steadySeconds();
+  World.sendFor(WindowSeconds + 1);
+  BOOST_TEST(Limited.maxArrivals(Since, WindowSeconds) <= MaxInWindow);
+}
+
+BOOST_AUTO_TEST_CASE(are_used_at_their_limit_and_more_once_it_ends) {
+  limit_world World(3, 2);
+  replica &Limited = *World.Replicas["i-1"];
+  World.stateLimit(Limited, std::to_string(LimitPerSecond));
+  int Before = Limited.arrivals();
+  World.sendFor(2 * WindowSeconds);
+  BOOST_TEST(Limited.arrivals() - Before >=
+             int(LimitPerSecond * WindowSeconds));
+  BOOST_TEST_CONTEXT("a response without a limit ends it at all gateways") {
+    Limited.RequestLimit = "";
+    Before = Limited.arrivals();
+    World.until("the upstream gets more requests", [&] {
+      World.sendRound();
+      return Limited.arrivals() > Before + 2 * MaxInWindow;
+    });
+    for (auto &Each : World.Fleet)
+      BOOST_TEST(Each.Process->logText().find(
+                     "upstream states no request limit any more") !=
+                 std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(that_one_gateway_was_told_of_are_known_to_the_others) {
+  limit_world World(3, 2);
+  replica &Limited = *World.Replicas["i-1"];
+  Limited.RequestLimit = std::to_string(LimitPerSecond);
+  auto &Told = World.Fleet.front();
+  World.until("a gateway is told", [&] {
+    auto Answer = World.beginAt(Told, RequestPaths[0]);
+    World.until("a response", [&] { return Answer->Done; });
+    return !Answer->header("server-limit").empty();
+  });
+  World.until("the other one knows it", [&] {
+    return World.Fleet.back().Process->logText().find(
+               "\"known_from\":\"another gateway\"") != std::string::npos;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(
+    refuse_callers_at_once_with_retry_after_if_all_are_limited) {
+  limit_world World(2, 1);
+  for (auto &[Id, Replica] : World.Replicas)
+    Replica->RequestLimit = "0.5";
+  auto &Gateway = World.Fleet.front();
+  std::shared_ptr<client_response> Answer;
+  double SentAt = 0;
+  World.until("a request is refused", [&] {
+    SentAt = steadySeconds();
+    Answer = World.beginAt(Gateway, RequestPaths[0]);
+    World.until("a response", [&] { return Answer->Done; });
+    return Answer->Status == 503;
+  });
+  BOOST_TEST(Answer->outcome() == "not-run");
+  std::set<std::string> Advice;
+  for (int I = 0; I < 4; ++I) {
+    int Before =
+        World.Replicas["i-1"]->arrivals() + World.Replicas["i-2"]->arrivals();
+    Answer = World.beginAt(Gateway, RequestPaths[0]);
+    World.until("a response", [&] { return Answer->Done; });
+    int After =
+        World.Replicas["i-1"]->arrivals() + World.Replicas["i-2"]->arrivals();
+    BOOST_TEST((Answer->Status == 503) == (After == Before));
+    if (Answer->Status != 503)
+      continue;
+    Advice.insert(Answer->header("retry-after"));
+    double Seconds = std::atof(Answer->header("retry-after").c_str());
+    BOOST_TEST(Seconds > 0);
+    BOOST_TEST(Seconds < 5);
+  }
+  BOOST_TEST(Advice.size() >= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(with_an_invalid_limit_are_not_limited) {
+  limit_world World(2, 1);
+  replica &Odd = *World.Replicas["i-1"];
+  for (const char *Invalid : {"-5", "nan", "inf", "soon", "1e999"}) {
+    Odd.RequestLimit = Invalid;
+    int Before = Odd.arrivals();
+    World.until("the upstream gets many requests", [&] {
+      World.sendRound();
+      return Odd.arrivals() > Before + MaxInWindow;
+    });
+  }
+  BOOST_TEST(World.Fleet.front().Process->logText().find(
+                 "upstream states a request limit") == std::string::npos);
+  BOOST_TEST_CONTEXT("an invalid value does not end a limit") {
+    World.stateLimit(Odd, std::to_string(LimitPerSecond));
+    Odd.RequestLimit = "soon";
+    double Since = steadySeconds();
+    World.sendFor(WindowSeconds);
+    BOOST_TEST(Odd.maxArrivals(Since, WindowSeconds) <= MaxInWindow);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -667,7 +667,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(sends_nothing_to_upstreams_in_backoff) {
-  upstream_table Table;
+  gateway_state State;
+  State.Routing = std::make_shared<const routing_table>(routing_config());
+  upstream_table &Table = State.Upstreams;
   Table.update({listed("i-1"), listed("i-2")}, 0);
   auto First = Table.all().at("i-1");
   const std::string &Service = First->Listed.Service;
@@ -685,14 +687,14 @@
     BOOST_TEST(First->acceptsRequests(20 + 60));
   }
   BOOST_TEST_CONTEXT("the soonest end of a backoff is known") {
-    BOOST_TEST(Table.soonestBackoffEnd(Service, 30) == 0);
+    BOOST_TEST(reopeningOf(State, Service, 30).Seconds == 0);
     auto Second = Table.all().at("i-2");
     Second->backOff(5, 30);
-    BOOST_TEST(Table.soonestBackoffEnd(Service, 31) == 4);
+    BOOST_TEST(reopeningOf(State, Service, 31).Seconds == 4);
     Second->markLeaving();
-    BOOST_TEST(Table.soonestBackoffEnd(Service, 31) == 49);
+    BOOST_TEST(reopeningOf(State, Service, 31).Seconds == 49);
     First->markLeaving();
-    BOOST_TEST(Table.soonestBackoffEnd(Service, 31) == 0);
+    BOOST_TEST(reopeningOf(State, Service, 31).Seconds == 0);
   }
   BOOST_TEST_CONTEXT("a leaving upstream stays so when a later list names it") {
     Table.update({listed("i-1"), listed("i-2")}, 0);
