--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -150,7 +150,8 @@
     std::string RetryLine =
         RetryAfter.empty() ? "" : "Retry-After: " + RetryAfter + "\r\n";
     return Connection.Stream.write(withBody(
-        answerHead(503, Id, "X-Not-Executed: 1\r\n" + RetryLine), "full"));
+        answerHead(RefusalStatus, Id, "X-Not-Executed: 1\r\n" + RetryLine),
+        "full"));
   }
   LastHead = Head;
   LastBody = Body;
--- a/tests/system/backoff_test.cpp
+++ b/tests/system/backoff_test.cpp
@@ -83,6 +83,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(get_no_requests_either_if_they_refused_with_429) {
+  backoff_world World(3);
+  replica &BackingOff = *World.Replicas["i-1"];
+  BackingOff.RefusalStatus = 429;
+  World.refuse(BackingOff, std::to_string(BackoffSeconds));
+  double RefusedAt = World.untilRefused(BackingOff);
+  BOOST_TEST(World.arrivalsInBackoff(BackingOff, RefusedAt, "/safe/x") <=
+             MaxInFlight);
+  BOOST_TEST_CONTEXT("callers are told when to return if all refuse") {
+    for (auto &[Id, Replica] : World.Replicas)
+      Replica->RefusalStatus = 429;
+    for (auto &[Id, Replica] : World.Replicas)
+      World.refuse(*Replica, std::to_string(BackoffSeconds));
+    client_response Answer = World.request("/unsafe/x");
+    BOOST_TEST(Answer.Status == 429);
+    BOOST_TEST(std::atof(Answer.header("retry-after").c_str()) > 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(get_no_larger_model_requests_or_resumed_streams) {
   backoff_world World(3);
   replica &BackingOff = *World.Replicas["i-1"];
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -288,6 +288,9 @@
       BOOST_TEST(Parsed.BackoffSeconds.value_or(-1) == Case.Seconds);
       BOOST_TEST(Parsed.MalformedRetryAfter == Case.Odd);
     }
+  BOOST_TEST(
+      Facts("429 Too Many", "Retry-After: 3\r\n").BackoffSeconds.value_or(-1) ==
+      3);
   BOOST_TEST(!Facts("200 OK", "Retry-After: 3\r\n").BackoffSeconds);
   BOOST_TEST(!Facts("421 Other", "Retry-After: 3\r\n").BackoffSeconds);
   BOOST_TEST(Facts("200 OK", "Server-Leaving: 1\r\n").Leaving);
