Soak states request limits; callers' turns tested; names of the limit's parts

The soak's upstreams now state limits of 0 to 5 a second for up to 4 s among its other faults; each one has to be used again after it. Unit test of the times at which refused callers return. policy/named_limit is policy/request_limit. upstreams_held_back counts limits and warm-up only: counting evacuated upstreams too would cost a look-up for each at every choice.

--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr int TooManyRequestsStatus = 429;
 // Bytes not yet read by the caller from which on its upstream is not read.
 constexpr size_t MaxUnsentBytes = 256 << 10;
 // Responses that are not event streams are buffered up to this size.
@@ -303,8 +302,7 @@
   leaveUpstream();
   if (Fallback && Answer.Status >= 300)
     return fallBack("answered without success");
-  if (Answer.NotRun &&
-      (Answer.Status == TooManyRequestsStatus || Answer.Status == 503))
+  if (Answer.NotRun && platform::mayCarryRetryAfter(Answer.Status))
     Answer.Lines.push_back(retryAfterLine());
   if (Caller)
     Caller->reply(Answer.Status, Answer.Reason, Answer.Lines, Answer.Body);
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -64,10 +64,12 @@
       (Preferred ? Found.Preferred : Found.Alternatives).push_back(Each);
       continue;
     }
-    State.Metrics->count("upstreams_passed_over", nameOf(Permit.Reason));
     bool Shared = Permit.Reason == hold_reason::WarmUp ||
                   Permit.Reason == hold_reason::Limit;
-    if (Preferred && Shared)
+    if (!Shared)
+      continue;
+    State.Metrics->count("upstreams_held_back", nameOf(Permit.Reason));
+    if (Preferred)
       Found.Held.add(Permit);
   }
   // A request that is newly assigned to the version being rolled out goes to
--- a/gateway/send_permit.cpp
+++ b/gateway/send_permit.cpp
@@ -112,7 +112,7 @@
           {{"upstream", Upstream.Listed.Id},
            {"service", Upstream.Listed.Service},
            {"limit_per_s", Upstream.Limit.requestsPerSecond().value_or(-1)},
-           {"own_gap_s", Gap},
+           {"own_gap_s", Gap < NeverSeconds ? Gap : -1},
            {"gateways", int64_t(State.Gateways)},
            {"known_from", Source},
            {"id", AttemptId}});
--- a/gateway/send_permit.h
+++ b/gateway/send_permit.h
@@ -1,7 +1,7 @@
 //===- send_permit.h - May an upstream be sent a request now ----*- C++ -*-===//
 //
 // The one place that decides whether this gateway may send an upstream a
-// request now, for every path that leads to one, and that records the request.
+// request now, for every path that leads to one.
 //
 //===----------------------------------------------------------------------===//
 
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -12,7 +12,7 @@
 #include "platform/headers.h"
 #include "platform/upstream_list.h"
 #include "policy/answer_tally.h"
-#include "policy/named_limit.h"
+#include "policy/request_limit.h"
 #include "policy/shared_rate.h"
 #include <map>
 #include <memory>
@@ -53,7 +53,7 @@
   /// To all gateways that report to this one, and to itself.
   answer_tally Answers;
   /// The request limit that the upstream states.
-  named_limit Limit;
+  request_limit Limit;
   /// The last stated limit that could not be read.
   std::string MalformedLimit;
   /// Spaces this gateway's requests while the upstream takes few.
--- a/policy/named_limit.cpp
+++ b/policy/request_limit.cpp
@@ -1,6 +1,6 @@
-//===- named_limit.cpp - Request limit that an upstream states ------------===//
+//===- request_limit.cpp - Request limit that an upstream states ----------===//
 
-#include "policy/named_limit.h"
+#include "policy/request_limit.h"
 #include <algorithm>
 
 namespace olivevalve {
@@ -15,11 +15,12 @@
 
 } // namespace
 
-std::optional<double> named_limit::requestsPerSecond() const {
+std::optional<double> request_limit::requestsPerSecond() const {
   return StatedAt > ClearedAt ? std::optional(Value) : std::nullopt;
 }
 
-limit_change named_limit::set(double RequestsPerSecond, double At, double Now) {
+limit_change request_limit::set(double RequestsPerSecond, double At,
+                                double Now) {
   std::optional<double> Before = requestsPerSecond();
   Value = RequestsPerSecond;
   StatedAt = At;
@@ -31,8 +32,8 @@
 }
 
 limit_change
-named_limit::recordResponse(std::optional<double> RequestsPerSecond,
-                            double SentAt, double Now) {
+request_limit::recordResponse(std::optional<double> RequestsPerSecond,
+                              double SentAt, double Now) {
   if (RequestsPerSecond) {
     OwnStatement = true;
     return set(*RequestsPerSecond, Now, Now);
@@ -45,7 +46,8 @@
   return limit_change::Ended;
 }
 
-limit_change named_limit::recordReport(const limit_report &Report, double Now) {
+limit_change request_limit::recordReport(const limit_report &Report,
+                                         double Now) {
   double At = Now - Report.AgeSeconds;
   if (Report.RequestsPerSecond) {
     if (At <= StatedAt || At <= ClearedAt)
@@ -59,7 +61,7 @@
   return limit_change::Ended;
 }
 
-std::optional<limit_report> named_limit::report(double Now) const {
+std::optional<limit_report> request_limit::report(double Now) const {
   if (requestsPerSecond())
     return OwnStatement
                ? std::optional(limit_report{.RequestsPerSecond = Value,
--- a/policy/named_limit.h
+++ b/policy/request_limit.h
@@ -1,18 +1,18 @@
-//===- named_limit.h - Request limit that an upstream states ----*- C++ -*-===//
+//===- request_limit.h - Request limit that an upstream states --*- C++ -*-===//
 //
 // An upstream that is short of capacity states in its responses how many
 // requests per second it takes from all gateways together, for as long as this
-// holds. A named_limit is what one gateway knows of one upstream's limit, from
-// the responses to its own requests and from the reports of other gateways.
-// Pure.
+// holds. A request_limit is what one gateway knows of one upstream's limit,
+// from the responses to its own requests and from the reports of other
+// gateways. Pure.
 //
 // Responses overtake one another. A response without a limit therefore ends the
 // limit only if its request was sent after the limit was last stated.
 //
 //===----------------------------------------------------------------------===//
 
-#ifndef OLIVEVALVE_POLICY_NAMED_LIMIT_H
-#define OLIVEVALVE_POLICY_NAMED_LIMIT_H
+#ifndef OLIVEVALVE_POLICY_REQUEST_LIMIT_H
+#define OLIVEVALVE_POLICY_REQUEST_LIMIT_H
 
 #include <cstdint>
 #include <optional>
@@ -33,7 +33,7 @@
 
 /// What a gateway knows of the limit of one incarnation of an upstream. All
 /// times are steady-clock seconds of this gateway.
-class named_limit {
+class request_limit {
 public:
   /// Records what a response to an own request states. \p SentAt: when that
   /// request was sent.
@@ -67,4 +67,4 @@
 
 } // namespace olivevalve
 
-#endif // OLIVEVALVE_POLICY_NAMED_LIMIT_H
+#endif // OLIVEVALVE_POLICY_REQUEST_LIMIT_H
--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -2,11 +2,11 @@
 //
 // Runs control VMs and gateways as processes; clients and upstreams are
 // simulated in the test process. Random, overlapping faults are injected:
-// signals, network faults between gateways and upstreams, upstreams that crash
-// or are drained and replaced, invalid entries in the upstream list, and series
-// of routing changes. The responses that clients received are then compared
-// with what the upstreams ran. A run uses the seed OLIVEVALVE_SEED;
-// scripts/soak runs many seeds.
+// signals, network faults between gateways and upstreams, upstreams that crash,
+// state request limits, or are drained and replaced, invalid entries in the
+// upstream list, and series of routing changes. The responses that clients
+// received are then compared with what the upstreams ran. A run uses the seed
+// OLIVEVALVE_SEED; scripts/soak runs many seeds.
 //
 //===----------------------------------------------------------------------===//
 
@@ -195,7 +195,8 @@
         &soak::killControl,   &soak::killAllControl, &soak::pauseControl,
         &soak::disturbPath,   &soak::disturbPath,    &soak::crashUpstream,
         &soak::drainUpstream, &soak::changeSeries,   &soak::changeSeries,
-        &soak::sendSighup,    &soak::corruptList,    &soak::refuseListRequests};
+        &soak::sendSighup,    &soak::corruptList,    &soak::refuseListRequests,
+        &soak::limitUpstream};
     (this->*All[below(std::size(All))])();
   }
 
@@ -298,6 +299,14 @@
     });
   }
 
+  // Once the limit has ended, the upstream must be used again: checkRecovery().
+  void limitUpstream() {
+    std::string Id = Listed[below(Listed.size())];
+    Replicas[Id]->RequestLimit = std::to_string(below(6));
+    schedule(0.5 + 0.5 * double(below(8)),
+             [this, Id] { Replicas[Id]->RequestLimit.clear(); });
+  }
+
   void refuseListRequests() { List->Refusals += int(below(6)); }
 
   void schedule(double Seconds, std::function<void()> Action) {
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -182,4 +182,40 @@
   BOOST_TEST(Chosen(6) > 900);
 }
 
+// Guards against refused callers that return all at once to upstreams that take
+// one request in two seconds.
+BOOST_AUTO_TEST_CASE(
+    gives_refused_callers_turns_as_fast_as_upstreams_take_them) {
+  std::mt19937_64 Random(5);
+  return_schedule Returns;
+  const return_request Request{
+      .SoonestSeconds = 1, .TurnsPerSecond = 0.5, .LeftSeconds = 24};
+  double Last = 0;
+  for (int Turn = 0; Turn < 4; ++Turn) {
+    double Seconds = Returns.secondsUntilTurn(Request, 10, Random);
+    BOOST_TEST(Seconds >= 1 + 2 * Turn);
+    BOOST_TEST(Seconds < 2 + 2 * Turn);
+    BOOST_TEST(Seconds > Last);
+    Last = Seconds;
+  }
+  BOOST_TEST_CONTEXT("a caller whose turn comes too late takes none") {
+    for (int I = 0; I < 100; ++I) {
+      double Seconds = Returns.secondsUntilTurn(Request, 10, Random);
+      BOOST_TEST(Seconds >= 1);
+      BOOST_TEST(Seconds <= 8);
+    }
+    double Next = Returns.secondsUntilTurn(Request, 20, Random);
+    BOOST_TEST(Next < 2);
+  }
+  BOOST_TEST_CONTEXT("without a rate callers return soon after the end") {
+    return_schedule Unbounded;
+    for (int I = 0; I < 100; ++I) {
+      double Seconds =
+          Unbounded.secondsUntilTurn({.SoonestSeconds = 2}, 10, Random);
+      BOOST_TEST(Seconds >= 2);
+      BOOST_TEST(Seconds <= 2.8);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/named_limit_test.cpp
+++ b/tests/unit/request_limit_test.cpp
@@ -1,16 +1,16 @@
-//===- named_limit_test.cpp - Request limit that an upstream states -------===//
+//===- request_limit_test.cpp - Request limit that an upstream states -----===//
 
 #include "boost/test/unit_test.hpp"
 #include "gateway/send_permit.h"
-#include "policy/named_limit.h"
+#include "policy/request_limit.h"
 #include <cmath>
 
 using namespace olivevalve;
 
-BOOST_AUTO_TEST_SUITE(named_limits)
+BOOST_AUTO_TEST_SUITE(request_limits)
 
 BOOST_AUTO_TEST_CASE(begin_change_and_end_with_own_responses) {
-  named_limit Limit;
+  request_limit Limit;
   BOOST_TEST(!Limit.requestsPerSecond());
   BOOST_TEST((Limit.recordResponse({}, 1, 2) == limit_change::None));
   BOOST_TEST((Limit.recordResponse(1.7, 9, 10) == limit_change::Began));
@@ -29,7 +29,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(are_known_from_reports) {
-  named_limit Limit;
+  request_limit Limit;
   BOOST_TEST((Limit.recordReport({.RequestsPerSecond = 2, .AgeSeconds = 1},
                                  10) == limit_change::Began));
   BOOST_TEST(*Limit.requestsPerSecond() == 2);
@@ -52,8 +52,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(are_reported_only_by_gateways_that_were_told) {
-  named_limit Told;
-  named_limit Heard;
+  request_limit Told;
+  request_limit Heard;
   BOOST_TEST(!Told.report(10));
   Told.recordResponse(3, 9, 10);
   auto Report = Told.report(12);
