--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -176,7 +176,7 @@
   ++Upstream->InFlight;
   if (choosesModel())
     Model = Route->Sizes[ModelIndex];
-  recordPacedRequest(permitFor(State, *Routing, *Upstream, Now), Now);
+  recordForPacing(permitFor(State, *Routing, *Upstream, Now), Now);
   LastUpstream = Upstream;
   if (Facts.Model)
     recordPrompt(Request, Selected.PrefillSeconds);
@@ -187,7 +187,7 @@
 
 // Counts and logs requests to upstreams that take few, and spaces out the next
 // ones.
-void forwarding::recordPacedRequest(const send_permit &Permit, double Now) {
+void forwarding::recordForPacing(const send_permit &Permit, double Now) {
   Upstream->Pacer.recordRequest(Now);
   if (Upstream->cold(Now))
     State.Metrics->count("sent_to_cold_upstreams", Service);
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -91,7 +91,7 @@
   bool authorise();
   const std::string &pickService();
   void attempt();
-  void recordPacedRequest(const send_permit &Permit, double Now);
+  void recordForPacing(const send_permit &Permit, double Now);
   void concludeNotSent(const selection &Selected);
   double retryAfterReopening(const reopening &Reopening);
   double callerSecondsLeft() const;
--- a/gateway/send_permit.h
+++ b/gateway/send_permit.h
@@ -37,6 +37,8 @@
   bool granted() const { return Reason == hold_reason::None; }
 };
 
+/// Whether this gateway may send \p Upstream a request now. Of several reasons
+/// against it, the one that lasts longest.
 send_permit permitFor(const gateway_state &State, const routing_table &Routing,
                       const upstream &Upstream, double Now);
 
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -96,7 +96,7 @@
   double backoffUntil() const { return BackoffUntil; }
   /// Stops soon, as planned, and takes no new requests.
   bool leaving() const { return AnnouncedLeaving || Listed.Leaving; }
-  /// May be sent new requests now.
+  /// Takes new requests now; how many is up to permitFor().
   bool acceptsRequests(double Now) const {
     return acceptsAfterBackoff() && Now >= BackoffUntil;
   }
--- a/tests/system/limit_test.cpp
+++ b/tests/system/limit_test.cpp
@@ -9,6 +9,9 @@
 #include "base/clock.h"
 #include "boost/test/unit_test.hpp"
 #include "tests/gateway_world.h"
+#include <algorithm>
+#include <array>
+#include <list>
 
 using namespace olivevalve;
 
