--- a/tests/replica.h
+++ b/tests/replica.h
@@ -81,8 +81,8 @@
 
   /// Confidence reported with each response, from 0 to 1.
   double Confidence = 0.9;
-  bool Fails = false;     ///< Responds to each request with status 500.
-  bool Refuses = false;   ///< Refuses each request as not run.
+  bool Fails = false;   ///< Responds to each request with status 500.
+  bool Refuses = false; ///< Refuses each request as not run.
   int RefusalStatus = 503;
   std::string RetryAfter; ///< Retry-After of refusals; empty: no such header.
   /// Announces with each response that the upstream is shutting down.
