--- a/tests/unit/shared_rate_test.cpp
+++ b/tests/unit/shared_rate_test.cpp
@@ -205,7 +205,7 @@
   for (size_t Gateways : {1, 2, 3, 7, 16, 21, 32, 103, 410}) {
     BOOST_TEST_CONTEXT(Gateways << " gateways") {
       auto All = gatewaysInOneGroup(Gateways);
-      auto Cold = simulate(All, ColdRate, ColdBound, 6);
+      auto Cold = simulate(All, ColdRate, ColdBound, 6, 0.001);
       BOOST_TEST(double(Cold.MostInWindow) <= allowed(ColdRate, ColdBound));
       BOOST_TEST(double(Cold.MostInWindow) >= ColdRate / 2);
       for (double Rate : LimitRates) {
@@ -234,8 +234,9 @@
         All.push_back(Each);
       }
       BOOST_TEST_CONTEXT(Old << " gateways became " << New) {
-        BOOST_TEST(double(simulate(All, ColdRate, ColdBound, 5).MostInWindow) <=
-                   allowed(ColdRate, ColdBound));
+        BOOST_TEST(
+            double(simulate(All, ColdRate, ColdBound, 5, 0.001).MostInWindow) <=
+            allowed(ColdRate, ColdBound));
         for (double Rate : LimitRates)
           BOOST_TEST_CONTEXT("limit of " << Rate)
         BOOST_TEST(double(simulate(All, Rate, LimitBound, 30).MostInWindow) <=
