Test of stated limits waits until gateways know the limit, not until they passed it on

Seen once in the second run of the tests, sanitized and beside load: 'timed out after 30 s: all gateways are told' in limited_upstreams/get_no_more_than_their_ limit_from_all_gateways. The test waited until each gateway had passed on a response with the limit. Since gateways tell one another of limits, one that knows has few requests a second for that upstream, and the refused and repeated ones among the test's requests use them without a caller seeing the header; with slow rounds 30 s could pass (by reading; the run's logs were gone). The test now begins to count once each gateway's log names the limit, from its own response or another gateway's: never later than before, with the same bound and for all requests, so it is at least as strict.

No functional change

--- a/tests/system/limit_test.cpp
+++ b/tests/system/limit_test.cpp
@@ -70,8 +70,19 @@
     reserved_address Address;
     reserved_address Health;
     std::unique_ptr<daemon_process> Process;
-    /// When a response with the limit was last seen by a caller; 0: never.
-    double ToldAt = 0;
+    /// Limits that its log had named before the present life of its process.
+    size_t LimitsBefore = 0;
+
+    /// Limits that its log names, from own responses and from other gateways.
+    size_t limitsLogged() const {
+      const std::string Line = "\"upstream states a request limit\"";
+      std::string Text = Process->logText();
+      size_t Count = 0;
+      for (size_t At = 0; (At = Text.find(Line, At)) != std::string::npos;
+           At += Line.size())
+        ++Count;
+      return Count;
+    }
   };
 
   bool serves(member &Gateway) {
@@ -86,15 +97,13 @@
   /// Sends one request of each path through each gateway, and waits for the
   /// responses. Counts them by status.
   void sendRound() {
-    std::vector<std::pair<member *, std::shared_ptr<client_response>>> Answers;
+    std::vector<std::shared_ptr<client_response>> Answers;
     for (member &Each : Fleet)
       for (const request_path &Path : RequestPaths)
-        Answers.emplace_back(&Each, beginAt(Each, Path));
-    for (auto &[Gateway, Answer] : Answers) {
-      until("the request is answered", [&, A = Answer] { return A->Done; });
+        Answers.push_back(beginAt(Each, Path));
+    for (const auto &Answer : Answers) {
+      until("the request is answered", [&] { return Answer->Done; });
       ++Statuses[Answer->Status];
-      if (!Answer->header("server-limit").empty())
-        Gateway->ToldAt = steadySeconds();
     }
     run(0.02);
   }
@@ -103,13 +112,14 @@
       sendRound();
   }
   /// Lets the upstream state the limit, and sends requests until each gateway
-  /// has passed on such a response and the grace period is over.
+  /// knows it and the grace period is over.
   void stateLimit(replica &Replica, const std::string &Limit) {
     Replica.RequestLimit = Limit;
-    until("all gateways are told", [&] {
+    until("all gateways know the limit", [&] {
       sendRound();
-      return std::all_of(Fleet.begin(), Fleet.end(),
-                         [](const member &Each) { return Each.ToldAt > 0; });
+      return std::all_of(Fleet.begin(), Fleet.end(), [](const member &Each) {
+        return Each.limitsLogged() > Each.LimitsBefore;
+      });
     });
     sendFor(GraceSeconds);
   }
@@ -137,10 +147,10 @@
   World.stateLimit(Limited, std::to_string(LimitPerSecond));
   auto &Restarted = World.Fleet.front();
   Restarted.Process->kill();
+  Restarted.LimitsBefore = Restarted.limitsLogged();
   Restarted.Process->start();
   World.until("the gateway serves again",
               [&] { return World.serves(Restarted); });
-  Restarted.ToldAt = 0;
   World.stateLimit(Limited, std::to_string(LimitPerSecond));
   double Since = steadySeconds();
   World.sendFor(WindowSeconds + 1);
