--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -106,6 +106,7 @@
   void applyBackoff(const platform::answer_facts &Hints, double Now);
   void applyRequestLimit(const platform::answer_facts &Hints, double Now);
   void recordUnreadHeader(const std::string &Name);
+  void recordUnknownLoad(const std::string &Value);
   void recordLoadReport(const platform::reported_load &Load);
   selection_request selectionAt(double Now) const;
   bool choosesModel() const;
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -96,6 +96,8 @@
     applyRequestLimit(Hints, Now);
   if (!Hints.UnreadHeader.empty())
     recordUnreadHeader(Hints.UnreadHeader);
+  if (!Hints.UnknownLoad.empty())
+    recordUnknownLoad(Hints.UnknownLoad);
 }
 
 void forwarding::applyBackoff(const platform::answer_facts &Hints, double Now) {
@@ -144,6 +146,20 @@
           {{"header", Name}, {"upstream", Upstream->Listed.Id}});
 }
 
+// Logs once for each number of figures, as the values differ in each response.
+void forwarding::recordUnknownLoad(const std::string &Value) {
+  auto Figures = 1 + std::count(Value.begin(), Value.end(), ',');
+  State.Metrics->count("unknown_upstream_loads", Service);
+  if (State.UnknownLoads.size() >= MaxUnreadHeaders ||
+      !State.UnknownLoads.insert(size_t(Figures)).second)
+    return;
+  logLine(log_level::Warning, "upstream's load has figures that are not known",
+          {{"header", "X-Server-Load"},
+           {"figures", int64_t(Figures)},
+           {"value", Value},
+           {"upstream", Upstream->Listed.Id}});
+}
+
 void forwarding::recordLoadReport(const platform::reported_load &Load) {
   uint64_t Sum = uint64_t(Load.Running) + Load.Waiting;
   auto Requests = uint32_t(std::min<uint64_t>(Sum, MaxReportedRequests));
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -67,6 +67,8 @@
   prefix_cache_model PrefixCaches;
   /// Names of upstreams' headers that this version does not read.
   std::set<std::string> UnreadHeaders;
+  /// Numbers of figures in loads of upstreams that are not known.
+  std::set<size_t> UnknownLoads;
   std::mt19937_64 Random{1};
 };
 
