Usage of client accounts is reported to the platform by one holder

Change: gateways count each request once, when the first upstream begins to run it, by account and window of a clock that all VMs agree on, and send running totals with their watch messages; the leader sums them up (duty/). The report of a window is committed before it is first sent and dropped once the platform has accepted it, so every holder sends the same one. The index of the holder's claim is its fencing token. It calls only under its leader lease, not before a lease has passed since its claim, and asks once more when the connection is up. 'olivevalvectl duties' and metrics show the state.

Found by the tests on the way: totals left out because an earlier leader had recorded them were taken as recorded by the next one; windows before the first report were lost when the first leaders ended early (the first claim now says where reports begin).

Ruled out: counting each run (off by 24 to 30 in 100: larger models and retries are runs of the same request).

Explorer: 400 schedules with delayed calls, pauses, cuts and lost disks, no violation; each of three mechanisms off is found.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -52,6 +52,8 @@
     if (Raw->OnFailed)
       Raw->OnFailed();
   };
+  Task->Duties =
+      std::make_unique<duty_driver>(Loop, Metrics, O.Duties, *Task->Log);
   Task->Api = std::make_unique<operator_api>(*Raw, Loop);
   if (!Task->Api->bind(O.OperatorAddress))
     return makeError(error_kind::BadConfiguration,
@@ -293,6 +295,7 @@
     updateRouting();
   }
   Upstreams.tick(Now, leads(Now));
+  Duties->tick(Now);
   Metrics.gauge("log_bytes", double(Log->storage().logBytes()));
   Metrics.gauge("log_syncs", double(Log->storage().syncs()));
   Metrics.gauge("commit_index", double(Core.commitIndex()));
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -12,6 +12,7 @@
 
 #include "base/fields.h"
 #include "base/metrics.h"
+#include "control/duty_driver.h"
 #include "control/gateway_table.h"
 #include "control/node_table.h"
 #include "control/operator_api.h"
@@ -34,6 +35,7 @@
   /// Address of the platform's list of upstreams; empty: control does not poll
   /// the list and each gateway fetches it for itself.
   std::string UpstreamListAddress;
+  duty_options Duties;
   replicated_log_options Log;
 };
 
@@ -108,6 +110,7 @@
   server_link Server;
   std::unique_ptr<replicated_log> Log;
   std::unique_ptr<operator_api> Api;
+  std::unique_ptr<duty_driver> Duties;
   node_table Nodes;
   gateway_table Gateways;
   rollout_driver Rollouts;
--- a/control/gateway_notices.cpp
+++ b/control/gateway_notices.cpp
@@ -27,6 +27,7 @@
   double Now = steadySeconds();
   Gateways.recordWatch(Peer, Watch, Now);
   receiveCrashReports(Watch.crashes(), Now);
+  Duties->recordWatch(Watch, Now);
   sendNotice(Peer);
 }
 
@@ -168,6 +169,7 @@
     if (Notice->has_upstreams())
       Gateways.recordListSent(Peer, *Notice, Now);
   }
+  Duties->fillStatus(Gateway.Incarnation, steadySeconds(), *Notice);
   Gateways.fillStaying(Peer, steadySeconds(), *Notice);
   countNoticeBytes(*Notice);
   Server.send(Peer, Message);
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -101,7 +101,7 @@
     std::string_view Path;
     void (operator_api::*Handler)(const exchange &);
   };
-  static constexpr std::array<route, 10> Routes = {{
+  static constexpr std::array<route, 11> Routes = {{
       {"POST", "/v1/changes", &operator_api::changes},
       {"GET", "/v1/objects", &operator_api::objects},
       {"GET", "/v1/status", &operator_api::status},
@@ -112,6 +112,7 @@
       {"GET", "/v1/quarantine", &operator_api::quarantine},
       {"POST", "/v1/quarantine/release", &operator_api::release},
       {"GET", "/v1/halls", &operator_api::halls},
+      {"GET", "/v1/duties", &operator_api::duties},
   }};
   if (!allowed(*Exchange))
     return refuse(*Exchange, error_kind::Unauthorized,
@@ -363,6 +364,13 @@
   replyJson(*Exchange, 200, {{"halls", List}});
 }
 
+void operator_api::duties(const exchange &Exchange) {
+  json List = json::array();
+  if (Control.Duties->reportsUsage())
+    List.push_back(Control.Duties->describe(steadySeconds()));
+  replyJson(*Exchange, 200, {{"duties", List}});
+}
+
 void operator_api::release(const exchange &Exchange) {
   auto Body = parseJson(Exchange->body(), "request");
   std::optional<short_digest> Request;
--- a/control/operator_api.h
+++ b/control/operator_api.h
@@ -1,7 +1,7 @@
 //===- operator_api.h - The operators' HTTP interface -----------*- C++ -*-===//
 //
 // Serves configuration changes, objects, status, nodes, bills, versions,
-// control members, the quarantine and data halls; routing_api serves the rest.
+// control members, the quarantine, data halls and duties; routing_api serves the rest.
 // Except for the status, only the leader answers, so that no operator sees an
 // outdated state. The other control VMs name the leader in their error.
 //
@@ -44,6 +44,7 @@
   void quarantine(const exchange &Exchange);
   void release(const exchange &Exchange);
   void halls(const exchange &Exchange);
+  void duties(const exchange &Exchange);
   /// Replies once all nodes with a lease have applied \p Index.
   void waitInForce(const exchange &Exchange, uint64_t Index, bool Repeated);
 
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -163,6 +163,19 @@
                     {"PROCESSES", "processes"}});
 }
 
+absl::Status duties(const command_options &Options) {
+  return printList(Options, "/v1/duties", "duties",
+                   {{"DUTY", "duty"},
+                    {"HOLDER", "holder"},
+                    {"TOKEN", "token"},
+                    {"CALLING", "calling"},
+                    {"LAST ACCEPTED", "last_accepted"},
+                    {"NEXT WINDOW", "next_window"},
+                    {"PENDING", "pending"},
+                    {"MISSED", "missed"},
+                    {"GATEWAYS", "gateways"}});
+}
+
 absl::Status get(const command_options &Options) {
   if (!Options.Arguments.empty() && Options.Arguments[0] == "halls")
     return halls(Options);
@@ -564,6 +577,9 @@
        "Send no new requests to a data hall; requests in flight finish",
        evacuate},
       {"restore", "DATA-HALL", "Undo evacuate", restore},
+      {"duties", "",
+       "Show who makes the calls of one process, and which usage was reported",
+       duties},
       {"key", "[SECRET]",
        "Generate a client or operator key, or use SECRET, and print its digest",
        key},
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -202,7 +202,7 @@
   if (Sidecar)
     Sidecar->leave();
   if (Gateway)
-    Gateway->abortRequests();
+    Gateway->leave();
   logLine(log_level::Info, "stopped");
   ExitTimer.startOnce(FlushSeconds);
 }
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -148,6 +148,26 @@
     Reader.fault("id", "is not the id of any member in control_members");
 }
 
+duty_options readDuties(object_reader &Reader) {
+  duty_options Duties;
+  double LeaseMs = Duties.LeaseSeconds * 1000;
+  // The platform may serve its list at the same address.
+  Reader.text("platform", Duties.PlatformAddress, presence::Required);
+  if (!Duties.PlatformAddress.empty() && !isAddress(Duties.PlatformAddress))
+    Reader.fault("platform", "must be IP:port");
+  Reader.texts("names", Duties.Names);
+  Reader.number("lease_ms", LeaseMs, {0, 600000});
+  Reader.number("usage_window_seconds", Duties.Usage.WindowSeconds,
+                {0.1, 86400});
+  Reader.number("usage_delay_seconds", Duties.Usage.DelaySeconds, {0.1, 86400});
+  Duties.LeaseSeconds = LeaseMs / 1000;
+  bool Expected = std::find(Duties.Names.begin(), Duties.Names.end(),
+                            platform::UsageDuty) != Duties.Names.end();
+  if (!Expected)
+    Duties.Usage.WindowSeconds = 0;
+  return Duties;
+}
+
 control_options readControl(object_reader &Reader, address_reader &Addresses,
                             const std::vector<control_peer> &Members,
                             bool HasSeeds) {
@@ -161,6 +181,9 @@
   Reader.text("data_folder", Control.Log.Folder, presence::Required);
   Addresses.read(Reader, "upstream_list", Control.UpstreamListAddress,
                  presence::Optional);
+  Reader.object("duties", [&](object_reader &Duties) {
+    Control.Duties = readDuties(Duties);
+  });
   Reader.number("replace_after_seconds", Control.Log.ReplaceAfterSeconds,
                 {1, 86400});
   Reader.integer("snapshot_bytes", SnapshotBytes, {1024, 1 << 30});
@@ -193,6 +216,8 @@
   Reader.number("limit_ratio", Gateway.Limit.Ratio, {0, 100});
   Reader.number("limit_slack", Gateway.Limit.Slack, {0, 1e6});
   Reader.number("limit_window_seconds", Gateway.Limit.WindowSeconds, {1, 600});
+  Reader.number("usage_window_seconds", Gateway.UsageWindowSeconds,
+                {0.1, 86400});
   Reader.number("start_seconds", Gateway.StartSeconds, {0, 600});
   Reader.number("session_seconds", Gateway.SessionSeconds, {0.1, 86400});
   Reader.integer("max_connections", Connections, {1, 60000});
@@ -301,6 +326,8 @@
     Settings.Sidecar->DataHall = Settings.DataHall;
     Settings.Sidecar->Control = Control;
   }
+  if (Settings.Control)
+    Settings.Control->Duties.Node = Settings.Node;
   if (Settings.Gateway) {
     Settings.Gateway->Node = Settings.Node;
     Settings.Gateway->DataHall = Settings.DataHall;
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -417,9 +417,13 @@
                                             Identity);
 }
 
+// A request that was sent and got no response may have run. One to a model
+// begins to run with its first token, which it did not make.
 void forwarding::leaveUpstream() {
   if (!Upstream)
     return;
+  if (Connection && !Facts.Model)
+    countRun(SentAt);
   if (Connection)
     Connection->drop();
   Connection = nullptr;
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -135,6 +135,7 @@
   void finish();
   void complete(std::string_view Outcome, int Status);
   void countAnswer(bool Failed);
+  void countRun(double BeganAt);
   void touchSession();
   bool streaming() const {
     return Route && Route->Kind == route_kind::Streaming;
@@ -209,6 +210,9 @@
   bool FellBack = false;
   /// The current response was counted for its software version.
   bool AnswerCounted = false;
+  /// The request was counted as usage: once, when the first upstream began to
+  /// run it.
+  bool RunCounted = false;
   /// The address now belongs to another incarnation, which declined.
   bool OtherIncarnation = false;
   /// Why the request is parked; empty: it is not.
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -61,6 +61,10 @@
   OtherIncarnation = AnswerFacts.OtherIncarnation;
   bool Good = AnswerHead.Status >= 200 && AnswerHead.Status < 300;
   AnswerIsEvents = streaming() && Good;
+  // A request to a model begins to run with its first token, any other one when
+  // it is sent, as far as can be told from here.
+  if (!AnswerFacts.NotRun)
+    countRun(Facts.Model ? Now : SentAt);
   if (AnswerIsEvents && Facts.Model)
     State.PrefillEstimator.recordFirstToken(
         Model.empty() ? Facts.Model->Model : Model,
@@ -261,6 +265,8 @@
     Upstream->recordFailure(steadySeconds());
   if (Sent && Where != broken_at::Reused)
     countAnswer(true);
+  if (Sent && Where != broken_at::Reused && !Facts.Model)
+    countRun(SentAt);
   if (Where == broken_at::Reused)
     Tried.erase(Upstream->Listed.Id);
   Interrupted = Interrupted || Sent;
@@ -292,6 +298,11 @@
   retryOrConclude(Sent, failureText(Where));
 }
 
+void forwarding::countRun(double BeganAt) {
+  if (Account && !std::exchange(RunCounted, true))
+    State.Usage.record(Account->Name, BeganAt, steadySeconds());
+}
+
 void forwarding::countAnswer(bool Failed) {
   if (!Upstream)
     return;
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 
 #include "base/metrics.h"
 #include "catalog/routing.h"
+#include "duty/usage_meter.h"
 #include "gateway/peer_work.h"
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
@@ -45,6 +46,7 @@
   peer_work *Peers = nullptr; ///< Work reported by the other gateways.
   software_versions Versions;
   session_pins Pins;
+  usage_meter Usage{0, 0, 0}; ///< Replaced if the settings ask for usage.
   /// Number of gateways that share the upstreams, this one included; 0 until
   /// control has reported it.
   uint32_t Gateways = 0;
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -114,6 +114,8 @@
     Reports.hear(News.crashes());
   };
   State.Random.seed(randomIncarnation());
+  State.Usage =
+      usage_meter(Options.UsageWindowSeconds, wallSeconds(), steadySeconds());
   State.Pins.setLifetime(Options.SessionSeconds * SessionLifetimeFactor);
   Watch.OnWatch = [this](wire::watch &Message) {
     Message.set_stopping(Stopping);
@@ -129,6 +131,12 @@
     for (uint64_t Key : State.Pins.takeUnreportedPins())
       Message.add_staying(Key);
     Reports.fill(*Message.mutable_crashes(), Message.sent_at());
+    if (State.Usage.enabled())
+      State.Usage.fill(*Message.mutable_usage(), wallSeconds(),
+                       Message.sent_at());
+  };
+  Watch.OnUsageStatus = [this](const wire::notice &Notice) {
+    applyUsageStatus(Notice);
   };
   Watch.OnRouting = [this](const std::shared_ptr<routing_table> &Routing) {
     applyRouting(Routing);
@@ -489,6 +497,27 @@
   Callers.closeIdle();
 }
 
+void gateway_task::applyUsageStatus(const wire::notice &Notice) {
+  if (!State.Usage.enabled())
+    return;
+  double Now = steadySeconds();
+  State.Usage.setWall(Notice.usage().wall_seconds(), Now);
+  uint64_t Late =
+      State.Usage.acknowledge(Notice.usage(), Notice.watch_sent_at());
+  if (Late == 0)
+    return;
+  State.Metrics->count("usage_requests_late", "", Late);
+  logLine(log_level::Warning, "usage was reported without these requests",
+          {{"requests", int64_t(Late)},
+           {"next_window", int64_t(Notice.usage().next_window())}});
+}
+
+void gateway_task::leave() {
+  abortRequests();
+  State.Usage.close();
+  Watch.sendLast();
+}
+
 void gateway_task::abortRequests() {
   std::vector<std::shared_ptr<forwarding>> Running;
   for (auto &[Raw, Request] : Requests)
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -34,6 +34,8 @@
   /// configuration and the list are received. After a loss of all VMs control
   /// first has to elect a leader.
   double StartSeconds = 2.5;
+  /// Length of the windows in which requests are counted; 0: they are not.
+  double UsageWindowSeconds = 0;
   double SessionSeconds = 5; ///< Longest pause between requests of a session.
   double ListSeconds = 2;    ///< Between polls of the platform's list.
   size_t MaxConnections = 2500; ///< Of callers.
@@ -57,8 +59,9 @@
   /// Accepts no more connections and refuses new requests.
   void drain();
   bool drained() const { return Requests.empty(); }
-  /// Ends the requests that are still in flight.
-  void abortRequests();
+  /// Ends the requests that are still in flight and tells control what was
+  /// counted last.
+  void leave();
   void setSeeds(std::vector<std::string> Seeds) {
     Watch.setSeeds(std::move(Seeds));
   }
@@ -85,6 +88,8 @@
   void pollList();
   void applyControlList(double Age, const wire::notice &Notice);
   void applyList(double ReadAt);
+  void applyUsageStatus(const wire::notice &Notice);
+  void abortRequests();
   void applyRouting(const std::shared_ptr<routing_table> &Routing);
   void assumeCold(upstream &Upstream) const;
   void setGatewayCount(uint32_t Gateways);
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -239,6 +239,8 @@
     RolloutsRevision = Notice.rollouts_revision();
     OnRollouts(Notice);
   }
+  if (Notice.has_usage() && OnUsageStatus)
+    OnUsageStatus(Notice);
   if (Evacuated.applyUpdate(Notice.evacuations()))
     OnEvacuations(Evacuated);
   if (OnQuarantine)
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -57,6 +57,11 @@
   /// changes since the one that the gateway holds.
   std::function<void(double Age, const wire::notice &)> OnUpstreams;
 
+  /// Called with a notice in which the leader tells what it knows of usage.
+  std::function<void(const wire::notice &)> OnUsageStatus;
+
+  /// Sends a watch message at once, as the process is about to end.
+  void sendLast() { sendWatch(); }
   /// Version of the routing in force; 0: none yet.
   uint64_t routingVersion() const { return Routing.copy().version(); }
   /// Time up to which the routing in force is certain to be the newest, by this
--- a/ledger/state_machine.cpp
+++ b/ledger/state_machine.cpp
@@ -75,6 +75,15 @@
   case wire::command::kEvacuation:
     Result.Status = Evacuations.apply(Command.evacuation(), WallSeconds);
     return Result;
+  case wire::command::kDutyClaim:
+    Duties.claim(Index, Command.duty_claim());
+    return Result;
+  case wire::command::kUsageWindow:
+    Duties.fix(Command.usage_window());
+    return Result;
+  case wire::command::kUsageResult:
+    Duties.finish(Command.usage_result());
+    return Result;
   default:
     return Result;
   }
@@ -159,6 +168,7 @@
   Rollouts.save(Image);
   Quarantine.save(Image);
   Evacuations.save(Image);
+  Duties.save(Image);
   return Image.SerializeAsString();
 }
 
@@ -190,6 +200,7 @@
   Next.Rollouts.load(Image);
   Next.Quarantine.load(Image);
   Next.Evacuations.load(Image);
+  Next.Duties.load(Image);
   *this = std::move(Next);
   return true;
 }
--- a/ledger/state_machine.h
+++ b/ledger/state_machine.h
@@ -1,9 +1,9 @@
 //===- state_machine.h - Control's replicated state -------------*- C++ -*-===//
 //
 // Applies committed commands in log order: configuration and routing changes,
-// claims, bills, ratings, roll-outs, quarantine and evacuations. Every control
-// VM has to reach the same state, so nothing here may read a clock, a socket or
-// a random number.
+// claims, bills, ratings, roll-outs, quarantine, evacuations and duties. Every
+// control VM has to reach the same state, so nothing here may read a clock, a
+// socket or a random number.
 //
 //===----------------------------------------------------------------------===//
 
@@ -13,6 +13,7 @@
 #include "catalog/catalog.h"
 #include "ledger/bills.h"
 #include "ledger/claims.h"
+#include "ledger/duties.h"
 #include "ledger/evacuations.h"
 #include "ledger/pins.h"
 #include "ledger/quarantine.h"
@@ -53,6 +54,7 @@
   const rollout_store &rollouts() const { return Rollouts; }
   const quarantine_store &quarantine() const { return Quarantine; }
   const evacuation_store &evacuations() const { return Evacuations; }
+  const duty_store &duties() const { return Duties; }
 
   /// The whole state as a serialised wire::state_image, for a snapshot.
   std::string image() const;
@@ -86,6 +88,7 @@
   rollout_store Rollouts;
   quarantine_store Quarantine;
   evacuation_store Evacuations;
+  duty_store Duties;
   std::map<std::string, change_record> Changes; ///< By change id.
   std::deque<std::string> ChangeOrder;          ///< Change ids, oldest first.
   /// Sequence number of the last batch of ratings, by reporter; batches that
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -73,6 +73,10 @@
   curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Fetch->Headers);
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &http_client::onBytes);
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, Fetch.get());
+  if (O.MaySend) {
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &http_client::onConnected);
+    curl_easy_setopt(Easy, CURLOPT_PREREQDATA, Fetch.get());
+  }
   if (O.OnHeader) {
     curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &http_client::onHeader);
     curl_easy_setopt(Easy, CURLOPT_HEADERDATA, Fetch.get());
@@ -146,6 +150,12 @@
   return 0;
 }
 
+int http_client::onConnected(void *Context, char *, char *, int, int) {
+  auto *Fetch = static_cast<fetch *>(Context);
+  bool Allowed = !Fetch->Options.MaySend || Fetch->Options.MaySend();
+  return Allowed ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 size_t http_client::onHeader(char *Data, size_t Size, size_t Count,
                              void *Context) {
   auto *Fetch = static_cast<fetch *>(Context);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -42,6 +42,10 @@
   /// at most once. When a reused keep-alive connection breaks before any
   /// response, libcurl sends the request again on another one.
   bool SentOnce = false;
+  /// Called once the connection is established, before the request is written;
+  /// false fails the transfer. A process that was paused while it connected can
+  /// so keep back a request that has become invalid.
+  std::function<bool()> MaySend;
   /// Called with each line of the response head.
   std::function<void(std::string_view Line)> OnHeader;
   /// Called once with status and content type, before the first body bytes or,
@@ -75,6 +79,7 @@
   static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *Self,
                       void *Watch);
   static int onTimer(CURLM *Multi, long Milliseconds, void *Self);
+  static int onConnected(void *Fetch, char *, char *, int, int);
   static size_t onHeader(char *Data, size_t Size, size_t Count, void *Fetch);
   static size_t onBytes(char *Data, size_t Size, size_t Count, void *Fetch);
   void socketAction(curl_socket_t Socket, int Mask);
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -435,6 +435,27 @@
   BOOST_TEST(Sum.LostDisks > Seeds / 2);
 }
 
+BOOST_AUTO_TEST_CASE(let_holders_report_usage_once) {
+  explorer_result Sum;
+  uint64_t Seeds = seedCount();
+  for (uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    explorer_result Result = explorer({.Seed = Seed,
+                                       .Vms = Seed % 3 == 0 ? 5U : 3U,
+                                       .Steps = 2000,
+                                       .Duties = true})
+                                 .run();
+    BOOST_REQUIRE_MESSAGE(Result.Violation.empty(), Result.Violation);
+    Sum.Holders += Result.Holders;
+    Sum.Reports += Result.Reports;
+    Sum.Refused += Result.Refused;
+  }
+  BOOST_TEST_MESSAGE("schedules " << Seeds << ", holders " << Sum.Holders
+                                  << ", windows " << Sum.Reports
+                                  << ", refused calls " << Sum.Refused);
+  BOOST_TEST(Sum.Holders > Seeds);
+  BOOST_TEST(Sum.Reports > 5 * Seeds);
+}
+
 // Guards against checks that cannot fail: each safety mechanism is disabled in
 // turn, and the explorer must find a violation.
 BOOST_AUTO_TEST_CASE(violate_an_invariant_if_a_mechanism_is_disabled) {
@@ -446,6 +467,11 @@
       {"votes lost in a crash", {.ForgetVotes = true}},
       {"synced entries lost in a crash", {.ForgetEntries = true}},
       {"an empty disk with the old identity", {.KeepIdentity = true}},
+      {"reports sent before they are committed",
+       {.Duties = true, .UnfixedReports = true}},
+      {"holders that call at once", {.Duties = true, .NoWait = true}},
+      {"tokens used before they are committed",
+       {.Duties = true, .EarlyTokens = true}},
   };
   for (const disabled_case &Case : Cases) {
     BOOST_TEST_CONTEXT(Case.What) {
--- a/tests/explorer.h
+++ b/tests/explorer.h
@@ -6,12 +6,18 @@
 // checks the safety invariants after each step. The schedule depends only on
 // the seed, which the report of a violation gives, so a run can be repeated.
 //
+// With duties, the leaders also report usage to a simulated platform, which
+// carries out calls late or loses its answers, and checks that no two reports
+// of a window differ and that holders do not share tokens or take turns.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef OLIVEVALVE_TESTS_EXPLORER_H
 #define OLIVEVALVE_TESTS_EXPLORER_H
 
 #include "consensus/raft_core.h"
+#include "duty/duty_holder.h"
+#include "ledger/duties.h"
 #include <map>
 #include <memory>
 #include <random>
@@ -31,6 +37,11 @@
   bool ForgetEntries = false; ///< A crash loses the last synced entry.
   /// A VM that lost its disk gets an empty one with the old identity.
   bool KeepIdentity = false;
+  bool Duties = false; ///< Leaders make calls to a platform.
+  // The same for the duties.
+  bool UnfixedReports = false; ///< Sums are sent before they are committed.
+  bool NoWait = false;         ///< A new holder calls at once.
+  bool EarlyTokens = false;    ///< A token is used before it is committed.
 };
 
 /// Violation and counters of one schedule.
@@ -41,6 +52,9 @@
   uint64_t Crashes = 0;
   uint64_t LostDisks = 0;
   uint64_t Snapshots = 0;
+  uint64_t Holders = 0; ///< Number of tokens that the platform saw.
+  uint64_t Reports = 0; ///< Number of windows whose report it accepted.
+  uint64_t Refused = 0; ///< Calls with an outdated token.
 };
 
 /// One simulated group of control VMs.
@@ -66,6 +80,18 @@
     double DownUntil = 0; ///< Core is null until then.
     uint64_t AppliedIndex = 0;
     uint64_t AppliedHash = 0; ///< Of all applied entries.
+    duty_store Duties;        ///< As of AppliedIndex.
+    duty_holder Holder{0};
+    uint64_t ClaimIndex = 0; ///< Of the last proposed claim; 0: none.
+  };
+  /// A call to the platform.
+  struct call {
+    double SentAt = 0;
+    double At = 0; ///< Time at which the platform carries it out.
+    uint64_t Vm = 0;
+    uint64_t Token = 0;
+    wire::usage_window Report;
+    bool AnswerLost = false;
   };
   struct packet {
     double At = 0; ///< Time of delivery.
@@ -86,6 +112,13 @@
   void maybeCompact(vm &Vm);
   void applyCommitted(vm &Vm, const raft_output &Output);
   void checkLeaders();
+  leadership leadershipOf(const vm &Vm) const;
+  void applyDuty(vm &Vm, const wire::log_entry &Entry);
+  void driveDuties(vm &Vm);
+  void sendReport(vm &Vm, uint64_t Token);
+  void carryOut(const call &Call);
+  void checkTurns(const call &Call);
+  void platformStep();
   void fail(const std::string &What);
   double chance() { return Unit(Random); }
   vm &anyVm();
@@ -100,6 +133,17 @@
   std::map<uint64_t, uint64_t> LeaderOfTerm;
   std::map<uint64_t, uint64_t> HashAt; ///< Hash of all entries up to an index.
   std::map<uint64_t, std::string> EntryAt; ///< Committed entries by index.
+  std::map<uint64_t, duty_store> DutiesAt; ///< By index of a snapshot.
+  std::vector<call> Calls;                 ///< On their way to the platform.
+  uint64_t HighestToken = 0;               ///< That the platform has seen.
+  std::map<uint64_t, uint64_t> HolderOfToken;
+  std::map<uint64_t, std::string> AcceptedReports; ///< By window.
+  struct turn {
+    double SentAt = 0;
+    uint64_t Vm = 0;
+  };
+  /// Accepted calls that may still matter, in the order of sending.
+  std::vector<turn> RecentCalls;
   std::vector<std::vector<bool>> Cut; ///< Broken links by sender and receiver.
   explorer_result Result;
   uint64_t NextIdentity = 100;
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -68,6 +68,8 @@
   int runs(const std::string &AttemptId) const;
   /// Returns how many requests were run in total.
   int runs() const;
+  /// Attempt ids of the requests that were run, with the number of runs.
+  const std::map<std::string, int> &runsById() const { return Runs; }
   /// Head and body of the last request that was run.
   const http_head &lastHead() const { return LastHead; }
   const std::string &lastBody() const { return LastBody; }
