A response of the smaller model begins only if its rest can be had

Cause: while a larger model is tried, the smaller model's response is kept up to 0.3 s of it. If the larger one's upstream ended after that, the gateway sent the beginning to the caller and then asked the shared retry bound for the attempt that brings the rest. Refused, it closed the caller's connection in the middle: a lost request on the whole fleet, where the bound refuses most.

Change: the token is taken first; without one the caller gets a complete answer that says that the outcome is unknown.

Test: a route whose bound allows one retry a request: 200 cut off before, a complete 502 now.

--- a/gateway/forwarding_model_switch.cpp
+++ b/gateway/forwarding_model_switch.cpp
@@ -118,6 +118,10 @@
            {"seconds", steadySeconds() - ArrivedAt}});
   std::unique_ptr<fallback_response> Kept = std::exchange(Fallback, nullptr);
   fallback_response_parts Parts = Kept->take(*this);
+  // Without another attempt the response would break off after its beginning.
+  bool Resumes = !Kept->isComplete() && !Parts.Connection;
+  if (Resumes && !(mayRetry(true) && takeRetryToken(Why)))
+    return giveUp(error_kind::OutcomeUnknown, Why);
   FellBack = AnswerIsEvents = AnswerCounted = true;
   LastFailure = Why;
   Upstream = std::move(Parts.Upstream);
--- a/tests/system/cascade_test.cpp
+++ b/tests/system/cascade_test.cpp
@@ -16,11 +16,11 @@
 
 class cascade_world : public gateway_world {
 public:
-  explicit cascade_world(int Upstreams) {
+  explicit cascade_world(int Upstreams, const json &Settings = {}) {
     for (int I = 1; I <= Upstreams; ++I)
       addReplica({.Id = "i-" + std::to_string(I)}).Confidence = 0.2;
     BOOST_REQUIRE_EQUAL(putRouting(defaultRouting()).Status, 200);
-    startGateway("gateway-1");
+    startGateway("gateway-1", Settings);
     untilGatewayReady("gateway-1");
     until("the gateway serves requests",
           [&] { return request("/safe/x", {.Method = "GET"}).Status == 200; });
@@ -93,6 +93,19 @@
   BOOST_TEST(World.runs() == 3);
 }
 
+// Guards against a response that begins and is cut off: without a retry left
+// the rest of the smaller model's response cannot be had, which the gateway
+// noticed only after it had sent the beginning.
+BOOST_AUTO_TEST_CASE(sends_nothing_and_no_retry_is_left_the_gateway_responds) {
+  // One retry for each request, which the larger model takes.
+  cascade_world World(3, {{"retry_ratio", 1.15}, {"retry_slack", 0}});
+  client_response Answer =
+      World.sendRequest("large=mute&events=" + std::to_string(ManyEvents));
+  BOOST_TEST(Answer.Error == "");
+  BOOST_TEST(Answer.Status == 502);
+  BOOST_TEST(Answer.outcome() == "unknown");
+}
+
 BOOST_AUTO_TEST_CASE(responds_its_response_is_forwarded) {
   cascade_world World(3);
   client_response Answer = World.sendRequest("events=3");
