The leader lends retry tokens to gateways that run short

Cause: each gateway could use only tokens earned with its own requests. At 1.6 requests a second that is one or two, so on the whole fleet 22% of the wishes for a larger model were refused while under a third of the shared bound was used. What holds only while the fleet is small: a bound that is split.

Change: a pool for each service at control's leader takes what gateways cannot save and lends it when a request arrives and tokens are short. The saved part of the slack moved from gateways' buckets to the pool.

Tests: two cases of repeats that use one share or ten by themselves now have a pool beside them, as their slack comes through it; bounds and checks are the same.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -71,7 +71,7 @@
              [this](const std::string &Peer, const wire::envelope &Message) {
                receive(Peer, Message);
              }),
-      Upstreams(Loop, Options.UpstreamListAddress),
+      Lender(Options.Retries), Upstreams(Loop, Options.UpstreamListAddress),
       NoticeTimer(Loop, [this] { sendAllNotices(); }),
       Timer(Loop, [this] { tick(); }) {
   Upstreams.OnChange = [this] { scheduleNotices(); };
@@ -88,6 +88,8 @@
     return onRenew(Peer, Message.renew());
   case wire::envelope::kWatch:
     return onWatch(Peer, Message.watch());
+  case wire::envelope::kRetryAsk:
+    return onRetryAsk(Peer, Message.retry_ask());
   case wire::envelope::kRoutingAsk:
     return onRoutingRequest(Peer, Message.routing_ask());
   case wire::envelope::kClaim:
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -19,6 +19,7 @@
 #include "control/placer.h"
 #include "control/quarantine_manager.h"
 #include "control/replicated_log.h"
+#include "control/retry_lender.h"
 #include "control/rollout_driver.h"
 #include "control/routing_publisher.h"
 #include "control/upstream_list_publisher.h"
@@ -36,6 +37,8 @@
   /// the list and each gateway fetches it for itself.
   std::string UpstreamListAddress;
   duty_options Duties;
+  /// Of the retries of all gateways; without slack none of it is lent.
+  retry_window_bounds Retries{.Slack = 0};
   replicated_log_options Log;
 };
 
@@ -82,7 +85,9 @@
   void onRoutingRequest(const std::string &Peer,
                         const wire::routing_ask &Request);
   void updateRouting();
-  void sendNotice(const std::string &Peer);
+  void onRetryAsk(const std::string &Peer, const wire::retry_ask &Ask);
+  /// \p Loans: null, or the tokens lent to the gateway.
+  void sendNotice(const std::string &Peer, wire::retry_grant *Loans = nullptr);
   void countNoticeBytes(const wire::notice &Notice);
   void scheduleNotices();
   void sendAllNotices();
@@ -115,6 +120,7 @@
   gateway_table Gateways;
   rollout_driver Rollouts;
   quarantine_manager Quarantine;
+  retry_lender Lender;
   upstream_list_publisher Upstreams;
   routing_publisher RoutingPublisher;
   uint64_t LedTerm = 0;
--- a/control/gateway_notices.cpp
+++ b/control/gateway_notices.cpp
@@ -28,7 +28,24 @@
   Gateways.recordWatch(Peer, Watch, Now);
   receiveCrashReports(Watch.crashes(), Now);
   Duties->recordWatch(Watch, Now);
-  sendNotice(Peer);
+  if (!Watch.has_retries() || !leads(Now))
+    return sendNotice(Peer);
+  wire::retry_grant Loans = Lender.handle(Watch.retries(), Log->core().term(),
+                                          Log->core().leaderSince(), Now);
+  sendNotice(Peer, &Loans);
+}
+
+// A gateway that runs out of retry tokens cannot wait for its next watch
+// message.
+void control_task::onRetryAsk(const std::string &Peer,
+                              const wire::retry_ask &Ask) {
+  double Now = steadySeconds();
+  if (!leads(Now))
+    return;
+  wire::envelope Message;
+  *Message.mutable_retry_grant() =
+      Lender.handle(Ask, Log->core().term(), Log->core().leaderSince(), Now);
+  Server.send(Peer, Message);
 }
 
 void control_task::receiveCrashReports(const wire::crash_news &Crashes,
@@ -132,7 +149,8 @@
 // Sends what is newer than the state that the gateway holds. Large items are
 // only named, so that a notice stays small. Members and leader are always
 // included, so that the gateway can choose which control VM to poll next.
-void control_task::sendNotice(const std::string &Peer) {
+void control_task::sendNotice(const std::string &Peer,
+                              wire::retry_grant *Loans) {
   checkLeadership();
   const gateway_record &Gateway = *Gateways.find(Peer);
   const state_machine &State = Log->state();
@@ -169,6 +187,8 @@
     if (Notice->has_upstreams())
       Gateways.recordListSent(Peer, *Notice, Now);
   }
+  if (Loans)
+    Notice->mutable_retries()->Swap(Loans);
   Duties->fillStatus(Gateway.Incarnation, steadySeconds(), *Notice);
   Gateways.fillStaying(Peer, steadySeconds(), *Notice);
   countNoticeBytes(*Notice);
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -184,6 +184,9 @@
   Reader.object("duties", [&](object_reader &Duties) {
     Control.Duties = readDuties(Duties);
   });
+  Reader.number("retry_slack", Control.Retries.Slack, {0, 1e6});
+  Reader.number("retry_window_seconds", Control.Retries.WindowSeconds,
+                {1, 600});
   Reader.number("replace_after_seconds", Control.Log.ReplaceAfterSeconds,
                 {1, 86400});
   Reader.integer("snapshot_bytes", SnapshotBytes, {1024, 1 << 30});
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -93,8 +93,12 @@
                   .Target = Head.Target,
                   .Body = Body});
   Service = pickService();
-  State.Retries.try_emplace(Service, State.RetryBounds, State.Gateways)
-      .first->second.recordRequest(ArrivedAt);
+  retry_share &Retries =
+      State.Retries.try_emplace(Service, State.RetryBounds, State.Gateways)
+          .first->second;
+  Retries.recordRequest(ArrivedAt);
+  if (Retries.needsLoan() && State.AskForRetries)
+    State.AskForRetries();
   if (Facts.Model)
     State.ServicePaces[Service].recordRequest(Route->TargetSeconds);
   if (choosesModel())
@@ -259,6 +263,12 @@
   return false;
 }
 
+// Tokens for the retries of this request are not needed any more.
+void forwarding::settle() {
+  if (!Service.empty() && !std::exchange(Settled, true))
+    State.Retries.at(Service).recordSettled();
+}
+
 // Logs each send after the first, with this gateway's view of the shared retry
 // bound.
 void forwarding::logRetry() {
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -99,6 +99,7 @@
   void send(double Now);
   bool takeRetryToken(std::string_view Why);
   void logRetry();
+  void settle();
   std::string_view hallLabel() const;
   bool admit(const selection &Selected);
   double refusalChanceAt(double Seconds) const;
@@ -172,6 +173,8 @@
   uint32_t SendCount = 0;
   /// Reason of the latest retry, for logs and metrics.
   std::string_view RetryReason;
+  /// The caller has its response or the beginning of it.
+  bool Settled = false;
   /// A token of the shared retry bound is held for the next send.
   bool RetryTokenHeld = false;
   std::set<std::string> Tried; ///< Ids of incarnations that were tried.
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -198,6 +198,7 @@
     return;
   if (!HeadSent) {
     HeadSent = true;
+    settle();
     FirstEventAt = LastReceivedAt;
     Fallback.reset();
     Caller->begin(Answer.Status, Answer.Reason, Answer.Lines);
@@ -368,6 +369,7 @@
     return;
   Timer.stop();
   Fallback.reset();
+  settle();
   if (std::exchange(RetryTokenHeld, false))
     State.Retries.at(Service).returnToken(steadySeconds());
   touchSession();
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -17,6 +17,7 @@
 #include "policy/retry_share.h"
 #include "policy/shared_rate.h"
 #include "quarantine/crash_watch.h"
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -55,6 +56,8 @@
   shared_bound LimitBounds;        ///< Of upstreams that state a limit.
   /// This gateway's shares of the retry bound, by service.
   std::map<std::string, retry_share> Retries;
+  /// Asks the leader for retry tokens, soon after the call.
+  std::function<void()> AskForRetries;
   /// Times at which refused callers return, by service.
   std::map<std::string, return_schedule> Returns;
   /// Utility per second of upstream time, by service.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -54,6 +54,8 @@
 // Lifetime of a session's pin, as a multiple of the longest pause between its
 // requests.
 constexpr double SessionLifetimeFactor = 2;
+// Requests that arrive within this time ask for retry tokens together.
+constexpr double RetryAskSeconds = 0.01;
 // Number of gateways assumed to share an upstream's connections until control
 // has reported it.
 constexpr uint32_t AssumedGateways = 20;
@@ -81,6 +83,7 @@
       SweepTimer(Loop, [this] { sweep(); }),
       ListTimer(Loop, [this] { pollList(); }),
       CatchUpTimer(Loop, [this] { resumeParked(); }),
+      RetryAskTimer(Loop, [this] { askForRetries(); }),
       Prepare(Loop,
               [this] {
                 ClosedConnections.clear();
@@ -131,10 +134,18 @@
     for (uint64_t Key : State.Pins.takeUnreportedPins())
       Message.add_staying(Key);
     Reports.fill(*Message.mutable_crashes(), Message.sent_at());
+    fillRetryAsk(*Message.mutable_retries());
     if (State.Usage.enabled())
       State.Usage.fill(*Message.mutable_usage(), wallSeconds(),
                        Message.sent_at());
   };
+  State.AskForRetries = [this] {
+    if (!RetryAskTimer.active())
+      RetryAskTimer.startOnce(RetryAskSeconds);
+  };
+  Watch.OnRetryGrant = [this](const wire::retry_grant &Grant) {
+    applyRetryGrant(Grant);
+  };
   Watch.OnUsageStatus = [this](const wire::notice &Notice) {
     applyUsageStatus(Notice);
   };
@@ -512,6 +523,35 @@
            {"next_window", int64_t(Notice.usage().next_window())}});
 }
 
+void gateway_task::fillRetryAsk(wire::retry_ask &Ask) {
+  Ask.set_incarnation(Incarnation);
+  for (auto &[Service, Share] : State.Retries) {
+    retry_report Report = Share.report(steadySeconds());
+    wire::retry_tokens *Tokens = Ask.add_services();
+    Tokens->set_service(Service);
+    Tokens->set_term(Report.Term);
+    Tokens->set_received(Report.Received);
+    Tokens->set_held(uint32_t(Report.Held));
+    Tokens->set_returned(Report.Returned);
+    Tokens->set_wanted(uint32_t(Report.Wanted));
+    Tokens->set_excess(Report.Excess);
+  }
+}
+
+void gateway_task::askForRetries() {
+  wire::retry_ask Ask;
+  fillRetryAsk(Ask);
+  Watch.askForRetries(Ask);
+  State.Metrics->count("retry_asks", "");
+}
+
+// Shares that were made since the last message get their term from the next.
+void gateway_task::applyRetryGrant(const wire::retry_grant &Grant) {
+  for (const wire::retry_loan &Loan : Grant.services())
+    if (auto It = State.Retries.find(Loan.service()); It != State.Retries.end())
+      It->second.applyLoan(Grant.term(), Loan.total(), steadySeconds());
+}
+
 void gateway_task::leave() {
   abortRequests();
   State.Usage.close();
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -89,6 +89,9 @@
   void applyControlList(double Age, const wire::notice &Notice);
   void applyList(double ReadAt);
   void applyUsageStatus(const wire::notice &Notice);
+  void fillRetryAsk(wire::retry_ask &Ask);
+  void askForRetries();
+  void applyRetryGrant(const wire::retry_grant &Grant);
   void abortRequests();
   void applyRouting(const std::shared_ptr<routing_table> &Routing);
   void assumeCold(upstream &Upstream) const;
@@ -132,6 +135,7 @@
   timer SweepTimer;
   timer ListTimer;
   timer CatchUpTimer;
+  timer RetryAskTimer;
   before_wait Prepare;
   pause_detector Pauses;
 };
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -65,6 +65,9 @@
             receiveNotice(Address, Message.notice());
           else if (Message.body_case() == wire::envelope::kRoutingPiece)
             receivePiece(Address, Message.routing_piece());
+          else if (Message.body_case() == wire::envelope::kRetryGrant &&
+                   OnRetryGrant)
+            OnRetryGrant(Message.retry_grant());
         });
     Link->connect(Address);
   }
@@ -155,6 +158,14 @@
   linkTo(Current).send(Message);
 }
 
+void control_watch::askForRetries(const wire::retry_ask &Ask) {
+  if (Current.empty())
+    return;
+  wire::envelope Message;
+  *Message.mutable_retry_ask() = Ask;
+  linkTo(Current).send(Message);
+}
+
 void control_watch::receiveUpstreams(const wire::notice &Notice) {
   if (Notice.upstreams_revision() == 0 || !OnUpstreams)
     return;
@@ -241,6 +252,8 @@
   }
   if (Notice.has_usage() && OnUsageStatus)
     OnUsageStatus(Notice);
+  if (Notice.has_retries() && OnRetryGrant)
+    OnRetryGrant(Notice.retries());
   if (Evacuated.applyUpdate(Notice.evacuations()))
     OnEvacuations(Evacuated);
   if (OnQuarantine)
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -59,9 +59,13 @@
 
   /// Called with a notice in which the leader tells what it knows of usage.
   std::function<void(const wire::notice &)> OnUsageStatus;
+  /// Called when the leader tells which retry tokens it has lent.
+  std::function<void(const wire::retry_grant &)> OnRetryGrant;
 
   /// Sends a watch message at once, as the process is about to end.
   void sendLast() { sendWatch(); }
+  /// Asks the leader for retry tokens, without a watch message.
+  void askForRetries(const wire::retry_ask &Ask);
   /// Version of the routing in force; 0: none yet.
   uint64_t routingVersion() const { return Routing.copy().version(); }
   /// Time up to which the routing in force is certain to be the newest, by this
--- a/policy/retry_share.h
+++ b/policy/retry_share.h
@@ -17,6 +17,9 @@
 //   the
 //                 requests in this window
 //
+// The part of the slack that may be saved is in the leader's pool and in tokens
+// that it lends to gateways, see retry_pool.
+//
 //===----------------------------------------------------------------------===//
 
 #ifndef OLIVEVALVE_POLICY_RETRY_SHARE_H
@@ -36,6 +39,18 @@
   double WindowSeconds = 10;
 };
 
+/// What a gateway tells the pool.
+struct retry_report {
+  uint64_t Term = 0;     ///< Of the leader that lent the tokens; 0: none did.
+  uint64_t Received = 0; ///< Tokens lent by that leader.
+  uint64_t Held = 0;     ///< Tokens lent and neither used nor returned.
+  double Returned = 0;   ///< Tokens returned since the gateway's start.
+  uint64_t Wanted = 0;   ///< Tokens needed now.
+  /// Own tokens beyond the part of the ratio that may be saved: each gateway
+  /// may save one token however few requests it gets.
+  double Excess = 0;
+};
+
 /// A token bucket that holds one gateway's share of the retries. All times are
 /// steady-clock seconds.
 class retry_share {
@@ -45,8 +60,18 @@
   /// \p Gateways: the number of gateways that share the slack; 0 if it is not
   /// known yet, and then this gateway uses none of the slack.
   void setBounds(retry_window_bounds Bounds, uint32_t Gateways);
-  /// Records a request, which adds a fraction of a token.
+  /// Records a request, which adds a fraction of a token. It may need a retry
+  /// until recordSettled().
   void recordRequest(double Now);
+  /// The caller of a request has its response or the beginning of it.
+  void recordSettled() { Unsettled -= Unsettled > 0 ? 1 : 0; }
+  /// True if there may be too few tokens for the requests that are not settled.
+  bool needsLoan() const { return wantedTokens() > 0; }
+  /// What the pool has to know. Returns lent tokens that are not needed.
+  retry_report report(double Now);
+  /// Handles a message of the leader of \p Term: it has lent \p Total tokens
+  /// to this gateway so far.
+  void applyLoan(uint64_t Term, uint64_t Total, double Now);
   /// Takes a token for one retry; false if there is none.
   bool take(double Now);
   /// True if a token is available.
@@ -54,7 +79,7 @@
   /// Returns a token that was taken for a retry that is not sent.
   void returnToken(double Now);
 
-  double tokens() const { return Tokens; }
+  double tokens() const { return Tokens + double(Held); }
   /// The number of requests in the window, as of the last call with a time.
   uint32_t requests() const { return Requests; }
 
@@ -63,7 +88,11 @@
   static constexpr size_t Slices = 20;
 
   void advanceTo(double Now);
+  void add(double NewTokens);
   double maxTokens() const;
+  double savedFromRatio() const;
+  double tokensNeeded() const;
+  uint64_t wantedTokens() const;
 
   retry_window_bounds Bounds;
   double SlackShare = 0; ///< This gateway's part of the slack.
@@ -74,6 +103,13 @@
   /// Number of the latest slice, counted from time zero of the clock.
   int64_t Current = 0;
   uint32_t Requests = 0; ///< The sum of all slices.
+  uint32_t Unsettled = 0;
+  // Tokens lent by the leader of Term.
+  uint64_t Term = 0;
+  uint64_t Received = 0;
+  uint64_t Held = 0;
+  double LentAt = 0;   ///< When the leader last sent a message.
+  double Returned = 0; ///< Including own tokens that did not fit.
 };
 
 } // namespace olivevalve
--- a/tests/repeats_test.cpp
+++ b/tests/repeats_test.cpp
@@ -3,14 +3,17 @@
 // Simulates many gateways that share one limit on their retries per time
 // window, while requests fail and are retried as often as the gateway permits.
 // Meanwhile gateways restart and lose their counters, receive a wrong count of
-// gateways or none, and take over each other's clients.
+// gateways or none, and take over each other's clients; leaders that lend
+// tokens are replaced, and messages to and from them are lost.
 //
 //===----------------------------------------------------------------------===//
 
 #define BOOST_TEST_MODULE repeats
 #include "boost/test/unit_test.hpp"
+#include "policy/retry_pool.h"
 #include "policy/retry_share.h"
 #include <algorithm>
+#include <queue>
 #include <random>
 #include <vector>
 
@@ -37,7 +40,8 @@
 /// The gateways, and the times of all their requests and retries.
 class fleet {
 public:
-  explicit fleet(fleet_options NewOptions) : Options(NewOptions) {
+  explicit fleet(fleet_options NewOptions)
+      : Options(NewOptions), Pool(NewOptions.Bounds, Begin, Begin) {
     for (uint32_t I = 0; I < Options.Gateways; ++I)
       add();
     reportCountToAll();
@@ -45,10 +49,19 @@
 
   size_t size() const { return Shares.size(); }
   /// Adds a gateway that has not received the count of gateways.
-  void add() { Shares.emplace_back(Options.Bounds); }
+  void add() {
+    Shares.emplace_back(Options.Bounds);
+    Incarnations.push_back(++LastIncarnation);
+  }
   /// Restarts a gateway, which loses its counters and the count of gateways.
   void restart(size_t Gateway) {
     Shares[Gateway] = retry_share(Options.Bounds);
+    Incarnations[Gateway] = ++LastIncarnation;
+  }
+  /// A new leader has an empty pool and does not know what was lent.
+  void changeLeader() {
+    ++Term;
+    Pool = retry_pool(Options.Bounds, Now + 2, Now);
   }
   void restartAll() {
     for (size_t I = 0; I < size(); ++I)
@@ -76,13 +89,62 @@
     play(Seconds, MaxRetries, 0, size());
   }
   void request(size_t Gateway, int MaxRetries = Unlimited) {
+    pollLeader();
     Requests.push_back(Now);
     Shares[Gateway].recordRequest(Now);
-    for (int I = 0; I < MaxRetries && Shares[Gateway].take(Now); ++I)
+    if (Shares[Gateway].needsLoan())
+      borrow(Gateway);
+    for (int I = 0; I < MaxRetries; ++I)
+      if (!retry(Gateway))
+        break;
+    Shares[Gateway].recordSettled();
+  }
+  bool retry(size_t Gateway) {
+    bool Permitted = Shares[Gateway].take(Now);
+    if (Permitted)
       Retries.push_back(Now);
+    return Permitted;
+  }
+  /// Sends requests at random times to random gateways for \p Seconds. The
+  /// fraction \p Share of them is retried some time later, if that is
+  /// permitted. Returns how often it is not.
+  size_t playRandomly(double Seconds, double Share) {
+    size_t Refused = 0;
+    std::exponential_distribution<double> Gap(Options.RequestsPerSecond);
+    std::uniform_real_distribution<double> Fraction(0, 1);
+    struct response {
+      double At;
+      size_t Gateway;
+      bool Retried;
+      bool operator>(const response &Other) const { return At > Other.At; }
+    };
+    std::priority_queue<response, std::vector<response>, std::greater<>> Due;
+    double End = Now + Seconds;
+    for (double Next = Now; Next < End; Next += Gap(Random)) {
+      for (; !Due.empty() && Due.top().At < Next; Due.pop()) {
+        Now = Due.top().At;
+        pollLeader();
+        if (Due.top().Retried)
+          Refused += !retry(Due.top().Gateway);
+        Shares[Due.top().Gateway].recordSettled();
+      }
+      Now = Next;
+      pollLeader();
+      size_t Gateway = Random() % size();
+      Requests.push_back(Now);
+      Shares[Gateway].recordRequest(Now);
+      if (Shares[Gateway].needsLoan())
+        borrow(Gateway);
+      Due.push({Now + 0.05 + 0.25 * Fraction(Random), Gateway,
+                Fraction(Random) < Share});
+    }
+    return Refused;
   }
   /// Lets time pass without requests.
-  void idle(double Seconds) { Now += Seconds; }
+  void idle(double Seconds) {
+    Now += Seconds;
+    pollLeader();
+  }
 
   size_t retries() const { return Retries.size(); }
   size_t requests() const { return Requests.size(); }
@@ -109,9 +171,39 @@
 
   static constexpr int Unlimited = 1000;
 
+  /// Fraction of the messages to the leader, and of its answers, that are lost.
+  double Loss = 0;
+  bool LeaderReached = true;
+
 private:
   static constexpr double Begin = 100;
+
+  // Each gateway polls the leader each 0.4 s.
+  void pollLeader() {
+    for (; PolledAt + PollSeconds <= Now; PolledAt += PollSeconds)
+      for (size_t I = 0; I < size(); ++I)
+        borrow(I);
+  }
+  void borrow(size_t Gateway) {
+    auto Lost = [&] { return double(Random() % 1000) < 1000 * Loss; };
+    retry_report Report = Shares[Gateway].report(Now);
+    if (!LeaderReached || Lost())
+      return;
+    uint64_t Total =
+        Pool.update(Incarnations[Gateway], Report, Report.Term == Term, Now);
+    Pool.forgetSilent(Now);
+    if (!Lost())
+      Shares[Gateway].applyLoan(Term, Total, Now);
+  }
+
+  static constexpr double PollSeconds = 0.4;
   fleet_options Options;
+  retry_pool Pool;
+  uint64_t Term = 1;
+  std::vector<uint64_t> Incarnations; ///< By gateway.
+  uint64_t LastIncarnation = 0;
+  double PolledAt = Begin;
+  std::mt19937_64 Random{3};
   std::vector<retry_share> Shares; ///< By gateway.
   std::vector<double> Requests;    ///< Times.
   std::vector<double> Retries;     ///< Times.
@@ -225,6 +317,35 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(leaders_that_lend_tokens_change) {
+  fleet Fleet({});
+  Fleet.play(40, 0); // The pool is full.
+  for (int I = 0; I < 6; ++I) {
+    Fleet.changeLeader();
+    Fleet.play(3);
+  }
+  Fleet.checkEveryWindow();
+}
+
+BOOST_AUTO_TEST_CASE(messages_about_loans_are_lost) {
+  fleet Fleet({.Gateways = 300, .RequestsPerSecond = 400});
+  Fleet.Loss = 0.3;
+  Fleet.play(40, 0);
+  Fleet.play(20);
+  Fleet.checkEveryWindow();
+}
+
+BOOST_AUTO_TEST_CASE(gateways_are_cut_off_with_lent_tokens) {
+  fleet Fleet({.Gateways = 300, .RequestsPerSecond = 400});
+  Fleet.play(40, 0);
+  Fleet.LeaderReached = false;
+  Fleet.play(4);
+  Fleet.changeLeader();
+  Fleet.LeaderReached = true;
+  Fleet.play(12);
+  Fleet.checkEveryWindow();
+}
+
 BOOST_AUTO_TEST_CASE(such_events_come_in_random_order) {
   for (unsigned Seed = 1; Seed <= 60; ++Seed) {
     std::mt19937 Random(Seed);
@@ -234,7 +355,9 @@
     for (int Step = 0; Step < 80; ++Step) {
       size_t First = Below(Fleet.size());
       size_t Last = First + 1 + Below(Fleet.size() - First);
-      switch (Below(6)) {
+      Fleet.Loss = Below(4) == 0 ? 0.3 : 0;
+      Fleet.LeaderReached = Below(6) > 0;
+      switch (Below(7)) {
       case 0:
         Fleet.restartAll();
         break;
@@ -250,6 +373,9 @@
       case 4:
         Fleet.idle(double(Below(40)) * 0.1);
         break;
+      case 5:
+        Fleet.changeLeader();
+        break;
       default:
         break;
       }
@@ -286,6 +412,32 @@
   BOOST_TEST(Taken == 4);
 }
 
+// Guards against refusals by gateways that get too few requests to save a
+// token: half of the requests need a second send, as for a larger model, at
+// random gateways, which is under half of the limit. With 386 gateways that
+// each used their own tokens only, 7 to 12% were refused.
+BOOST_AUTO_TEST_CASE(when_they_are_needed_however_many_gateways_there_are) {
+  struct fleet_case {
+    uint32_t Gateways;
+    double RequestsPerSecond;
+    double Slack;
+  };
+  for (fleet_case Case :
+       {fleet_case{30, 130, 104}, fleet_case{100, 200, 300},
+        fleet_case{386, 470, 1040}, fleet_case{1000, 1200, 2700},
+        fleet_case{2000, 2400, 5400}})
+    BOOST_TEST_CONTEXT(Case.Gateways << " gateways") {
+      fleet Fleet(
+          {.Gateways = Case.Gateways,
+           .Bounds = {.Ratio = 0.9, .Slack = Case.Slack, .WindowSeconds = 10},
+           .RequestsPerSecond = Case.RequestsPerSecond});
+      Fleet.idle(30);
+      size_t Refused = Fleet.playRandomly(20, 0.5);
+      BOOST_TEST(double(Refused) < 0.01 * double(Fleet.retries()));
+      Fleet.checkEveryWindow();
+    }
+}
+
 // As when upstreams with a third of the requests in flight crash together.
 BOOST_AUTO_TEST_CASE(when_many_requests_fail_at_once) {
   fleet Fleet({});
@@ -324,10 +476,17 @@
   constexpr uint32_t Gateways = 10;
   std::vector<retry_share> Windows(Gateways,
                                    retry_share(SharedBounds, Gateways));
+  constexpr uint64_t Term = 1;
+  retry_pool Pool(SharedBounds, 0, 0);
   sent_times Sent{.Requests = Requests};
   for (size_t I = 0; I < Requests.size(); ++I) {
     retry_share &Window = Windows[I % Gateways];
     Window.recordRequest(Requests[I]);
+    Window.applyLoan(Term,
+                     Pool.update(I % Gateways, Window.report(Requests[I]), true,
+                                 Requests[I]),
+                     Requests[I]);
+    Window.recordSettled();
     while (Window.take(Requests[I]))
       Sent.Retries.push_back(Requests[I]);
   }
@@ -378,11 +537,14 @@
   constexpr retry_window_bounds SlackOnly{
       .Ratio = 0, .Slack = 10, .WindowSeconds = 10};
   retry_share Share(SlackOnly, 1);
+  retry_pool Pool(SlackOnly, 0, 5);
   BOOST_TEST(!Share.hasToken(5));
   std::vector<double> Taken;
-  for (double Now = 5; Now < 205; Now += 0.5)
+  for (double Now = 5; Now < 205; Now += 0.5) {
+    Share.applyLoan(1, Pool.update(1, Share.report(Now), true, Now), Now);
     while (Share.take(Now))
       Taken.push_back(Now);
+  }
   for (double To = 5; To < 205; To += 0.5)
     BOOST_TEST(double(within(Taken, To - SlackOnly.WindowSeconds, To)) <=
                SlackOnly.Slack);
