Upstreams that tell how long work takes there are chosen by it

Change: each gateway keeps the mean of what an upstream told it lately (policy/slowdown); it stretches the expected time to the first token, and the load per slot of plain services. Without the figure nothing changes but for plain services whose upstreams differ in slots.

--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -165,6 +165,8 @@
 }
 
 void forwarding::recordLoadReport(const platform::reported_load &Load) {
+  if (Load.Slowdown)
+    Upstream->Slowdown.record(*Load.Slowdown, steadySeconds());
   uint64_t Sum = uint64_t(Load.Running) + Load.Waiting;
   auto Requests = uint32_t(std::min<uint64_t>(Sum, MaxReportedRequests));
   Upstream->recordLoad(Requests, steadySeconds(),
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -132,7 +132,8 @@
          .Suspect = failsMoreThanOthers(All, *Each, Now) ||
                     Each->suspect(Now) ||
                     (NotRepeatable && Each->unrecovered(Now)),
-         .PrefillSeconds = Each->PrefillSeconds + Others.PrefillSeconds});
+         .PrefillSeconds = Each->PrefillSeconds + Others.PrefillSeconds,
+         .Slowdown = Each->Slowdown.value()});
   }
   return Views;
 }
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -14,6 +14,7 @@
 #include "policy/answer_tally.h"
 #include "policy/request_limit.h"
 #include "policy/shared_rate.h"
+#include "policy/slowdown.h"
 #include <map>
 #include <memory>
 #include <set>
@@ -52,6 +53,8 @@
   std::vector<upstream_connection *> Idle;
   /// To all gateways that report to this one, and to itself.
   answer_tally Answers;
+  /// How long work takes there, as it has told this gateway and others.
+  slowdown_estimate Slowdown;
   /// The request limit that the upstream states.
   request_limit Limit;
   /// The last stated limit that could not be read.
--- a/policy/upstream_choice.cpp
+++ b/policy/upstream_choice.cpp
@@ -24,6 +24,8 @@
 // Weight of a second of prefill relative to a second of waiting: the prefill
 // also delays all requests that are sent to the upstream after this one.
 constexpr double PrefillWeight = 2.5;
+// Upstream time for the first token of any request.
+constexpr double FirstTokenSeconds = 0.05;
 // Bonus, per second of prefill, for the two upstreams that rank first and
 // second for a shared prefix that no upstream has cached. It makes gateways
 // that choose at the same moment send the prefix to the same upstreams.
@@ -51,8 +53,11 @@
   return Upstream.Load / std::max(1.0, Upstream.Slots);
 }
 
+// The load per slot as it would be with this request, in the time that requests
+// usually take.
 double penalizedLoad(const upstream_view &Upstream) {
-  return loadPerSlot(Upstream) + (Upstream.SameHall ? 0 : OtherHallPenalty);
+  double Load = loadPerSlot(Upstream) + 1 / std::max(1.0, Upstream.Slots);
+  return Load * Upstream.Slowdown + (Upstream.SameHall ? 0 : OtherHallPenalty);
 }
 
 bool anyNotSuspect(const std::vector<upstream_view> &Upstreams) {
@@ -209,8 +214,9 @@
       continue;
     if (!Sampled.empty() && !Sampled[I])
       continue;
-    double Seconds = Upstream.PrefillSeconds + loadPenaltySeconds(Upstream) +
-                     PrefillWeight * Upstream.UncachedPrefillSeconds +
+    double Work = Upstream.PrefillSeconds + FirstTokenSeconds +
+                  PrefillWeight * Upstream.UncachedPrefillSeconds;
+    double Seconds = Work * Upstream.Slowdown + loadPenaltySeconds(Upstream) +
                      Jitter(Random);
     if (!Upstream.SameHall)
       Seconds += OtherHallPenaltySeconds;
--- a/policy/upstream_choice.h
+++ b/policy/upstream_choice.h
@@ -34,6 +34,8 @@
   /// Upstream time for the outstanding prefill of requests already sent there,
   /// as far as it is known, in seconds.
   double PrefillSeconds = 0;
+  /// How long work takes there now, relative to its usual time.
+  double Slowdown = 1;
   /// Upstream time for the prefill of the part of this request's prompt that
   /// the upstream does not have in its cache, in seconds.
   double UncachedPrefillSeconds = 0;
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -140,6 +140,46 @@
   BOOST_TEST(*chooseEarliestFirstToken(Views, Prompt, Random) != Home);
 }
 
+BOOST_AUTO_TEST_CASE(avoids_an_upstream_where_work_takes_longer) {
+  std::mt19937_64 Random(1);
+  auto Views = views({1, 1, 1}, 0.1);
+  Views[1].Slowdown = 0.5;
+  Views[2].Slowdown = 2;
+  prompt_view Prompt{.PrefillSeconds = 0.1};
+  for (int I = 0; I < 50; ++I) {
+    BOOST_TEST(*chooseEarliestFirstToken(Views, Prompt, Random) == 1U);
+    BOOST_TEST(*chooseLeastLoaded(Views, Random) == 1U);
+  }
+  BOOST_TEST_CONTEXT("unless more waits at the faster one") {
+    Views[1].PrefillSeconds = 1;
+    Views[1].Load = 9;
+    BOOST_TEST(*chooseEarliestFirstToken(Views, Prompt, Random) == 0U);
+    BOOST_TEST(*chooseLeastLoaded(Views, Random) == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(expects_what_upstreams_told_lately_of_their_speed) {
+  slowdown_estimate Slowdown;
+  BOOST_TEST(Slowdown.value() == 1);
+  for (int I = 0; I < 20; ++I)
+    Slowdown.record(I % 2 == 0 ? 1.5 : 2.5, 0.1 * I);
+  BOOST_TEST(Slowdown.value() > 1.8);
+  BOOST_TEST(Slowdown.value() < 2.1);
+  BOOST_TEST_CONTEXT("older figures count less") {
+    for (int I = 0; I < 5; ++I)
+      Slowdown.record(0.5, 60 + I);
+    BOOST_TEST(Slowdown.value() < 0.7);
+  }
+  BOOST_TEST_CONTEXT("absurd figures are bounded") {
+    for (int I = 0; I < 50; ++I)
+      Slowdown.record(4e7, 200 + I);
+    BOOST_TEST(Slowdown.value() <= 5);
+    for (int I = 0; I < 50; ++I)
+      Slowdown.record(0, 400 + I);
+    BOOST_TEST(Slowdown.value() >= 0.2);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(prefers_its_data_hall_unless_the_wait_is_longer) {
   std::mt19937_64 Random(1);
   auto Views = views({1, 1, 1});
