Gateways that lose control spread their polls of the platform by their number

Cause: a gateway that is not told the list polls all of its pages by itself, from 1.6 s of age on, within 0.4 s of the others.

Change: the random delay and the pause between polls grow with the number of gateways and of upstreams (policy/list_poll), up to 60 s.

Not changed: the first polls after a start, and fleets of a few gateways, where the delay was 0.4 s and is up to 1.7 s at 32.

With it: the new messages have names in the metrics of links.

--- a/control/duty_driver.h
+++ b/control/duty_driver.h
@@ -69,9 +69,9 @@
   /// Whether all that each gateway has counted up to its last watch message is
   /// recorded, by incarnation.
   std::map<uint64_t, bool> Recorded;
-  uint64_t Term = 0;        ///< Of the present or last leadership; 0: none.
-  double TermBeganAt = 0;   ///< Steady-clock seconds.
-  bool FixPending = false;  ///< The report of a window is proposed.
+  uint64_t Term = 0;           ///< Of the present or last leadership; 0: none.
+  double TermBeganAt = 0;      ///< Steady-clock seconds.
+  bool FixPending = false;     ///< The report of a window is proposed.
   std::set<uint64_t> Answered; ///< Windows whose result is proposed.
   double RetryAt = 0;
   double RetryDelay;
--- a/control/operator_api.h
+++ b/control/operator_api.h
@@ -1,9 +1,9 @@
 //===- operator_api.h - The operators' HTTP interface -----------*- C++ -*-===//
 //
 // Serves configuration changes, objects, status, nodes, bills, versions,
-// control members, the quarantine, data halls and duties; routing_api serves the rest.
-// Except for the status, only the leader answers, so that no operator sees an
-// outdated state. The other control VMs name the leader in their error.
+// control members, the quarantine, data halls and duties; routing_api serves
+// the rest. Except for the status, only the leader answers, so that no operator
+// sees an outdated state. The other control VMs name the leader in their error.
 //
 //===----------------------------------------------------------------------===//
 
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -3,6 +3,7 @@
 #include "gateway/gateway_task.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "policy/list_poll.h"
 #include <algorithm>
 
 namespace olivevalve {
@@ -30,8 +31,7 @@
 // send the list, at most until this time after the start.
 constexpr double FirstListStepSeconds = 0.25;
 constexpr double MaxFirstListSeconds = 8;
-// Random delay, so that gateways that lose control do not all poll the platform
-// at once.
+// Random delay of polls, at least; more gateways spread theirs further.
 constexpr double MaxListJitterSeconds = 0.4;
 // Shortest pause of the process after which its data is checked, as it may have
 // missed that an upstream is leaving. After a shorter one, with a list that was
@@ -216,8 +216,7 @@
   Watch.OnGateways = [this](uint32_t Count) { setGatewayCount(Count); };
   StartDeadline = steadySeconds() + Options.StartSeconds;
   SweepTimer.startRepeating(SweepSeconds);
-  ListJitter = std::uniform_real_distribution<double>(0, MaxListJitterSeconds)(
-      State.Random);
+  ListPhase = std::uniform_real_distribution<double>(0, 1)(State.Random);
 }
 
 gateway_task::~gateway_task() { abortRequests(); }
@@ -235,7 +234,9 @@
   bool First = !State.Routing;
   State.Routing = Routing;
   if (First)
-    ListTimer.startOnce(ListReceived ? 0 : FirstListWaitSeconds + ListJitter);
+    ListTimer.startOnce(ListReceived ? 0
+                                     : FirstListWaitSeconds +
+                                           ListPhase * MaxListJitterSeconds);
   resumeParked();
 }
 
@@ -423,11 +424,16 @@
   return std::max(MaxListAgeSeconds, MaxListAgePeriods * ListPeriod);
 }
 
+double gateway_task::listPollDelay() const {
+  double Spread = listPollSpread(State.Gateways, State.Upstreams.all().size());
+  return ListPhase * std::max(MaxListJitterSeconds, Spread);
+}
+
 // Control sends the list; this gateway polls the platform when it has received
 // none for a while.
 void gateway_task::pollList() {
   double Now = steadySeconds();
-  double Due = ListReadAt + maxListAge() + ListJitter;
+  double Due = ListReadAt + maxListAge() + listPollDelay();
   if (ListReceived && Now < Due)
     return ListTimer.startOnce(Due - Now);
   // Gateways that start at the same time would all request all pages, and keep
@@ -448,8 +454,11 @@
     ListRetryDelay = Received
                          ? ListRetrySeconds
                          : std::min(2 * ListRetryDelay, MaxListRetrySeconds);
-    ListTimer.startOnce(Received ? Options.ListSeconds
-                                 : ListRetryDelay + ListJitter);
+    ListTimer.startOnce(
+        Received ? std::max(Options.ListSeconds,
+                            listPollSpread(State.Gateways,
+                                           State.Upstreams.all().size()))
+                 : ListRetryDelay + listPollDelay());
   });
 }
 
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -85,6 +85,7 @@
   bool isCurrent();
   void sweep();
   double maxListAge() const;
+  double listPollDelay() const;
   void pollList();
   void applyControlList(double Age, const wire::notice &Notice);
   void applyList(double ReadAt);
@@ -126,7 +127,8 @@
   upstream_copy Listed;
   /// When the list that is held was read from the platform.
   double ListReadAt = 0;
-  double ListJitter = 0; ///< Random delay of polls, seconds.
+  /// From 0 to below 1, at random: spreads the polls of the gateways.
+  double ListPhase = 0;
   double ListPeriod = 0; ///< Seconds between polls of the platform by control.
   double ListRetryDelay; ///< Seconds to wait after a failed poll.
   bool ListReceived = false;
--- a/net/link.cpp
+++ b/net/link.cpp
@@ -39,14 +39,15 @@
 
 std::string_view trafficKindName(size_t Kind) {
   // Indexed by the field numbers of wire::envelope.
-  constexpr std::array<std::string_view, 27> Names = {
-      "",        "attempt",      "credit",        "cancel",
-      "settle",  "accepted",     "refused",       "head",
-      "frame",   "end",          "cancel_result", "news",
-      "hello",   "renew",        "grant",         "redirect",
-      "claim",   "claim_result", "finish",        "bills",
-      "ratings", "ack",          "raft",          "watch",
-      "notice",  "routing_ask",  "routing_piece"};
+  constexpr std::array<std::string_view, 29> Names = {
+      "",           "attempt",      "credit",        "cancel",
+      "settle",     "accepted",     "refused",       "head",
+      "frame",      "end",          "cancel_result", "news",
+      "hello",      "renew",        "grant",         "redirect",
+      "claim",      "claim_result", "finish",        "bills",
+      "ratings",    "ack",          "raft",          "watch",
+      "notice",     "routing_ask",  "routing_piece", "retry_ask",
+      "retry_grant"};
   return Kind < Names.size() ? Names[Kind] : "";
 }
 
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -7,6 +7,7 @@
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
 #include "gateway/upstream_table.h"
+#include "policy/list_poll.h"
 #include "policy/model_choice.h"
 #include "policy/prefill_estimator.h"
 #include "policy/prefix_cache_model.h"
@@ -851,4 +852,31 @@
   BOOST_TEST(!Pins.isPinnedToStable(9, 1));
 }
 
+// Guards against a flood of calls when control's leader is lost: with 386
+// gateways and four pages, 1,544 calls reached the platform at once, which
+// takes 130 a second, while control needed the list most.
+BOOST_AUTO_TEST_CASE(polls_of_the_list_are_spread_by_the_size_of_the_fleet) {
+  struct spread_case {
+    uint32_t Gateways;
+    size_t Upstreams;
+    double CallsPerSecond; ///< That the platform takes.
+    double EntriesPerPage;
+  };
+  const spread_case Cases[] = {{3, 21, 40, 50},
+                               {32, 60, 40, 50},
+                               {386, 620, 130, 200},
+                               {772, 1240, 130, 200},
+                               {1000, 1000, 130, 200}};
+  for (const spread_case &Case : Cases)
+    BOOST_TEST_CONTEXT(Case.Gateways << " gateways") {
+      double Spread =
+          std::max(0.4, listPollSpread(Case.Gateways, Case.Upstreams));
+      double Calls = Case.Gateways *
+                     std::ceil(double(Case.Upstreams) / Case.EntriesPerPage);
+      BOOST_TEST(Calls / Spread <= Case.CallsPerSecond);
+      BOOST_TEST(Spread <= 60);
+    }
+  BOOST_TEST(listPollSpread(0, 620) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
