--- a/tests/repeats_test.cpp
+++ b/tests/repeats_test.cpp
@@ -414,8 +414,7 @@
 
 // Guards against refusals by gateways that get too few requests to save a
 // token: half of the requests need a second send, as for a larger model, at
-// random gateways, which is under half of the limit. With 386 gateways that
-// each used their own tokens only, 7 to 12% were refused.
+// random gateways, which is under half of the limit.
 BOOST_AUTO_TEST_CASE(when_they_are_needed_however_many_gateways_there_are) {
   struct fleet_case {
     uint32_t Gateways;
