--- a/consensus/raft_core.cpp
+++ b/consensus/raft_core.cpp
@@ -404,6 +404,17 @@
     AfterSync.push_back(std::move(Reply));
     return;
   }
+  // A snapshot that was delayed may cover less than the log, and entries after
+  // it may be acknowledged: they must not be lost. An entry of its term at its
+  // index shows that the log agrees with it up to there.
+  bool LogHoldsIt = Message.log_index() <= lastIndex() &&
+                    termAt(Message.log_index()) == Message.log_term();
+  if (LogHoldsIt) {
+    Commit = Message.log_index();
+    Reply.set_log_index(Commit);
+    AfterSync.push_back(std::move(Reply));
+    return;
+  }
   Snapshot = {.Index = Message.log_index(),
               .Term = Message.log_term(),
               .Members = Message.entries(0).data(),
--- a/tests/consensus_test.cpp
+++ b/tests/consensus_test.cpp
@@ -275,6 +275,32 @@
   BOOST_TEST(!Core.isMember());
 }
 
+// Guards against a follower that loses entries which it has acknowledged: the
+// leader had sent a snapshot before, and it arrives after them. The leader may
+// have committed them by then.
+BOOST_AUTO_TEST_CASE(late_snapshot_does_not_replace_entries_after_it) {
+  raft_core Core({.Id = 1, .Disk = 10}, followerDisk(), 100);
+  wire::raft Message = vote(2, 20, 2, 2, 2);
+  Message.set_purpose(wire::raft::SNAPSHOT);
+  Message.add_entries()->set_data(Core.members().SerializeAsString());
+  Message.set_snapshot("image");
+  Core.step(Message, 100.1);
+  raft_output Output = Core.takeOutput();
+  BOOST_TEST(Core.lastIndex() == 3U);
+  BOOST_TEST(Core.commitIndex() == 2U);
+  BOOST_TEST(!Output.Install.has_value());
+  BOOST_TEST(Output.Committed.size() == 2U);
+  BOOST_TEST_CONTEXT("one of another history does") {
+    Message.set_log_term(3);
+    Message.set_term(3);
+    Message.set_log_index(3);
+    Core.step(Message, 100.2);
+    BOOST_TEST(Core.takeOutput().Install.has_value());
+    BOOST_TEST(Core.lastIndex() == 3U);
+    BOOST_TEST(Core.commitIndex() == 3U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(durable_storage)
