Log and count how responses of upstreams are framed and how they end

A response that is taken for complete had one line, "served", whatever its framing. Lines of requests now tell the framing (length, chunks, close), whether it is typed as events, and the bytes of an event that had not ended; "closed in the answer" and "reset in the answer" are told apart, and response_ends counts them by service, framing and end. No logic changes.

No functional change

--- a/gateway/event_splitter.h
+++ b/gateway/event_splitter.h
@@ -26,6 +26,8 @@
   /// Returns the bytes after the last complete event, at the end of a complete
   /// stream.
   std::string takeRest() { return std::exchange(Rest, {}); }
+  /// Number of bytes after the last complete event.
+  size_t unfinishedBytes() const { return Rest.size(); }
   /// Drops the bytes of an incomplete event; the last id is kept.
   void restart() { Rest.clear(); }
 
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -387,7 +387,8 @@
   Sent.Priority = priority();
   Sent.SendPriority = Facts.Model.has_value();
   SentAt = LastReceivedAt = Now;
-  AnswerIsEvents = AnswerCounted = false;
+  AnswerIsEvents = AnswerCounted = TypedAsEvents = false;
+  Framing = body_framing::None;
   Events.restart();
   std::string Bytes = platform::writeRequestHead(Head, Sent, Body.size());
   Bytes.append(Body);
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -151,6 +151,7 @@
   void finish();
   void complete(std::string_view Outcome, int Status);
   void countAnswer(bool Failed);
+  void countResponseEnd(std::string_view How);
   void countRun(double BeganAt);
   void touchSession();
   bool streaming() const {
@@ -253,6 +254,11 @@
   /// Smaller model's response while a larger one is tried.
   std::unique_ptr<fallback_response> Fallback;
   event_splitter Events;
+  /// How the latest response was framed and typed, and the bytes of an event
+  /// that had not ended when the response did; for logs and metrics.
+  body_framing Framing = body_framing::None;
+  bool TypedAsEvents = false;
+  size_t UnfinishedEventBytes = 0;
   /// Bytes of events sent to the caller, and those sent at first.
   uint64_t EventBytes = 0;
   uint64_t FirstEventBytes = 0;
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -42,6 +42,8 @@
     return "closed before the answer";
   case broken_at::Answering:
     return "closed in the answer";
+  case broken_at::Reset:
+    return "reset in the answer";
   case broken_at::Garbled:
     return "not an answer";
   }
@@ -60,6 +62,8 @@
   if (AnswerFacts.Load)
     recordLoadReport(*AnswerFacts.Load);
   OtherIncarnation = AnswerFacts.OtherIncarnation;
+  Framing = AnswerHead.Framing;
+  TypedAsEvents = AnswerHead.isEventStream();
   bool Good = AnswerHead.Status >= 200 && AnswerHead.Status < 300;
   AnswerIsEvents = streaming() && Good;
   // A request to a model begins to run with its first token, any other one when
@@ -251,6 +255,7 @@
 void forwarding::onAnswerEnd() {
   auto Keep = shared_from_this();
   Connection = nullptr; // Idle now, or closed.
+  countResponseEnd("complete");
   if (!Answer.NotRun)
     Upstream->recordResponse();
   if (AnswerIsEvents) {
@@ -298,6 +303,7 @@
 void forwarding::onBroken(broken_at Where) {
   auto Keep = shared_from_this();
   Connection = nullptr;
+  countResponseEnd(failureText(Where));
   bool Sent = Where != broken_at::Connecting && Where != broken_at::Refused &&
               Where != broken_at::Declined;
   // A healthy upstream may close an idle keep-alive connection.
@@ -316,6 +322,8 @@
              {"request", hexOf(Identity)},
              {"upstream", Upstream->Listed.Id},
              {"how", failureText(Where)},
+             {"framing", nameOf(Framing)},
+             {"unfinished_event_bytes", int64_t(UnfinishedEventBytes)},
              {"seconds_there", steadySeconds() - SentAt},
              {"others_there", int64_t(Upstream->InFlight) - 1}});
   if (Where == broken_at::Refused) {
@@ -352,6 +360,13 @@
   State.Peers->reportResponse(*Upstream, Failed);
 }
 
+void forwarding::countResponseEnd(std::string_view How) {
+  UnfinishedEventBytes = Events.unfinishedBytes();
+  std::string Label = Service;
+  Label.append(", ").append(nameOf(Framing)).append(", ").append(How);
+  State.Metrics->count("response_ends", Label);
+}
+
 // If no upstream takes requests now: a time after the first of them does again.
 header_field forwarding::retryAfterLine() {
   if (RetryAfterSeconds > 0)
@@ -447,6 +462,9 @@
        {"status", int64_t(Status)},
        {"outcome", Outcome},
        {"event_bytes", int64_t(EventBytes)},
+       {"framing", nameOf(Framing)},
+       {"typed_as_events", int64_t(TypedAsEvents)},
+       {"unfinished_event_bytes", int64_t(UnfinishedEventBytes)},
        {"seconds", steadySeconds() - ArrivedAt}});
   OnFinished(*this);
 }
--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -132,7 +132,7 @@
   if (!Reset && Reader.headDone() && !Skipping && Reader.endOfInput())
     return finish(true);
   if (Reader.headDone() && !Skipping)
-    return fail(broken_at::Answering);
+    return fail(Reset ? broken_at::Reset : broken_at::Answering);
   fail(Reused && Reader.fresh() ? broken_at::Reused : broken_at::Waiting);
 }
 
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -23,6 +23,7 @@
   Reused,     ///< No response on a keep-alive connection that had been idle.
   Waiting,    ///< Sent, no response head received: it may have run.
   Answering,  ///< The response was cut off.
+  Reset,      ///< As Answering; the connection was reset.
   Garbled     ///< The bytes received are not a valid response.
 };
 
--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_reader.h"
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <limits>
 #include <strings.h>
@@ -12,9 +13,32 @@
 
 // Bytes of a header line besides name and value: ": " and CRLF.
 constexpr size_t LineOverhead = 4;
+constexpr std::string_view EventStreamType = "text/event-stream";
+
+constexpr std::array<std::string_view, 4> FramingNames = {"none", "length",
+                                                          "chunks", "close"};
+
+// As http_parser reads the body.
+body_framing framingOf(const http_parser &Parser, bool HasLength,
+                       bool HeadOnly) {
+  unsigned Status = Parser.status_code;
+  bool IsResponse = Parser.type == HTTP_RESPONSE;
+  if (HeadOnly ||
+      (IsResponse && (Status / 100 == 1 || Status == 204 || Status == 304)))
+    return body_framing::None;
+  if (Parser.flags & F_CHUNKED)
+    return body_framing::Chunks;
+  if (HasLength)
+    return body_framing::Length;
+  return IsResponse ? body_framing::Close : body_framing::None;
+}
 
 } // namespace
 
+std::string_view nameOf(body_framing Framing) {
+  return FramingNames[size_t(Framing)];
+}
+
 bool sameHeader(std::string_view A, std::string_view B) {
   return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
 }
@@ -46,6 +70,15 @@
   return false;
 }
 
+bool http_head::isEventStream() const {
+  const std::string *Value = find("Content-Type");
+  if (!Value)
+    return false;
+  std::string_view Type(*Value);
+  Type = Type.substr(0, Type.find_first_of("; \t"));
+  return sameHeader(Type, EventStreamType);
+}
+
 http_reader::http_reader(http_side Side) : Side(Side) { next(); }
 
 void http_reader::next(bool NewHeadOnly) {
@@ -140,11 +173,11 @@
   Head.IsHttp10 = Parser->http_major < 1 ||
                   (Parser->http_major == 1 && Parser->http_minor == 0);
   Head.KeepAlive = http_should_keep_alive(Parser) != 0;
-  Head.Chunked = (Parser->flags & F_CHUNKED) != 0;
   bool NoLength =
       Parser->content_length == std::numeric_limits<uint64_t>::max();
   if ((Parser->flags & F_CONTENTLENGTH) && !NoLength)
     Head.Length = Parser->content_length;
+  Head.Framing = framingOf(*Parser, Head.Length.has_value(), Reader.HeadOnly);
   Reader.checkHead();
   if (!Reader.Error.empty())
     return -1;
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -29,6 +29,16 @@
   std::string Value;
 };
 
+/// What marks the end of a message's body.
+enum class body_framing : uint8_t {
+  None,   ///< There is no body.
+  Length, ///< Content-Length.
+  Chunks, ///< The last chunk.
+  Close   ///< The end of the connection; responses only.
+};
+
+std::string_view nameOf(body_framing Framing);
+
 /// Start line and headers of a message.
 struct http_head {
   std::string Method; ///< Requests only.
@@ -38,7 +48,7 @@
   /// The message allows the connection to be reused after it.
   bool KeepAlive = false;
   bool IsHttp10 = false; ///< HTTP/1.0 or older.
-  bool Chunked = false;
+  body_framing Framing = body_framing::None;
   /// Value of Content-Length, if present.
   std::optional<uint64_t> Length;
   std::vector<header_field> Lines; ///< Headers in the order received.
@@ -48,6 +58,8 @@
   /// True if a Connection header lists \p Name, which makes that header
   /// hop-by-hop.
   bool isConnectionOption(std::string_view Name) const;
+  /// True if Content-Type is text/event-stream.
+  bool isEventStream() const;
 };
 
 /// Which messages a reader parses.
