Streams cut inside an event: failing tests, listed as red

Streams of three events are cut after each of their bytes, without a length or chunks, in chunks and with a length, on a route whose streams can be resumed and on one whose streams cannot; the upstream closes the connection in order.

The simulated upstreams gain framings, cuts after a number of body bytes, and responses of streaming routes that are no events.

--- a/tests/gateway_world.cpp
+++ b/tests/gateway_world.cpp
@@ -94,9 +94,19 @@
   auto Replica = std::make_unique<replica>(Loop, std::move(Options));
   Paths[Id] = std::make_unique<proxy>(Loop, Replica->address());
   List->put(*Replica, Paths[Id]->address());
+  Replica->RunsAnywhere = [this](const std::string &AttemptId) {
+    return runs(AttemptId);
+  };
   return *(Replicas[Id] = std::move(Replica));
 }
 
+int gateway_world::runs(const std::string &AttemptId) const {
+  int Sum = 0;
+  for (const auto &[Id, Replica] : Replicas)
+    Sum += Replica->runs(AttemptId);
+  return Sum;
+}
+
 void gateway_world::startGateway(const std::string &Name, const json &Changes) {
   startWith(seeds(), Name, Changes);
 }
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -36,6 +36,8 @@
   seeded_control &addControl(bool MayStartGroup);
   /// Starts an upstream behind a proxy and adds it to the platform's list.
   replica &addReplica(replica_options Options);
+  /// Returns how often the upstreams together have run a request.
+  int runs(const std::string &AttemptId) const;
   /// \p Changes is merged into the section "gateway" of the default settings.
   void startGateway(const std::string &Name, const json &Changes = {});
   /// Like startGateway(), but \p Control is the gateway's only seed address.
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -12,6 +12,7 @@
 constexpr double EventGapSeconds = 0.005;
 // Small, so that even short lists have several pages.
 constexpr size_t EntriesOfPage = 2;
+constexpr std::string_view EventStreamType = "text/event-stream";
 
 std::string queryOf(const std::string &Target, const std::string &Name) {
   size_t Query = Target.find('?');
@@ -28,6 +29,18 @@
   return Text.empty() ? Default : std::atoi(Text.c_str());
 }
 
+body_framing framingOf(const std::string &Target) {
+  std::string Name = queryOf(Target, "frame");
+  if (Name == "close")
+    return body_framing::Close;
+  return Name == "length" ? body_framing::Length : body_framing::Chunks;
+}
+
+std::string eventText(int Number) {
+  std::string Text = std::to_string(Number);
+  return "id: " + Text + "\ndata: " + Text + "\n\n";
+}
+
 std::string headerOf(const http_head &Head, const char *Name) {
   const std::string *Value = Head.find(Name);
   return Value ? *Value : "";
@@ -39,7 +52,7 @@
 }
 
 std::string chunk(const std::string &Bytes) {
-  std::array<char, 16> Size{};
+  std::array<char, 24> Size{};
   std::snprintf(Size.data(), Size.size(), "%zx\r\n", Bytes.size());
   return Size.data() + Bytes + "\r\n";
 }
@@ -190,39 +203,80 @@
   int Break = numberOf(Target, "break", -1);
   Connection.Crashes = queryOf(Target, "do") == "crash";
   Connection.BreakAfter = Last.empty() || Connection.Crashes ? Break : -1;
-  Connection.Answer = answerHead(200, Id,
-                                 "Content-Type: text/event-stream\r\n"
-                                 "Transfer-Encoding: chunked\r\n") +
-                      "\r\n";
+  bool FirstRun = (RunsAnywhere ? RunsAnywhere(Id) : runs(Id)) == 1;
+  Connection.CutAfter = FirstRun ? numberOf(Target, "cut", -1) : -1;
+  Connection.Proper = numberOf(Target, "proper", 0) > 0;
+  Connection.Framing = framingOf(Target);
+  Connection.PlainBody = queryOf(Target, "body");
+  size_t Length = Connection.PlainBody.size();
+  for (int I = Connection.NextEvent;
+       Connection.PlainBody.empty() && I <= Connection.LastEvent; ++I)
+    Length += eventText(I).size();
+  if (Connection.CutAfter >= 0 && Connection.Proper)
+    Length = size_t(Connection.CutAfter);
+  std::string Type = queryOf(Target, "type");
+  std::string Lines;
+  if (Type != "none")
+    Lines += "Content-Type: " +
+             (Type.empty() ? std::string(EventStreamType) : Type) + "\r\n";
+  if (Connection.Framing == body_framing::Chunks)
+    Lines += "Transfer-Encoding: chunked\r\n";
+  if (Connection.Framing == body_framing::Length)
+    Lines += "Content-Length: " + std::to_string(Length) + "\r\n";
+  Connection.Answer = answerHead(200, Id, Lines) + "\r\n";
   Connection.Later.startOnce(numberOf(Target, "late", 0) * 1e-3);
 }
 
 void replica::step(connection &Connection) {
   if (!Connection.Answer.empty())
     Connection.Stream.write(std::exchange(Connection.Answer, {}));
-  if (Connection.LastEvent == 0) {
+  if (Connection.LastEvent < 0) {
     Connection.Working = false;
     if (Connection.CloseAfter)
       Connection.Stream.closeWhenSent();
     return;
   }
+  if (!Connection.PlainBody.empty()) {
+    Connection.NextEvent = Connection.LastEvent + 1;
+    return writePart(Connection, std::exchange(Connection.PlainBody, {}));
+  }
   int Event = Connection.NextEvent;
   if (Connection.BreakAfter >= 0 && Event > Connection.BreakAfter) {
     if (Connection.Crashes)
       return crash();
-    Connection.Stream.write(chunk("id: " + std::to_string(Event) + "\nda"));
-    return kill(Connection);
-  }
-  if (Event > Connection.LastEvent) {
-    Connection.Stream.write("0\r\n\r\n");
-    Connection.LastEvent = 0;
-    Connection.Working = false;
-    return;
+    std::string Part = eventText(Event);
+    Connection.CutAfter = int(Part.find("ta: "));
+    Connection.Proper = false;
+    return writePart(Connection, std::move(Part));
   }
+  if (Event > Connection.LastEvent)
+    return endStream(Connection);
   ++Connection.NextEvent;
-  Connection.Stream.write(chunk("id: " + std::to_string(Event) +
-                                "\ndata: " + std::to_string(Event) + "\n\n"));
-  Connection.Later.startOnce(EventGapSeconds);
+  writePart(Connection, eventText(Event));
+}
+
+void replica::writePart(connection &Connection, std::string Part) {
+  int &Left = Connection.CutAfter;
+  bool Cut = Left >= 0 && Part.size() >= size_t(Left);
+  if (Cut)
+    Part.resize(size_t(Left));
+  else if (Left >= 0)
+    Left -= int(Part.size());
+  if (!Part.empty())
+    Connection.Stream.write(
+        Connection.Framing == body_framing::Chunks ? chunk(Part) : Part);
+  if (!Cut)
+    return Connection.Later.startOnce(EventGapSeconds);
+  return Connection.Proper ? endStream(Connection) : kill(Connection);
+}
+
+void replica::endStream(connection &Connection) {
+  if (Connection.Framing == body_framing::Chunks)
+    Connection.Stream.write("0\r\n\r\n");
+  Connection.LastEvent = -1;
+  Connection.Working = false;
+  if (Connection.Framing == body_framing::Close)
+    kill(Connection);
 }
 
 upstream_list_stand_in::upstream_list_stand_in(struct ev_loop *Loop,
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -19,7 +19,13 @@
 // A path with /stream/ gives a stream of events=N events. With break=K the
 // stream breaks off in the middle of event K+1, unless the request resumes a
 // stream (Last-Event-Id). With break=K and do=crash the upstream crashes there,
-// also in a resumed stream. If the request asks for the model "large", large=X
+// also in a resumed stream. Streams also read:
+//   frame=F      framing: chunks (default), length or close, which is none
+//   cut=N        the first run of a request breaks off after N body bytes
+//   proper=1     with cut=N the framing is complete nevertheless
+//   type=T       Content-Type, default text/event-stream; none: no such header
+//   body=TEXT    the response has this body instead of events
+// If the request asks for the model "large", large=X
 // is read in place of do=X.
 //
 //===----------------------------------------------------------------------===//
@@ -32,6 +38,7 @@
 #include "net/http_server.h"
 #include "net/tcp_stream.h"
 #include <array>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -80,6 +87,9 @@
   /// Closes all connections and stops listening.
   void crash();
   bool crashed() const { return Crashed; }
+  /// Returns how often all upstreams together have run a request; unset: this
+  /// upstream alone.
+  std::function<int(const std::string &AttemptId)> RunsAnywhere;
 
   /// Confidence reported with each response, from 0 to 1.
   double Confidence = 0.9;
@@ -105,8 +115,12 @@
     std::string Body;
     std::string Answer; ///< Sent when Later fires.
     int NextEvent = 0;
-    int LastEvent = 0;
+    int LastEvent = -1; ///< -1: no stream in progress.
     int BreakAfter = -1;
+    body_framing Framing = body_framing::Chunks;
+    std::string PlainBody; ///< Sent in place of events.
+    int CutAfter = -1;     ///< Body bytes.
+    bool Proper = false;
     bool Working = false;
     bool CloseAfter = false;
     bool Dead = false;
@@ -118,6 +132,8 @@
   void stream(connection &Connection, const std::string &Path,
               const std::string &Id);
   void step(connection &Connection);
+  void writePart(connection &Connection, std::string Part);
+  void endStream(connection &Connection);
   void kill(connection &Connection);
   std::string answerHead(int Status, const std::string &Id,
                          const std::string &Extra) const;
--- a/tests/system/cascade_test.cpp
+++ b/tests/system/cascade_test.cpp
@@ -28,12 +28,7 @@
   client_response sendRequest(const std::string &Query) {
     return request("/stream/x?" + Query, {.Headers = {"X-Model: *"}});
   }
-  int runs() {
-    int Sum = 0;
-    for (auto &[Id, Replica] : Replicas)
-      Sum += Replica->runs(LastId);
-    return Sum;
-  }
+  int runs() { return gateway_world::runs(LastId); }
 };
 
 std::string eventsUpTo(int Last) {
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -22,12 +22,6 @@
           [&] { return request("/safe/x", {.Method = "GET"}).Status == 200; });
   }
 
-  int runs(const std::string &Id) {
-    int Sum = 0;
-    for (auto &[Name, Replica] : Replicas)
-      Sum += Replica->runs(Id);
-    return Sum;
-  }
   /// Sends raw bytes and returns everything received until the gateway closes
   /// the connection.
   std::string raw(const std::string &Bytes) {
--- /dev/null
+++ b/tests/system/streams_test.cpp
@@ -0,0 +1,118 @@
+//===- streams_test.cpp - Streams that end before they are complete -------===//
+//
+// Guards against completing a response that its upstream has broken off. Each
+// stream is cut after each of its bytes, in each framing; the upstream closes
+// the connection in order.
+//
+//===----------------------------------------------------------------------===//
+
+#include "boost/test/unit_test.hpp"
+#include "tests/gateway_world.h"
+
+using namespace olivevalve;
+
+namespace {
+
+constexpr int EventCount = 3;
+
+std::string eventsUpTo(int Last) {
+  std::string Text;
+  for (int I = 1; I <= Last; ++I)
+    Text +=
+        "id: " + std::to_string(I) + "\ndata: " + std::to_string(I) + "\n\n";
+  return Text;
+}
+
+const int EventBytes = int(eventsUpTo(1).size());
+const std::string AllEvents = eventsUpTo(EventCount);
+
+/// A gateway with three upstreams, a resumable route "/stream/" and a route
+/// "/stream/once/" whose streams cannot be resumed.
+class stream_world : public gateway_world {
+public:
+  stream_world() {
+    for (int I = 1; I <= 3; ++I)
+      addReplica({.Id = "i-" + std::to_string(I)});
+    json Routing = defaultRouting();
+    json Once = Routing["routes"][2];
+    Once["name"] = "once";
+    Once["path_prefix"] = "/stream/once/";
+    Once["resumable"] = false;
+    Routing["routes"].push_back(Once);
+    startServing(Routing);
+  }
+  client_response cut(const std::string &Path, const std::string &Framing,
+                      int Bytes, const std::string &More = "") {
+    return request(Path + "?events=" + std::to_string(EventCount) + "&frame=" +
+                   Framing + "&cut=" + std::to_string(Bytes) + More);
+  }
+};
+
+void testWhole(const client_response &Answer) {
+  BOOST_TEST(Answer.Status == 200);
+  BOOST_TEST(Answer.Error.empty(), Answer.Error);
+  BOOST_TEST(Answer.Body == AllEvents);
+}
+
+/// The caller must have seen that the response is incomplete and have whole
+/// events only.
+void testBroken(const client_response &Answer, int Bytes) {
+  bool NothingSent = Bytes < EventBytes;
+  BOOST_TEST(Answer.Status == (NothingSent ? 502 : 200));
+  BOOST_TEST(Answer.Error.empty() == NothingSent);
+  if (!NothingSent)
+    BOOST_TEST(Answer.Body == eventsUpTo(Bytes / EventBytes));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(streams_cut_inside_an_event)
+
+BOOST_AUTO_TEST_CASE(are_not_completed_but_resumed) {
+  stream_world World;
+  for (const char *Framing : {"close", "chunks", "length"})
+    for (int Bytes = 1; Bytes < int(AllEvents.size()); ++Bytes)
+      if (Bytes % EventBytes != 0)
+        BOOST_TEST_CONTEXT(Framing << ", cut after " << Bytes) {
+          testWhole(World.cut("/stream/x", Framing, Bytes));
+          BOOST_TEST(World.runs(World.LastId) == 2);
+        }
+}
+
+BOOST_AUTO_TEST_CASE(are_not_completed_if_they_cannot_be_resumed) {
+  stream_world World;
+  for (const char *Framing : {"close", "chunks", "length"})
+    for (int Bytes = 1; Bytes < int(AllEvents.size()); ++Bytes)
+      if (Bytes % EventBytes != 0)
+        BOOST_TEST_CONTEXT(Framing << ", cut after " << Bytes) {
+          testBroken(World.cut("/stream/once/x", Framing, Bytes), Bytes);
+          BOOST_TEST(World.runs(World.LastId) == 1);
+        }
+}
+
+BOOST_AUTO_TEST_CASE(are_not_completed_when_kept_during_a_model_switch) {
+  stream_world World;
+  for (auto &[Id, Replica] : World.Replicas)
+    Replica->Confidence = 0.2;
+  for (int Bytes : {4, EventBytes + 4, 2 * EventBytes + 4})
+    BOOST_TEST_CONTEXT("cut after " << Bytes) {
+      client_response Answer = World.request(
+          "/stream/x?large=refuse&events=" + std::to_string(EventCount) +
+              "&frame=close&cut=" + std::to_string(Bytes),
+          {.Headers = {"X-Model: *"}});
+      testWhole(Answer);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(are_not_completed_if_their_framing_ends_properly) {
+  stream_world World;
+  for (const char *Framing : {"chunks", "length"})
+    for (int Bytes : {4, EventBytes + 4, 2 * EventBytes + 14})
+      BOOST_TEST_CONTEXT(Framing << ", cut after " << Bytes) {
+        testWhole(World.cut("/stream/x", Framing, Bytes, "&proper=1"));
+        testBroken(World.cut("/stream/once/x", Framing, Bytes, "&proper=1"),
+                   Bytes);
+      }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
