A response counts as complete only if its content agrees with its end

Callers of streaming routes got responses that their upstream had broken off as complete: status 200, the upstream's seal, a last chunk, and the bytes of an event that never ended.

Cause: a response without a length or chunks ends with its connection, and the orderly close of that connection was taken as proof that nothing is missing. Nobody asked what the stream itself says of its end; what was left of an event was passed on (event_splitter::takeRest), by the forwarded response and by the one that is kept during a switch to a larger model. The same happened to chunks or a length that end properly inside an event.

Change: net/response_body decides of every response whether it is complete, unconfirmed or incomplete, from its content and from what ended its transfer. upstream_connection asks it, so that first attempts, resumed streams, larger models and kept responses get the same verdict, and it hands on complete events only: bytes of an event that has not ended do not leave the connection. An incomplete response is treated like any other that was cut: resumed after the last complete event where the route allows it, else broken off visibly. An event stream without a length or chunks that closes before its first event is incomplete as well. The content type says whether a body is an event stream; a response of a streaming route that is none is held and delivered whole. Lines may end in LF, CRLF or CR: with a strict rule a stream of CR lines would otherwise never be complete.

Not to be told: such a stream that is cut exactly after an event. It passes, and response_ends counts it as unconfirmed.

--- a/gateway/fallback_response.cpp
+++ b/gateway/fallback_response.cpp
@@ -42,17 +42,17 @@
 }
 
 void fallback_response::onAnswerHead(const http_head &,
-                                     const platform::answer_facts &) {}
+                                     const platform::answer_facts &,
+                                     body_content) {}
 
-void fallback_response::onAnswerBytes(std::string_view NewBytes) {
-  Bytes.append(Parts.Events.take(NewBytes));
+void fallback_response::onAnswerBytes(std::string_view NewBytes, size_t) {
+  Bytes.append(NewBytes);
 }
 
 void fallback_response::onAnswerEnd() {
   Parts.Connection = nullptr; // Idle now, or closed.
   Parts.Upstream->recordResponse();
   State.Reports->answered(Parts.Request);
-  Bytes.append(Parts.Events.takeRest());
   Complete = true;
   release();
 }
--- a/gateway/fallback_response.h
+++ b/gateway/fallback_response.h
@@ -11,7 +11,6 @@
 #define OLIVEVALVE_GATEWAY_FALLBACK_RESPONSE_H
 
 #include "base/loop.h"
-#include "gateway/event_splitter.h"
 #include "gateway/gateway_state.h"
 #include "gateway/upstream_connection.h"
 
@@ -33,7 +32,7 @@
   std::shared_ptr<upstream> Upstream;
   upstream_connection *Connection = nullptr;
   buffered_response Answer;
-  event_splitter Events;
+  bool IsEvents = false;
   /// Index in route_spec::Sizes.
   size_t ModelIndex = 0;
   /// Reported by the model, 0 to 1; -1: not reported.
@@ -55,11 +54,12 @@
   /// Moves out the state, with the connection if it is still open. \p NewUser
   /// receives the rest of the response.
   fallback_response_parts take(upstream_user &NewUser);
-  /// The complete events received so far.
-  const std::string &events() const { return Bytes; }
+  /// What was received so far: complete events, if it is an event stream.
+  std::string &body() { return Bytes; }
 
-  void onAnswerHead(const http_head &, const platform::answer_facts &) override;
-  void onAnswerBytes(std::string_view NewBytes) override;
+  void onAnswerHead(const http_head &, const platform::answer_facts &,
+                    body_content) override;
+  void onAnswerBytes(std::string_view NewBytes, size_t Received) override;
   void onAnswerEnd() override;
   void onBroken(broken_at Where) override;
 
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -383,18 +383,21 @@
   if (Account)
     Sent.Account = Account->Name;
   Sent.Model = Model;
-  Sent.LastEventId = Events.lastId();
+  Sent.LastEventId = LastEventId;
   Sent.Priority = priority();
   Sent.SendPriority = Facts.Model.has_value();
   SentAt = LastReceivedAt = Now;
-  AnswerIsEvents = AnswerCounted = TypedAsEvents = false;
+  AnswerIsEvents = AnswerCounted = false;
   Framing = body_framing::None;
-  Events.restart();
+  UnfinishedEventBytes = 0;
   std::string Bytes = platform::writeRequestHead(Head, Sent, Body.size());
   Bytes.append(Body);
   State.Metrics->count("upstream_sent_bytes", hallLabel(), Bytes.size());
   armTimer();
-  Connection->send(*this, Bytes, Facts.AttemptId, Head.Method == "HEAD");
+  Connection->send(*this, {.Bytes = Bytes,
+                           .AttemptId = Facts.AttemptId,
+                           .HeadOnly = Head.Method == "HEAD",
+                           .MayStream = streaming()});
 }
 
 // Called when an attempt starts and when the request ends, as a response may
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -11,7 +11,6 @@
 #define OLIVEVALVE_GATEWAY_FORWARDING_H
 
 #include "base/error.h"
-#include "gateway/event_splitter.h"
 #include "gateway/fallback_response.h"
 #include "gateway/gateway_state.h"
 #include "gateway/selection.h"
@@ -87,9 +86,9 @@
 
   void onCallerGone() override;
   void onCallerDrained() override;
-  void onAnswerHead(const http_head &Head,
-                    const platform::answer_facts &Facts) override;
-  void onAnswerBytes(std::string_view Bytes) override;
+  void onAnswerHead(const http_head &Head, const platform::answer_facts &Facts,
+                    body_content Content) override;
+  void onAnswerBytes(std::string_view Bytes, size_t Received) override;
   void onAnswerEnd() override;
   void onBroken(broken_at Where) override;
 
@@ -151,7 +150,6 @@
   void finish();
   void complete(std::string_view Outcome, int Status);
   void countAnswer(bool Failed);
-  void countResponseEnd(std::string_view How);
   void countRun(double BeganAt);
   void touchSession();
   bool streaming() const {
@@ -253,11 +251,11 @@
   buffered_response Answer; ///< Of the last attempt.
   /// Smaller model's response while a larger one is tried.
   std::unique_ptr<fallback_response> Fallback;
-  event_splitter Events;
-  /// How the latest response was framed and typed, and the bytes of an event
-  /// that had not ended when the response did; for logs and metrics.
+  /// Id of the last event sent to the caller that has one.
+  std::string LastEventId;
+  /// How the latest response was framed, and how many of its bytes belong to an
+  /// event that had not ended when it did; for logs.
   body_framing Framing = body_framing::None;
-  bool TypedAsEvents = false;
   size_t UnfinishedEventBytes = 0;
   /// Bytes of events sent to the caller, and those sent at first.
   uint64_t EventBytes = 0;
--- a/gateway/forwarding_model_switch.cpp
+++ b/gateway/forwarding_model_switch.cpp
@@ -103,7 +103,7 @@
       fallback_response_parts{.Upstream = std::exchange(Upstream, nullptr),
                               .Connection = std::exchange(Connection, nullptr),
                               .Answer = std::exchange(Answer, {}),
-                              .Events = std::exchange(Events, {}),
+                              .IsEvents = AnswerIsEvents,
                               .ModelIndex = ModelIndex,
                               .Confidence = Confidence,
                               .Request = Identity});
@@ -121,7 +121,7 @@
           {{"id", Facts.AttemptId},
            {"why", Why},
            {"whole", int64_t(Fallback->isComplete())},
-           {"bytes", int64_t(Fallback->events().size())},
+           {"bytes", int64_t(Fallback->body().size())},
            {"seconds", steadySeconds() - ArrivedAt}});
   std::unique_ptr<fallback_response> Kept = std::exchange(Fallback, nullptr);
   fallback_response_parts Parts = Kept->take(*this);
@@ -131,25 +131,27 @@
     recordRefusedRetry(Why);
     return giveUp(error_kind::OutcomeUnknown, Why);
   }
-  FellBack = AnswerIsEvents = AnswerCounted = true;
+  FellBack = AnswerCounted = true;
+  AnswerIsEvents = Parts.IsEvents;
   LastFailure = Why;
   Upstream = std::move(Parts.Upstream);
   Connection = Parts.Connection;
   Answer = std::move(Parts.Answer);
-  Events = std::move(Parts.Events);
   ModelIndex = Parts.ModelIndex;
   Model = Route->Sizes[ModelIndex];
   Confidence = Parts.Confidence;
   LastReceivedAt = steadySeconds();
   if (Upstream)
     LastUpstream = Upstream;
-  forwardEvents(Kept->events());
+  if (AnswerIsEvents)
+    forwardEvents(Kept->body());
+  else
+    Answer.Body = std::move(Kept->body());
   if (Kept->isComplete())
     return finish();
   if (Connection)
     return armTimer();
   Answer = {};
-  Events.restart();
   retryOrConclude(true, Why);
 }
 
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -28,32 +28,11 @@
 // upstream reports.
 constexpr uint32_t MaxReportedRequests = 1 << 20;
 
-std::string_view failureText(broken_at Where) {
-  switch (Where) {
-  case broken_at::Connecting:
-    return "no connection";
-  case broken_at::Refused:
-    return "connection refused";
-  case broken_at::Declined:
-    return "takes nothing new any more";
-  case broken_at::Reused:
-    return "resting connection closed";
-  case broken_at::Waiting:
-    return "closed before the answer";
-  case broken_at::Answering:
-    return "closed in the answer";
-  case broken_at::Reset:
-    return "reset in the answer";
-  case broken_at::Garbled:
-    return "not an answer";
-  }
-  return "";
-}
-
 } // namespace
 
 void forwarding::onAnswerHead(const http_head &AnswerHead,
-                              const platform::answer_facts &AnswerFacts) {
+                              const platform::answer_facts &AnswerFacts,
+                              body_content Content) {
   double Now = steadySeconds();
   LastReceivedAt = HeadReceivedAt = Now;
   if (!AnswerFacts.OtherIncarnation)
@@ -63,14 +42,14 @@
     recordLoadReport(*AnswerFacts.Load);
   OtherIncarnation = AnswerFacts.OtherIncarnation;
   Framing = AnswerHead.Framing;
-  TypedAsEvents = AnswerHead.isEventStream();
   bool Good = AnswerHead.Status >= 200 && AnswerHead.Status < 300;
-  AnswerIsEvents = streaming() && Good;
+  bool Streams = streaming() && Good;
+  AnswerIsEvents = Streams && Content != body_content::Opaque;
   // A request to a model begins to run with its first token, any other one when
   // it is sent, as far as can be told from here.
   if (!AnswerFacts.NotRun)
     countRun(Facts.Model ? Now : SentAt);
-  if (AnswerIsEvents && Facts.Model) {
+  if (Streams && Facts.Model) {
     recordWorkTime(State, *Upstream,
                    {.Work = paced_work::FirstToken,
                     .Class = modelAt(*Route, Facts, modelIndex()),
@@ -96,7 +75,7 @@
         !platform::isHopByHop(AnswerHead, Line.Name) &&
         !(Answer.NotRun && platform::isRetryAfter(Line.Name)))
       Answer.Lines.push_back(Line);
-  if (AnswerIsEvents && shouldSwitchModel())
+  if (Streams && shouldSwitchModel())
     switchToLargerModel();
 }
 
@@ -216,11 +195,11 @@
   complete("served", Answer.Status);
 }
 
-void forwarding::onAnswerBytes(std::string_view Bytes) {
+void forwarding::onAnswerBytes(std::string_view Bytes, size_t Received) {
   LastReceivedAt = steadySeconds();
-  State.Metrics->count("upstream_received_bytes", hallLabel(), Bytes.size());
+  State.Metrics->count("upstream_received_bytes", hallLabel(), Received);
   if (AnswerIsEvents)
-    return forwardEvents(Events.take(Bytes));
+    return forwardEvents(Bytes);
   if (Answer.Body.size() + Bytes.size() <= MaxBufferedAnswerBytes)
     Answer.Body.append(Bytes);
 }
@@ -228,6 +207,8 @@
 void forwarding::forwardEvents(std::string_view Bytes) {
   if (Bytes.empty() || !Caller)
     return;
+  if (auto Id = lastEventId(Bytes))
+    LastEventId = std::move(*Id);
   if (!HeadSent) {
     HeadSent = true;
     settle();
@@ -255,12 +236,10 @@
 void forwarding::onAnswerEnd() {
   auto Keep = shared_from_this();
   Connection = nullptr; // Idle now, or closed.
-  countResponseEnd("complete");
   if (!Answer.NotRun)
     Upstream->recordResponse();
   if (AnswerIsEvents) {
     State.Reports->answered(Identity);
-    forwardEvents(Events.takeRest());
     return finish();
   }
   if (Answer.NotRun) {
@@ -302,8 +281,8 @@
 
 void forwarding::onBroken(broken_at Where) {
   auto Keep = shared_from_this();
+  UnfinishedEventBytes = Connection->heldBackBytes();
   Connection = nullptr;
-  countResponseEnd(failureText(Where));
   bool Sent = Where != broken_at::Connecting && Where != broken_at::Refused &&
               Where != broken_at::Declined;
   // A healthy upstream may close an idle keep-alive connection.
@@ -321,7 +300,7 @@
             {{"id", Facts.AttemptId},
              {"request", hexOf(Identity)},
              {"upstream", Upstream->Listed.Id},
-             {"how", failureText(Where)},
+             {"how", textOf(Where)},
              {"framing", nameOf(Framing)},
              {"unfinished_event_bytes", int64_t(UnfinishedEventBytes)},
              {"seconds_there", steadySeconds() - SentAt},
@@ -343,7 +322,7 @@
     --SendCount;
     RetryTokenHeld = SendCount > 0;
   }
-  retryOrConclude(Sent, failureText(Where));
+  retryOrConclude(Sent, textOf(Where));
 }
 
 void forwarding::countRun(double BeganAt) {
@@ -360,13 +339,6 @@
   State.Peers->reportResponse(*Upstream, Failed);
 }
 
-void forwarding::countResponseEnd(std::string_view How) {
-  UnfinishedEventBytes = Events.unfinishedBytes();
-  std::string Label = Service;
-  Label.append(", ").append(nameOf(Framing)).append(", ").append(How);
-  State.Metrics->count("response_ends", Label);
-}
-
 // If no upstream takes requests now: a time after the first of them does again.
 header_field forwarding::retryAfterLine() {
   if (RetryAfterSeconds > 0)
@@ -463,7 +435,6 @@
        {"outcome", Outcome},
        {"event_bytes", int64_t(EventBytes)},
        {"framing", nameOf(Framing)},
-       {"typed_as_events", int64_t(TypedAsEvents)},
        {"unfinished_event_bytes", int64_t(UnfinishedEventBytes)},
        {"seconds", steadySeconds() - ArrivedAt}});
   OnFinished(*this);
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -380,6 +380,14 @@
   Connection.server()->Idle.push_back(&Connection);
 }
 
+void gateway_task::responseEnded(const upstream_connection &Connection,
+                                 std::string_view How) {
+  std::string Label = Connection.server()->Listed.Service;
+  Label.append(", ").append(nameOf(Connection.framing()));
+  Label.append(", ").append(How);
+  State.Metrics->count("response_ends", Label);
+}
+
 void gateway_task::forgetIdle(upstream_connection &Connection) {
   std::erase(Connection.server()->Idle, &Connection);
 }
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -80,6 +80,8 @@
   void ended(caller_connection &Connection) override;
 
   void released(upstream_connection &Connection) override;
+  void responseEnded(const upstream_connection &Connection,
+                     std::string_view How) override;
   void ended(upstream_connection &Connection) override;
   upstream_connection *acquire(const std::shared_ptr<upstream> &Upstream,
                                connection_kind Kind) override;
--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -32,6 +32,30 @@
 
 } // namespace
 
+std::string_view textOf(broken_at Where) {
+  switch (Where) {
+  case broken_at::Connecting:
+    return "no connection";
+  case broken_at::Refused:
+    return "connection refused";
+  case broken_at::Declined:
+    return "takes nothing new any more";
+  case broken_at::Reused:
+    return "resting connection closed";
+  case broken_at::Waiting:
+    return "closed before the answer";
+  case broken_at::Answering:
+    return "closed in the answer";
+  case broken_at::Reset:
+    return "reset in the answer";
+  case broken_at::Incomplete:
+    return "incomplete answer";
+  case broken_at::Garbled:
+    return "not an answer";
+  }
+  return "";
+}
+
 upstream_connection::upstream_connection(struct ev_loop *Loop,
                                          upstream_connections &Owner,
                                          std::shared_ptr<upstream> NewUpstream)
@@ -45,23 +69,22 @@
   Reader.OnHead = [this] { onHead(); };
   Reader.OnBody = [this](std::string_view Bytes) {
     if (User && !Skipping && Reader.head().Status >= 200)
-      User->onAnswerBytes(Bytes);
+      User->onAnswerBytes(Body.take(Bytes), Bytes.size());
   };
   ConnectTimer.startOnce(ConnectTimeoutSeconds);
 }
 
 upstream_connection::~upstream_connection() { --Upstream->Connections; }
 
-void upstream_connection::send(upstream_user &NewUser, std::string_view Bytes,
-                               const std::string &Id, bool NewHeadOnly) {
+void upstream_connection::send(upstream_user &NewUser,
+                               upstream_exchange NewExchange) {
   User = &NewUser;
-  AttemptId = Id;
+  Exchange = std::move(NewExchange);
   AssignedAt = steadySeconds();
-  HeadOnly = NewHeadOnly;
   Skipping = false;
   Reused = IdleSince > 0;
-  Reader.next(HeadOnly);
-  Stream.write(Bytes);
+  Reader.next(Exchange.HeadOnly);
+  Stream.write(std::exchange(Exchange.Bytes, {}));
 }
 
 // The request is sent only now, so an upstream that stopped taking requests, or
@@ -77,9 +100,20 @@
   if (Head.Status < 200)
     return;
   Facts = platform::readAnswer(Head);
-  Skipping = !Facts.AttemptId.empty() && Facts.AttemptId != AttemptId;
-  if (User && !Skipping)
-    User->onAnswerHead(Head, Facts);
+  Skipping = !Facts.AttemptId.empty() && Facts.AttemptId != Exchange.AttemptId;
+  if (!User || Skipping)
+    return;
+  body_content Content = contentOf(Head);
+  Body = response_body({.Content = Content});
+  User->onAnswerHead(Head, Facts, Content);
+}
+
+body_content upstream_connection::contentOf(const http_head &Head) const {
+  if (Head.isEventStream())
+    return body_content::Events;
+  bool Untyped = Exchange.MayStream && Head.Status < 300 &&
+                 Head.find("Content-Type") == nullptr;
+  return Untyped ? body_content::Untyped : body_content::Opaque;
 }
 
 void upstream_connection::receive(std::string_view Bytes) {
@@ -97,13 +131,21 @@
       return;
     bool Interim = Reader.head().Status < 200;
     if (!Skipping && !Interim)
-      return finish(!Bytes.empty());
+      return finish(transfer_end::Framed, !Bytes.empty());
     Skipping = false;
-    Reader.next(HeadOnly);
+    Reader.next(Exchange.HeadOnly);
   }
 }
 
-void upstream_connection::finish(bool Surplus) {
+void upstream_connection::finish(transfer_end End, bool Surplus) {
+  completeness Completeness = Body.atEnd(End);
+  if (Completeness == completeness::Incomplete)
+    return fail(broken_at::Incomplete);
+  if (!Body.heldBack().empty())
+    User->onAnswerBytes(Body.heldBack(), 0);
+  if (!User)
+    return;
+  Owner.responseEnded(*this, nameOf(Completeness));
   const http_head &Head = Reader.head();
   upstream_user *Old = std::exchange(User, nullptr);
   bool Reusable = Head.KeepAlive && !Surplus && Stream.open() &&
@@ -130,7 +172,7 @@
     return fail(Stream.refused() ? broken_at::Refused : broken_at::Connecting);
   // A response without a length ends with its connection, but not with a reset.
   if (!Reset && Reader.headDone() && !Skipping && Reader.endOfInput())
-    return finish(true);
+    return finish(transfer_end::Closed, true);
   if (Reader.headDone() && !Skipping)
     return fail(Reset ? broken_at::Reset : broken_at::Answering);
   fail(Reused && Reader.fresh() ? broken_at::Reused : broken_at::Waiting);
@@ -138,6 +180,8 @@
 
 void upstream_connection::fail(broken_at Where) {
   upstream_user *Old = std::exchange(User, nullptr);
+  if (Reader.headDone() && !Skipping)
+    Owner.responseEnded(*this, textOf(Where));
   shutDown();
   Old->onBroken(Where);
 }
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -11,6 +11,7 @@
 
 #include "gateway/upstream_table.h"
 #include "net/http_reader.h"
+#include "net/response_body.h"
 #include "net/tcp_stream.h"
 
 namespace olivevalve {
@@ -24,17 +25,24 @@
   Waiting,    ///< Sent, no response head received: it may have run.
   Answering,  ///< The response was cut off.
   Reset,      ///< As Answering; the connection was reset.
+  Incomplete, ///< As Answering; see completeness::Incomplete.
   Garbled     ///< The bytes received are not a valid response.
 };
 
+std::string_view textOf(broken_at Where);
+
 /// Sends a request and receives its response. The callbacks may send another
 /// request or drop the connection.
 class upstream_user {
 public:
   virtual ~upstream_user() = default;
   virtual void onAnswerHead(const http_head &Head,
-                            const platform::answer_facts &Facts) = 0;
-  virtual void onAnswerBytes(std::string_view Bytes) = 0;
+                            const platform::answer_facts &Facts,
+                            body_content Content) = 0;
+  /// \p Received bytes have arrived. \p Bytes can be passed on now: of an event
+  /// stream complete events only.
+  virtual void onAnswerBytes(std::string_view Bytes, size_t Received) = 0;
+  /// The response is complete, as far as can be told.
   virtual void onAnswerEnd() = 0;
   virtual void onBroken(broken_at Where) = 0;
 };
@@ -45,10 +53,23 @@
   virtual ~upstream_connections() = default;
   /// \p Connection is idle and may be used again.
   virtual void released(upstream_connection &Connection) = 0;
+  /// A response whose head was received has ended. \p How: in a few words.
+  virtual void responseEnded(const upstream_connection &Connection,
+                             std::string_view How) = 0;
   /// \p Connection is closed. It must not be destroyed during the call.
   virtual void ended(upstream_connection &Connection) = 0;
 };
 
+/// A request and what is known of its response in advance.
+struct upstream_exchange {
+  std::string_view Bytes; ///< All of the request.
+  std::string AttemptId;  ///< Names the response.
+  /// The response has no body, as for HEAD.
+  bool HeadOnly = false;
+  /// A successful response without a content type may be an event stream.
+  bool MayStream = false;
+};
+
 /// A connection to one incarnation of an upstream.
 class upstream_connection {
 public:
@@ -58,10 +79,7 @@
   upstream_connection(const upstream_connection &) = delete;
   upstream_connection &operator=(const upstream_connection &) = delete;
 
-  /// Sends a request. \p Bytes: all of it. \p AttemptId: names its response. \p
-  /// HeadOnly: the response has no body.
-  void send(upstream_user &User, std::string_view Bytes,
-            const std::string &AttemptId, bool HeadOnly);
+  void send(upstream_user &User, upstream_exchange Exchange);
   /// Sends the callbacks for the rest of the current response to \p NewUser.
   void transferTo(upstream_user &NewUser) { User = &NewUser; }
   /// Closes the connection; the user gets no more callbacks.
@@ -76,14 +94,19 @@
   /// it has never been idle.
   double idleUntil() const { return IdleUntil; }
   double idleSince() const { return IdleSince; }
+  body_framing framing() const { return Reader.head().Framing; }
+  /// Bytes of the current response that could not be passed on: those of an
+  /// event that has not ended.
+  size_t heldBackBytes() const { return Body.heldBack().size(); }
   void setReading(bool On) { Stream.setReading(On); }
 
 private:
   void onConnected();
   void receive(std::string_view Bytes);
   void onHead();
+  body_content contentOf(const http_head &Head) const;
   void onEnd(bool Reset);
-  void finish(bool Surplus);
+  void finish(transfer_end End, bool Surplus);
   void fail(broken_at Where);
   void shutDown();
 
@@ -91,14 +114,14 @@
   std::shared_ptr<upstream> Upstream;
   tcp_stream Stream;
   http_reader Reader;
+  response_body Body;
   timer ConnectTimer;
   upstream_user *User = nullptr;
-  std::string AttemptId;
+  upstream_exchange Exchange;
   double AssignedAt = 0; ///< When the current request was passed to send().
   platform::answer_facts Facts;
   bool Skipping = false; ///< The current response belongs to another request.
   bool Reused = false;
-  bool HeadOnly = false;
   bool Ended = false;
   double IdleSince = 0;
   double IdleUntil = 0;
--- a/tests/system/streams_test.cpp
+++ b/tests/system/streams_test.cpp
@@ -54,6 +54,11 @@
   BOOST_TEST(Answer.Body == AllEvents);
 }
 
+/// A stream that its connection ends after a complete event looks complete.
+bool looksComplete(const std::string &Framing, int Bytes) {
+  return Framing == "close" && Bytes > 0 && Bytes % EventBytes == 0;
+}
+
 /// The caller must have seen that the response is incomplete and have whole
 /// events only.
 void testBroken(const client_response &Answer, int Bytes) {
@@ -71,8 +76,8 @@
 BOOST_AUTO_TEST_CASE(are_not_completed_but_resumed) {
   stream_world World;
   for (const char *Framing : {"close", "chunks", "length"})
-    for (int Bytes = 1; Bytes < int(AllEvents.size()); ++Bytes)
-      if (Bytes % EventBytes != 0)
+    for (int Bytes = 0; Bytes < int(AllEvents.size()); ++Bytes)
+      if (!looksComplete(Framing, Bytes))
         BOOST_TEST_CONTEXT(Framing << ", cut after " << Bytes) {
           testWhole(World.cut("/stream/x", Framing, Bytes));
           BOOST_TEST(World.runs(World.LastId) == 2);
@@ -82,8 +87,8 @@
 BOOST_AUTO_TEST_CASE(are_not_completed_if_they_cannot_be_resumed) {
   stream_world World;
   for (const char *Framing : {"close", "chunks", "length"})
-    for (int Bytes = 1; Bytes < int(AllEvents.size()); ++Bytes)
-      if (Bytes % EventBytes != 0)
+    for (int Bytes = 0; Bytes < int(AllEvents.size()); ++Bytes)
+      if (!looksComplete(Framing, Bytes))
         BOOST_TEST_CONTEXT(Framing << ", cut after " << Bytes) {
           testBroken(World.cut("/stream/once/x", Framing, Bytes), Bytes);
           BOOST_TEST(World.runs(World.LastId) == 1);
@@ -116,3 +121,57 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(responses_of_streaming_routes)
+
+BOOST_AUTO_TEST_CASE(without_events_are_delivered_whole) {
+  stream_world World;
+  struct response_case {
+    const char *Type;
+    const char *Framing;
+  };
+  // Without a type and a framing nothing shows that the body is no stream.
+  const response_case Cases[] = {{"application/json", "length"},
+                                 {"application/json", "chunks"},
+                                 {"application/json", "close"},
+                                 {"none", "length"},
+                                 {"none", "chunks"}};
+  for (double Confidence : {0.9, 0.2})
+    for (const response_case &Case : Cases)
+      BOOST_TEST_CONTEXT(Case.Type << ", " << Case.Framing) {
+        for (auto &[Id, Replica] : World.Replicas)
+          Replica->Confidence = Confidence;
+        client_response Answer = World.request(
+            std::string("/stream/x?large=refuse&body={%22a%22:1}&type=") +
+                Case.Type + "&frame=" + Case.Framing,
+            {.Headers = {"X-Model: *"}});
+        BOOST_TEST(Answer.Status == 200);
+        BOOST_TEST(Answer.Error.empty(), Answer.Error);
+        BOOST_TEST(Answer.Body == "{%22a%22:1}");
+      }
+}
+
+BOOST_AUTO_TEST_CASE(without_events_are_not_joined_when_cut) {
+  stream_world World;
+  for (auto &[Id, Replica] : World.Replicas)
+    Replica->Confidence = 0.2;
+  for (const char *Framing : {"length", "chunks"})
+    BOOST_TEST_CONTEXT(Framing) {
+      client_response Answer = World.request(
+          std::string("/stream/x?large=refuse&body=abcdefgh&cut=5&type="
+                      "text/plain&frame=") +
+              Framing,
+          {.Headers = {"X-Model: *"}});
+      BOOST_TEST(Answer.Status == 200);
+      BOOST_TEST(Answer.Error.empty(), Answer.Error);
+      BOOST_TEST(Answer.Body == "abcdefgh");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(without_a_type_are_streamed_as_events) {
+  stream_world World;
+  for (const char *Framing : {"close", "chunks", "length"})
+    testWhole(World.cut("/stream/x", Framing, EventBytes + 4, "&type=none"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -1,7 +1,6 @@
 //===- gateway_test.cpp - The gateway's parts, without sockets ------------===//
 
 #include "boost/test/unit_test.hpp"
-#include "gateway/event_splitter.h"
 #include "gateway/peer_work.h"
 #include "gateway/selection.h"
 #include "gateway/session_pins.h"
@@ -39,34 +38,6 @@
 
 BOOST_AUTO_TEST_SUITE(gateway)
 
-BOOST_AUTO_TEST_SUITE(events)
-
-BOOST_AUTO_TEST_CASE(are_forwarded_complete_wherever_the_bytes_are_cut) {
-  std::string Stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
-                       ": note\n\nid:3\ndata: c\n\n";
-  for (size_t Cut = 0; Cut <= Stream.size(); ++Cut) {
-    event_splitter Splitter;
-    std::string Out = Splitter.take(Stream.substr(0, Cut));
-    BOOST_TEST((Out.empty() || Out.ends_with("\n")));
-    Out += Splitter.take(Stream.substr(Cut));
-    BOOST_TEST(Out == Stream);
-    BOOST_TEST(Splitter.lastId() == "3");
-  }
-}
-
-BOOST_AUTO_TEST_CASE(
-    partial_event_is_dropped_when_the_stream_resumes_elsewhere) {
-  event_splitter Splitter;
-  BOOST_TEST(Splitter.take("id: 1\ndata: a\n\nid: 2\ndata: b") ==
-             "id: 1\ndata: a\n\n");
-  BOOST_TEST(Splitter.lastId() == "1");
-  Splitter.restart();
-  BOOST_TEST(Splitter.take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
-  BOOST_TEST(Splitter.lastId() == "2");
-}
-
-BOOST_AUTO_TEST_SUITE_END()
-
 BOOST_AUTO_TEST_SUITE(peer_gateway_work)
 
 namespace {
