Callers of HTTP/1.0 see that a stream was broken off

To a caller of HTTP/1.0 a stream ends with its connection. When the upstream broke off, the deadline passed or the process ended, the gateway closed the connection in the same way as after a complete stream, so that such a caller took a truncated response for complete.

A close marks the end, and the abort was a close.

Change: from the head of such a response on, the socket is set to end with a reset, however it is closed, also by the end of the process; once the whole response has been handed to the kernel it closes in order. Entries and control answer through the same class.

Measured: streams_to_http_1_0_callers, red before in all three cases (cut by the upstream, by the deadline, by SIGKILL), green now.

--- a/net/caller_connection.cpp
+++ b/net/caller_connection.cpp
@@ -45,6 +45,7 @@
   Stream.OnBytes = [this](std::string_view Bytes) { receive(Bytes); };
   Stream.OnEnd = [this](bool) { onEnd(); };
   Stream.OnDrained = [this] {
+    confirmEnd();
     if (Producer)
       Producer->onCallerDrained();
   };
@@ -169,9 +170,11 @@
     return;
   KeepAlive = KeepAlive && !Host.closesAfterAnswer();
   // HTTP/1.0 has no chunked coding: there the end of the connection marks the
-  // end of the body.
+  // end of the body, and only a reset shows that the body is incomplete.
   Chunked = !Reader.head().IsHttp10;
   EndsByClose = !Chunked;
+  if (EndsByClose)
+    Stream.setResetOnClose(true);
   KeepAlive = KeepAlive && Chunked;
   std::vector<header_field> All = Lines;
   if (Chunked)
@@ -200,6 +203,12 @@
   endRequest();
 }
 
+// All bytes of a response that the connection ends have been handed over.
+void caller_connection::confirmEnd() {
+  if (EndsByClose && Lingering && Stream.unsent() == 0)
+    Stream.setResetOnClose(false);
+}
+
 void caller_connection::abortResponse() {
   if (Ended)
     return;
@@ -215,6 +224,7 @@
     // Without chunked coding the response only ends when the connection does,
     // so don't linger.
     TimeoutAt = steadySeconds() + (EndsByClose ? 0 : LingerSeconds);
+    confirmEnd();
     return;
   }
   Body.clear();
--- a/net/caller_connection.h
+++ b/net/caller_connection.h
@@ -77,7 +77,8 @@
   void write(std::string_view Bytes);
   void finish();
   /// Closes the connection without completing the response, so that the
-  /// caller's HTTP library reports a truncated response.
+  /// caller's HTTP library reports a truncated response: the last chunk is
+  /// missing, or for callers of HTTP/1.0 the connection is reset.
   void abortResponse();
 
   /// True while a request is being answered.
@@ -108,6 +109,7 @@
   void dispatch();
   void onEnd();
   void endRequest();
+  void confirmEnd();
   void becomeIdle();
   void endConnection();
   std::string headOf(int Status, std::string_view Reason,
--- a/net/tcp_stream.cpp
+++ b/net/tcp_stream.cpp
@@ -91,6 +91,11 @@
   watch();
 }
 
+void tcp_stream::setResetOnClose(bool On) {
+  linger Options{.l_onoff = On, .l_linger = 0};
+  setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Options, sizeof(Options));
+}
+
 void tcp_stream::onReady(int Events) {
   if (!Connected) {
     int Error = 0;
--- a/net/tcp_stream.h
+++ b/net/tcp_stream.h
@@ -44,6 +44,9 @@
   void closeWhenSent();
   /// Closes the stream at once and discards unsent bytes.
   void close();
+  /// Whether the connection ends with a reset however it is closed, also by the
+  /// end of the process. Bytes that the peer has not received are then lost.
+  void setResetOnClose(bool On);
   bool open() const { return Socket >= 0; }
   bool connected() const { return Connected; }
   /// True if the peer has closed or reset the connection and all received bytes
--- a/tests/system/streams_test.cpp
+++ b/tests/system/streams_test.cpp
@@ -175,3 +175,80 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(streams_to_http_1_0_callers)
+
+namespace {
+
+/// What a caller of HTTP/1.0 sees: the end of the connection is the end of the
+/// response, unless it is a reset.
+struct http_1_0_response {
+  std::string Text;
+  bool Ended = false;
+  bool Reset = false;
+};
+
+class http_1_0_call {
+public:
+  http_1_0_call(stream_world &World, const std::string &Path,
+                const std::string &Line = "")
+      : World(World), Stream(World.Loop, World.GatewayAddress.text()) {
+    Stream.OnBytes = [this](std::string_view Bytes) {
+      Response.Text.append(Bytes);
+    };
+    Stream.OnEnd = [this](bool Reset) {
+      Response.Ended = true;
+      Response.Reset = Reset;
+    };
+    Stream.write("POST " + Path + " HTTP/1.0\r\nHost: a.example\r\n" +
+                 "X-Credential: k1\r\nX-Attempt-Id: " + World.nextId() +
+                 "\r\n" + Line + "\r\n");
+  }
+  void untilBegun() {
+    World.until("the first event is received", [this] {
+      return Response.Text.find("data: 1") != std::string::npos;
+    });
+  }
+  const http_1_0_response &untilEnded() {
+    World.until("the connection has ended", [this] { return Response.Ended; });
+    return Response;
+  }
+
+private:
+  stream_world &World;
+  http_1_0_response Response;
+  tcp_stream Stream;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(end_with_a_reset_if_they_are_broken_off) {
+  stream_world World;
+  std::string Cut = "/stream/once/x?events=3&cut=" + std::to_string(EventBytes);
+  BOOST_TEST_CONTEXT("by the upstream")
+  BOOST_TEST(http_1_0_call(World, Cut).untilEnded().Reset);
+  BOOST_TEST_CONTEXT("by the deadline")
+  BOOST_TEST(
+      http_1_0_call(World, "/stream/x?events=500", "X-Deadline-Ms: 300\r\n")
+          .untilEnded()
+          .Reset);
+  BOOST_TEST_CONTEXT("by the end of the process") {
+    http_1_0_call Call(World, "/stream/x?events=500");
+    Call.untilBegun();
+    World.Gateway->kill();
+    BOOST_TEST(Call.untilEnded().Reset);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(end_with_a_close_if_they_are_complete) {
+  stream_world World;
+  for (const char *Framing : {"close", "chunks", "length"}) {
+    http_1_0_call Call(World,
+                       std::string("/stream/x?events=3&frame=") + Framing);
+    const http_1_0_response &Response = Call.untilEnded();
+    BOOST_TEST(!Response.Reset);
+    BOOST_TEST(Response.Text.ends_with("\r\n\r\n" + AllEvents));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
