A response beyond the gateway's buffer is refused, not truncated

Callers of plain services got a response of over 16 MiB cut short, with status 200 and a Content-Length counted from what was left.

Cause: the bytes beyond the buffer were dropped without a trace, and the response was framed anew at its end. The same class as the streams that were cut inside an event: a body changes its framing, and nobody asks whether it is complete.

Change: such a response ends with 502 answer_too_large (ran), or the response of the smaller model where one is kept; an answer that has begun is broken off. It is not sent elsewhere: another upstream gives the same.

Measured: do_not_truncate_responses_beyond_their_buffer, red before with one byte beyond (200 for 502), green now; at 16 MiB exactly it still passes.

--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -200,8 +200,20 @@
   State.Metrics->count("upstream_received_bytes", hallLabel(), Received);
   if (AnswerIsEvents)
     return forwardEvents(Bytes);
-  if (Answer.Body.size() + Bytes.size() <= MaxBufferedAnswerBytes)
+  if (Answer.Body.size() + Bytes.size() <= MaxBufferedAnswerBytes) {
     Answer.Body.append(Bytes);
+    return;
+  }
+  auto Keep = shared_from_this();
+  leaveUpstream();
+  Answer = {};
+  constexpr std::string_view Why =
+      "the response of the upstream is larger than 16 MiB";
+  if (Fallback)
+    return fallBack(Why);
+  if (HeadSent)
+    return complete(Why, 0);
+  giveUp(error_kind::AnswerTooLarge, Why);
 }
 
 void forwarding::forwardEvents(std::string_view Bytes) {
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -179,6 +179,7 @@
   if (Head.Target.find("/stream/") != std::string::npos)
     return stream(Connection, Head.Target, Id);
   std::string Text = Options.Id + " got " + Body;
+  Text.append(size_t(numberOf(Head.Target, "pad", 0)), '.');
   std::string Answer = withBody(answerHead(200, Id, ""), Text);
   if (Fault == "fail" || Fails)
     Answer = withBody(answerHead(500, Id, ""), "failed");
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -15,6 +15,7 @@
 //   do=extra     a second, unsolicited response follows the first
 //   do=unframed  no Content-Length; the end of the connection ends the body
 //   do=crash     the upstream crashes
+//   pad=N        N further bytes at the end of the body
 //   late=MS      the response is delayed by MS milliseconds
 // A path with /stream/ gives a stream of events=N events. With break=K the
 // stream breaks off in the middle of event K+1, unless the request resumes a
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -163,6 +163,22 @@
     BOOST_TEST(World.request("/unsafe/x", {.Body = "z"}).Body.ends_with("z"));
 }
 
+BOOST_AUTO_TEST_CASE(do_not_truncate_responses_beyond_their_buffer) {
+  served_world World;
+  constexpr int BufferBytes = 16 << 20;
+  constexpr int TextBytes = 8; // "i-1 got "
+  for (int Beyond : {0, 1})
+    BOOST_TEST_CONTEXT(Beyond << " bytes beyond") {
+      client_response Answer = World.request(
+          "/safe/x?pad=" + std::to_string(BufferBytes - TextBytes + Beyond));
+      BOOST_TEST(Answer.Status == (Beyond ? 502 : 200));
+      BOOST_TEST(Answer.outcome() == (Beyond ? "ran" : ""));
+      BOOST_TEST(World.runs(World.LastId) == 1);
+      if (!Beyond)
+        BOOST_TEST(Answer.Body.size() == size_t(BufferBytes));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(respect_max_connections_of_upstreams) {
   served_world World;
   json Routing = World.defaultRouting();
