A stream of an engine is complete only with its last event

Callers of chat streams got a stream that its engine had ended without [DONE] as complete, and it was billed: the sidecar took any transfer that libcurl ended without an error, also one that only the close of a connection ended, for the whole response.

Change: the sidecar asks net/response_body too, with the event that ends an engine's streams; http_client tells whether a length or chunks ended the transfer, or only a close. Frames hold complete events. An incomplete response is an engine failure: sent to another upstream while the caller has nothing, else broken off; it is not billed, and its outcome is not stored. response_ends counts by complete, unconfirmed and incomplete.

Measured: a_stream_without_the_last_event_of_its_engine_is_broken, red before (no error after 10 of 40 tokens; 200 for 502 before the first), green now.

--- a/net/event_stream.cpp
+++ b/net/event_stream.cpp
@@ -2,12 +2,14 @@
 
 #include "net/event_stream.h"
 #include <algorithm>
+#include <strings.h>
 #include <utility>
 
 namespace olivevalve {
 
 namespace {
 
+constexpr std::string_view EventStreamType = "text/event-stream";
 constexpr std::string_view LineEnds = "\r\n";
 constexpr std::string_view IdField = "id:";
 constexpr std::string_view DataField = "data:";
@@ -20,6 +22,13 @@
 
 } // namespace
 
+bool isEventStreamType(std::string_view ContentType) {
+  std::string_view Type =
+      ContentType.substr(0, ContentType.find_first_of("; \t"));
+  return Type.size() == EventStreamType.size() &&
+         strncasecmp(Type.data(), EventStreamType.data(), Type.size()) == 0;
+}
+
 void event_boundary::endEvent() {
   EndPending = InsideEvent = false;
   ++Events;
--- a/net/event_stream.h
+++ b/net/event_stream.h
@@ -17,6 +17,10 @@
 
 namespace olivevalve {
 
+/// Returns whether \p ContentType, with or without parameters, is
+/// text/event-stream.
+bool isEventStreamType(std::string_view ContentType);
+
 /// Follows a stream and finds the ends of its events.
 class event_boundary {
 public:
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,6 +1,7 @@
 //===- http_client.cpp - HTTP client on the event loop --------------------===//
 
 #include "net/http_client.h"
+#include "net/http_reader.h"
 #include <utility>
 
 namespace olivevalve {
@@ -19,6 +20,8 @@
   curl_slist *Headers = nullptr;
   fetch_options Options;
   bool HeadReported = false;
+  /// The response head announces a length or chunks.
+  bool Framed = false;
 
   ~fetch() {
     if (Easy)
@@ -77,10 +80,8 @@
     curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &http_client::onConnected);
     curl_easy_setopt(Easy, CURLOPT_PREREQDATA, Fetch.get());
   }
-  if (O.OnHeader) {
-    curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &http_client::onHeader);
-    curl_easy_setopt(Easy, CURLOPT_HEADERDATA, Fetch.get());
-  }
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &http_client::onHeader);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, Fetch.get());
   if (O.SentOnce) {
     curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
@@ -159,8 +160,15 @@
 size_t http_client::onHeader(char *Data, size_t Size, size_t Count,
                              void *Context) {
   auto *Fetch = static_cast<fetch *>(Context);
+  std::string_view Line(Data, Size * Count);
+  std::string_view Name = Line.substr(0, Line.find(':'));
+  if (Name.starts_with("HTTP/"))
+    Fetch->Framed = false; // The head of another response.
+  if (sameHeader(Name, "Content-Length") ||
+      sameHeader(Name, "Transfer-Encoding"))
+    Fetch->Framed = true;
   if (Fetch->Options.OnHeader)
-    Fetch->Options.OnHeader({Data, Size * Count});
+    Fetch->Options.OnHeader(Line);
   return Size * Count;
 }
 
@@ -223,6 +231,10 @@
       Result.Error = curl_easy_strerror(Code);
     Result.NeverSent = Code == CURLE_COULDNT_CONNECT;
     Result.TimedOut = Code == CURLE_OPERATION_TIMEDOUT;
+    bool NoBody =
+        Status == 204 || Status == 304 || Fetch->Options.Method == "HEAD";
+    if (!Fetch->Framed && !NoBody)
+      Result.End = transfer_end::Closed;
     Fetch->Options.OnDone(Result);
   }
 }
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -9,6 +9,7 @@
 #define OLIVEVALVE_NET_HTTP_CLIENT_H
 
 #include "base/loop.h"
+#include "net/response_body.h"
 #include <curl/curl.h>
 #include <functional>
 #include <map>
@@ -27,6 +28,8 @@
   /// Not set if connecting timed out.
   bool NeverSent = false;
   bool TimedOut = false;
+  /// Without an error: what ended the response.
+  transfer_end End = transfer_end::Framed;
 };
 
 /// One request and the callbacks for its response. Unset callbacks are not
--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -1,6 +1,7 @@
 //===- http_reader.cpp - Strict HTTP/1.1 message parser -------------------===//
 
 #include "net/http_reader.h"
+#include "net/event_stream.h"
 #include <algorithm>
 #include <array>
 #include <cstring>
@@ -13,7 +14,6 @@
 
 // Bytes of a header line besides name and value: ": " and CRLF.
 constexpr size_t LineOverhead = 4;
-constexpr std::string_view EventStreamType = "text/event-stream";
 
 constexpr std::array<std::string_view, 4> FramingNames = {"none", "length",
                                                           "chunks", "close"};
@@ -72,11 +72,7 @@
 
 bool http_head::isEventStream() const {
   const std::string *Value = find("Content-Type");
-  if (!Value)
-    return false;
-  std::string_view Type(*Value);
-  Type = Type.substr(0, Type.find_first_of("; \t"));
-  return sameHeader(Type, EventStreamType);
+  return Value && isEventStreamType(*Value);
 }
 
 http_reader::http_reader(http_side Side) : Side(Side) { next(); }
--- a/sidecar/engine.h
+++ b/sidecar/engine.h
@@ -17,6 +17,9 @@
 
 namespace olivevalve {
 
+/// Data of the event that ends each complete stream of an engine.
+inline constexpr std::string_view FinalEventData = "[DONE]";
+
 /// Finds the usage object in a plain or streamed response. It buffers only the
 /// last few kilobytes.
 class usage_scanner {
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -322,6 +322,11 @@
   // An engine's server error is not passed on: the entry may retry elsewhere.
   if (isEngine() && Status >= 500)
     return;
+  bool HasFinalEvent = isEngine() && Status < 300;
+  if (isEventStreamType(ContentType))
+    Work->Body = response_body(
+        {.Content = body_content::Events,
+         .FinalData = HasFinalEvent ? FinalEventData : std::string_view()});
   wire::envelope Message;
   wire::head *Head = Message.mutable_head();
   *Head->mutable_id() = Work->Attempt.id();
@@ -337,28 +342,34 @@
   if (isEngine() && Work->Status >= 500)
     return true;
   // A claimed attempt runs to its end even if nobody reads the response.
-  if (Work->claimed()) {
-    if (Work->Outcome.size() < MaxOutcomeBytes)
-      Work->Outcome.append(Bytes);
-  } else if (Work->Credits == 0) {
+  if (!Work->claimed() && Work->Credits == 0) {
     Work->Paused = true;
     return false;
-  } else {
-    --Work->Credits;
   }
-  Work->Usage.feed(Bytes);
+  std::string_view Ready = Work->Body.take(Bytes);
+  if (!Ready.empty())
+    passOn(*Work, Ready);
+  return true;
+}
+
+void sidecar_task::passOn(active_attempt &Work, std::string_view Bytes) {
+  if (Work.Credits > 0)
+    --Work.Credits;
+  // An outcome beyond the bound grows past it and is not stored.
+  if (Work.claimed() && Work.Outcome.size() <= MaxOutcomeBytes)
+    Work.Outcome.append(Bytes);
+  Work.Usage.feed(Bytes);
   wire::envelope Message;
   wire::frame *Frame = Message.mutable_frame();
-  *Frame->mutable_id() = Work->Attempt.id();
-  Frame->set_sequence(Work->NextSequence++);
+  *Frame->mutable_id() = Work.Attempt.id();
+  Frame->set_sequence(Work.NextSequence++);
   Frame->set_data(Bytes.data(), Bytes.size());
-  if (!Server.send(Work->Peer, Message) && !Work->claimed()) {
+  if (!Server.send(Work.Peer, Message) && !Work.claimed()) {
     // The entry is gone, so nobody can read the rest.
     Metrics.count("entries_gone", "sidecar");
-    Http.cancel(Work->Fetch);
-    removeAttempt(Ticket, attempt_progress::Finished);
+    Http.cancel(Work.Fetch);
+    removeAttempt(Work.Ticket, attempt_progress::Finished);
   }
-  return true;
 }
 
 void sidecar_task::onCredit(const wire::credit &Credit) {
@@ -382,10 +393,21 @@
     removeAttempt(Ticket, attempt_progress::NotStarted);
     return startNext();
   }
-  recordEngineResult(*Work, Result.Error.empty());
-  bool Failed = !Result.Error.empty() || (isEngine() && Result.Status >= 500);
-  error_kind Kind = Failed ? error_kind::EngineFailed : error_kind::None;
   std::string Message = Result.Error;
+  if (Message.empty()) {
+    completeness Completeness = Work->Body.atEnd(Result.End);
+    Metrics.count("response_ends", nameOf(Completeness));
+    if (Completeness == completeness::Incomplete)
+      Message = "the engine's response is incomplete";
+    else if (!Work->Body.heldBack().empty())
+      passOn(*Work, Work->Body.heldBack());
+    Work = find(Ticket);
+    if (!Work)
+      return startNext();
+  }
+  recordEngineResult(*Work, Message.empty());
+  bool Failed = !Message.empty() || (isEngine() && Result.Status >= 500);
+  error_kind Kind = Failed ? error_kind::EngineFailed : error_kind::None;
   if (Message.empty() && Kind != error_kind::None)
     Message =
         "the engine responded with status " + std::to_string(Result.Status);
--- a/sidecar/sidecar_task.h
+++ b/sidecar/sidecar_task.h
@@ -68,6 +68,7 @@
     bool Paused = false;  ///< The transfer waits for credits.
     uint32_t NextSequence = 0;
     int Status = 0;
+    response_body Body;
     usage_scanner Usage;
     /// Body of the response, to be stored; only for claimed attempts.
     std::string Outcome;
@@ -88,6 +89,7 @@
   void holdBill(const active_attempt &Work);
   void settleForLostEntries(double Now);
   void onAttempt(const std::string &Peer, const wire::attempt &Attempt);
+  void passOn(active_attempt &Work, std::string_view Bytes);
   void onCredit(const wire::credit &Credit);
   void onCancel(const std::string &Peer, const wire::cancel &Cancel);
   void sendCancelResult(const std::string &Peer, const wire::attempt_id &Id,
--- a/tests/stand_in.cpp
+++ b/tests/stand_in.cpp
@@ -106,6 +106,7 @@
   G.Stream = Body.value("stream", false);
   G.Tokens = int(directive(Prompt, "tokens", Options.Tokens));
   G.CutAfter = int(directive(Prompt, "cut", -1));
+  G.ShortAfter = int(directive(Prompt, "short", -1));
   G.Gap = directive(Prompt, "gap", Options.GapSeconds * 1e3) * 1e-3;
   G.PromptTokens = size_t(double(Prompt.size()) / BytesPerToken) + 1;
   G.Text = "[score=" + std::to_string(quality(Model, Prompt)) + "]";
@@ -136,6 +137,11 @@
     G.Exchange->abort();
     return drop(G);
   }
+  if (G.ShortAfter >= 0 && G.Sent >= G.ShortAfter) {
+    G.Exchange->OnGone = nullptr;
+    G.Exchange->finish();
+    return drop(G);
+  }
   if (G.Sent >= G.Tokens)
     return finish(G);
   std::string Word = G.Sent == 0 ? G.Text : " w" + std::to_string(G.Sent);
@@ -204,12 +210,14 @@
   ++Started;
   uint64_t Run = ++Runs["service " + Key];
   const std::string &Body = Exchange->body();
-  std::string Reply = json({{"service", true},
-                            {"method", Exchange->method()},
-                            {"path", Exchange->path()},
-                            {"key", Key},
-                            {"run", Run}})
-                          .dump();
+  std::string Reply =
+      json({{"service", true},
+            {"method", Exchange->method()},
+            {"path", Exchange->path()},
+            {"key", Key},
+            {"run", Run},
+            {"pad", std::string(size_t(directive(Body, "pad", 0)), '.')}})
+          .dump();
   double Wait = directive(Body, "first", 0) * 1e-3;
   if (Wait <= 0) {
     ++Finished;
--- a/tests/stand_in.h
+++ b/tests/stand_in.h
@@ -10,10 +10,13 @@
 //   gap=5       milliseconds between tokens
 //   fail=500    responds with this status
 //   cut=3       breaks the response off after this number of tokens
+//   short=3     ends the stream after this number of tokens, without usage and
+//               without its last event
 //   pad=1000    additional bytes sent with each token of a stream
 //   crash=1     gives no response and sets crashes(); the owner then has to
 //               destroy the engine
-// The plain service reads "first" from the request's body.
+// The plain service reads "first" from the request's body, and "pad":
+// additional bytes of its response.
 //
 //===----------------------------------------------------------------------===//
 
@@ -59,8 +62,9 @@
     bool Stream = false;
     int Tokens = 0;
     int Sent = 0;
-    int CutAfter = -1; ///< Tokens; -1: not cut.
-    double Gap = 0;    ///< Seconds between tokens.
+    int CutAfter = -1;   ///< Tokens; -1: not cut.
+    int ShortAfter = -1; ///< Tokens; -1: not short.
+    double Gap = 0;      ///< Seconds between tokens.
     size_t PromptTokens = 0;
     size_t Pad = 0;
     std::string Text;
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -161,6 +161,21 @@
 // Guards against buffering a response without bound for a caller that does not
 // read. Flow control reaches back to the engine, and the caller gets the
 // complete response when it reads later.
+BOOST_AUTO_TEST_CASE(a_stream_without_the_last_event_of_its_engine_is_broken) {
+  world World;
+  World.startDefaultSystem();
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  client_response Answer =
+      World.call(Entry, {.Body = chatBody("plan", "tokens=40 short=10", true)});
+  BOOST_TEST(Answer.Status == 200);
+  BOOST_TEST(Answer.Error != "");
+  BOOST_TEST_CONTEXT("before its first event, at each upstream") {
+    Answer = World.call(Entry,
+                        {.Body = chatBody("plan", "tokens=40 short=0", true)});
+    BOOST_TEST(Answer.Status == 502);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_caller_throttles_its_engine) {
   world World;
   World.startDefaultSystem(1);
