An outcome that is too large to store is not replayed as an empty response

A second request with the same Idempotency-Key got status 200 and an empty body once the first response was over 64 KiB: the outcome was stored without its body.

Cause: a bound that drops bytes without a trace, as in the gateway's buffer. Change: such an outcome is stored as answer_too_large (ran, 502), which says that the request ran and will not run again.

--- a/sidecar/sidecar_bills.cpp
+++ b/sidecar/sidecar_bills.cpp
@@ -64,8 +64,13 @@
   *Finish->mutable_id() = Work.Attempt.id();
   Finish->set_status(uint32_t(Work.Status));
   Finish->set_content_type(Work.ContentType);
-  if (Work.Outcome.size() <= MaxOutcomeBytes)
+  if (Work.Outcome.size() <= MaxOutcomeBytes) {
     Finish->set_body(Work.Outcome);
+  } else {
+    Finish->set_kind(uint32_t(error_kind::AnswerTooLarge));
+    Finish->set_body("the request ran; its response is larger than 64 KiB and "
+                     "was not stored");
+  }
   ++OutcomesPending;
   Control.sendRequest(std::move(Message), OutcomeTimeoutSeconds,
                       [this](const wire::envelope *) { --OutcomesPending; });
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -102,6 +102,33 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(
+    with_an_outcome_too_large_to_store_are_not_replayed_empty) {
+  world World;
+  World.startDefaultSystem();
+  std::string Entry = World.Entries["entry-1"]->Address.text();
+  for (int Bytes : {1000, 70000}) {
+    bool Stored = Bytes == 1000;
+    BOOST_TEST_CONTEXT(Bytes << " bytes") {
+      client_request Request{
+          .Path = "/ledger/assignments",
+          .Body = "{\"note\":\"pad=" + std::to_string(Bytes) + "\"}",
+          .Headers = {"Idempotency-Key: large-" + std::to_string(Bytes)}};
+      client_response First = World.ask(Entry, Request);
+      BOOST_TEST(First.Status == 200);
+      client_response Again;
+      World.until("the outcome is stored", [&] {
+        Again = World.call(Entry, Request);
+        return Again.Status != 409;
+      });
+      BOOST_TEST(Again.Status == (Stored ? 200 : 502));
+      BOOST_TEST(Again.outcome() == (Stored ? "" : "ran"));
+      if (Stored)
+        BOOST_TEST(Again.Body == First.Body);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(that_never_started_can_be_retried) {
   world World;
   World.startDefaultSystem();
