A list of upstreams that a closed connection cut short is no shorter list

If an entry of the platform's list is not valid JSON, the others are read one by one. A body that is cut must not come that far, as the upstreams of the missing part would count as removed; it was recognised by what usually stands at its end. Where the field of the next page precedes the list, a body that is cut after an entry has that too, and was read as a shorter list.

Cause: the same class, the end of a message concluded from what is there.

Ruled out elsewhere: reports of engines, ratings and answers of control are JSON objects, read whole or not at all; messages between our processes come whole, with counts or checksums; bodies of callers' requests are passed on only once whole, with a length.

--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -444,6 +444,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(cut_short_by_a_closed_connection_is_no_shorter_list) {
+  std::string Entries =
+      "[" + validEntry("a").dump() + "," + validEntry("b").dump() + "]";
+  for (const std::string &Text :
+       {"{\"upstreams\":" + Entries + ",\"next_page\":null}",
+        "{\"next_page\":null,\"upstreams\":" + Entries + "}"})
+    for (size_t Cut = 0; Cut <= Text.size(); ++Cut)
+      BOOST_TEST_CONTEXT(Text << " cut after " << Cut)
+  BOOST_TEST(platform::readUpstreamPage(std::string_view(Text).substr(0, Cut),
+                                        transfer_end::Closed)
+                 .ok() == (Cut == Text.size()));
+}
+
 BOOST_AUTO_TEST_CASE(survives_random_bytes) {
   std::mt19937_64 Random(9);
   std::string Good = pageOf({validEntry("a").dump(), validEntry("b").dump()});
