An event that never ends is not held without bound; continuations that are cut too

An event of over 16 MiB makes its response incomplete, as it is held until it ends. Before the verdict on completeness the gateway held it without bound; the sidecar passed it on in pieces.

Test of streams whose continuations are cut as well: the caller gets the complete events of all runs and sees the break. It failed at first where the gateway had not been told the number of gateways, as its share of the retries was used up after the first ("retry refused by the shared retry bound" in its log); the test waits until it has been told.

--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -83,6 +83,7 @@
   AssignedAt = steadySeconds();
   Skipping = false;
   Reused = IdleSince > 0;
+  Body = response_body();
   Reader.next(Exchange.HeadOnly);
   Stream.write(std::exchange(Exchange.Bytes, {}));
 }
--- a/net/response_body.cpp
+++ b/net/response_body.cpp
@@ -2,12 +2,14 @@
 
 #include "net/response_body.h"
 #include <array>
-#include <utility>
 
 namespace olivevalve {
 
 namespace {
 
+// Bound on an event that has not ended; the longest ones hold some kilobytes.
+constexpr size_t MaxEventBytes = 16 << 20;
+
 constexpr std::array<std::string_view, 3> CompletenessNames = {
     "complete", "unconfirmed", "incomplete"};
 
@@ -20,15 +22,20 @@
 std::string_view response_body::take(std::string_view Bytes) {
   if (Options.Content == body_content::Opaque)
     return Bytes;
+  if (Oversized)
+    return {};
   std::optional<size_t> End = Boundary.feed(Bytes);
   if (!End) {
     Rest.append(Bytes);
+    Oversized = Rest.size() > MaxEventBytes;
+    if (Oversized)
+      Rest = {};
     return {};
   }
   std::string_view Ended = Bytes.substr(0, *End);
   if (!Rest.empty()) {
-    Ready = std::exchange(Rest, {}).append(Ended);
-    Ended = Ready;
+    Ended = Ready.assign(Rest).append(Ended);
+    Rest.clear();
   }
   Rest.append(Bytes.substr(*End));
   if (!Options.FinalData.empty() && !Ended.empty())
@@ -37,6 +44,8 @@
 }
 
 completeness response_body::atEnd(transfer_end End) const {
+  if (Oversized)
+    return completeness::Incomplete;
   bool Framed = End == transfer_end::Framed;
   completeness ByFraming =
       Framed ? completeness::Complete : completeness::Unconfirmed;
--- a/net/response_body.h
+++ b/net/response_body.h
@@ -53,7 +53,8 @@
   /// Decides at the end of the transfer. Unless the response is incomplete,
   /// heldBack() is the rest of the body.
   completeness atEnd(transfer_end End) const;
-  /// Bytes that take() has not returned.
+  /// Bytes that take() has not returned; none of an event beyond 16 MiB, which
+  /// makes the response incomplete.
   std::string_view heldBack() const { return Rest; }
 
 private:
@@ -62,6 +63,7 @@
   std::string Rest;
   std::string Ready; ///< Returned by take() if it joins two parts.
   bool HasFinalData = false;
+  bool Oversized = false;
 };
 
 } // namespace olivevalve
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -208,8 +208,9 @@
   int Break = numberOf(Target, "break", -1);
   Connection.Crashes = queryOf(Target, "do") == "crash";
   Connection.BreakAfter = Last.empty() || Connection.Crashes ? Break : -1;
-  bool FirstRun = (RunsAnywhere ? RunsAnywhere(Id) : runs(Id)) == 1;
-  Connection.CutAfter = FirstRun ? numberOf(Target, "cut", -1) : -1;
+  int Run = RunsAnywhere ? RunsAnywhere(Id) : runs(Id);
+  bool IsCut = Run <= numberOf(Target, "cut_runs", 1);
+  Connection.CutAfter = IsCut ? numberOf(Target, "cut", -1) : -1;
   Connection.Proper = numberOf(Target, "proper", 0) > 0;
   Connection.Framing = framingOf(Target);
   Connection.PlainBody = queryOf(Target, "body");
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -23,6 +23,7 @@
 // also in a resumed stream. Streams also read:
 //   frame=F      framing: chunks (default), length or close, which is none
 //   cut=N        the first run of a request breaks off after N body bytes
+//   cut_runs=N   so do the first N runs
 //   proper=1     with cut=N the framing is complete nevertheless
 //   type=T       Content-Type, default text/event-stream; none: no such header
 //   body=TEXT    the response has this body instead of events
--- a/tests/system/streams_test.cpp
+++ b/tests/system/streams_test.cpp
@@ -40,6 +40,10 @@
     Once["resumable"] = false;
     Routing["routes"].push_back(Once);
     startServing(Routing);
+    // Until then it may send few requests again.
+    until("the gateway knows the number of gateways", [&] {
+      return Gateway->logText().find("number of gateways") != std::string::npos;
+    });
   }
   client_response cut(const std::string &Path, const std::string &Framing,
                       int Bytes, const std::string &More = "") {
@@ -95,6 +99,20 @@
         }
 }
 
+BOOST_AUTO_TEST_CASE(are_not_completed_if_each_continuation_is_cut_too) {
+  stream_world World;
+  for (const char *Framing : {"close", "chunks", "length"})
+    BOOST_TEST_CONTEXT(Framing) {
+      client_response Answer =
+          World.request(std::string("/stream/x?events=5&cut_runs=3&frame=") +
+                        Framing + "&cut=" + std::to_string(EventBytes + 4));
+      BOOST_TEST(Answer.Status == 200);
+      BOOST_TEST(!Answer.Error.empty());
+      BOOST_TEST(Answer.Body == eventsUpTo(3));
+      BOOST_TEST(World.runs(World.LastId) == 3);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(are_not_completed_when_kept_during_a_model_switch) {
   stream_world World;
   for (auto &[Id, Replica] : World.Replicas)
--- a/tests/unit/response_body_test.cpp
+++ b/tests/unit/response_body_test.cpp
@@ -77,6 +77,17 @@
   BOOST_TEST(lastEventId(Whole).value_or("") == "2");
 }
 
+BOOST_AUTO_TEST_CASE(that_never_end_are_not_held_without_bound) {
+  response_body Body({.Content = body_content::Events});
+  const std::string Line(1 << 20, 'x');
+  for (int I = 0; I < 40; ++I) {
+    BOOST_TEST(Body.take(Line).empty());
+    BOOST_TEST(Body.heldBack().size() <= size_t(16 << 20));
+  }
+  BOOST_TEST(Body.take("\n\n").empty());
+  BOOST_TEST((Body.atEnd(transfer_end::Framed) == completeness::Incomplete));
+}
+
 BOOST_AUTO_TEST_CASE(end_with_a_blank_line_after_lf_crlf_or_cr) {
   std::mt19937_64 Random(1);
   constexpr const char *Parts[] = {"\n", "\n",    "\r\n", "\r\n",
