--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -13,7 +13,8 @@
 // Time in which a sidecar must respond to an attempt before it counts as lost.
 constexpr double AcceptTimeoutSeconds = 1.5;
 constexpr uint32_t MaxAttempts = 4;
-// Frames, of at most 16 KiB or one event each, that may be in flight to a slow caller.
+// Frames, of at most 16 KiB or one event each, that may be in flight to a slow
+// caller.
 constexpr uint32_t InitialCredits = 32;
 // A response that is not streamed is buffered completely up to this size.
 constexpr size_t MaxAnswerBytes = 16 << 20;
