--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -3,6 +3,7 @@
 #include "gateway/upstream_connection.h"
 #include "base/clock.h"
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace olivevalve {
@@ -18,6 +19,18 @@
 // as a request sent while it closes is lost.
 constexpr double IdleMarginSeconds = 0.8;
 
+// In the order of broken_at.
+constexpr std::array<std::string_view, 9> BreakTexts = {
+    "no connection",
+    "connection refused",
+    "takes nothing new any more",
+    "resting connection closed",
+    "closed before the answer",
+    "closed in the answer",
+    "reset in the answer",
+    "incomplete answer",
+    "not an answer"};
+
 double idleSecondsOf(const http_head &Head) {
   const std::string *Value = Head.find("Keep-Alive");
   constexpr std::string_view Field = "timeout=";
@@ -32,29 +45,7 @@
 
 } // namespace
 
-std::string_view textOf(broken_at Where) {
-  switch (Where) {
-  case broken_at::Connecting:
-    return "no connection";
-  case broken_at::Refused:
-    return "connection refused";
-  case broken_at::Declined:
-    return "takes nothing new any more";
-  case broken_at::Reused:
-    return "resting connection closed";
-  case broken_at::Waiting:
-    return "closed before the answer";
-  case broken_at::Answering:
-    return "closed in the answer";
-  case broken_at::Reset:
-    return "reset in the answer";
-  case broken_at::Incomplete:
-    return "incomplete answer";
-  case broken_at::Garbled:
-    return "not an answer";
-  }
-  return "";
-}
+std::string_view textOf(broken_at Where) { return BreakTexts[size_t(Where)]; }
 
 upstream_connection::upstream_connection(struct ev_loop *Loop,
                                          upstream_connections &Owner,
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -59,6 +59,13 @@
 
 } // namespace
 
+std::string eventsUpTo(int Last) {
+  std::string Text;
+  for (int I = 1; I <= Last; ++I)
+    Text += eventText(I);
+  return Text;
+}
+
 replica::connection::connection(struct ev_loop *Loop, int Socket,
                                 replica &Owner)
     : Stream(Loop, Socket), Reader(http_side::Request),
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -56,6 +56,9 @@
   std::string DataHall = "charguia";
 };
 
+/// Returns the text of the events 1 to \p Last of a stream.
+std::string eventsUpTo(int Last);
+
 /// A simulated upstream.
 class replica {
 public:
--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -88,15 +88,6 @@
   std::shared_ptr<client_response> Answer;
 };
 
-// Returns the text of a stream's events 1 to Last.
-std::string eventsUpTo(int Last) {
-  std::string Text;
-  for (int I = 1; I <= Last; ++I)
-    Text +=
-        "id: " + std::to_string(I) + "\ndata: " + std::to_string(I) + "\n\n";
-  return Text;
-}
-
 /// One run: the processes, the clients, the faults and the checks.
 class soak : public gateway_world {
 public:
--- a/tests/system/cascade_test.cpp
+++ b/tests/system/cascade_test.cpp
@@ -31,14 +31,6 @@
   int runs() { return gateway_world::runs(LastId); }
 };
 
-std::string eventsUpTo(int Last) {
-  std::string Text;
-  for (int I = 1; I <= Last; ++I)
-    Text +=
-        "id: " + std::to_string(I) + "\ndata: " + std::to_string(I) + "\n\n";
-  return Text;
-}
-
 void testComplete(const client_response &Answer, int Events) {
   BOOST_TEST(Answer.Status == 200);
   BOOST_TEST(Answer.Error.empty());
--- a/tests/system/streams_test.cpp
+++ b/tests/system/streams_test.cpp
@@ -15,14 +15,6 @@
 
 constexpr int EventCount = 3;
 
-std::string eventsUpTo(int Last) {
-  std::string Text;
-  for (int I = 1; I <= Last; ++I)
-    Text +=
-        "id: " + std::to_string(I) + "\ndata: " + std::to_string(I) + "\n\n";
-  return Text;
-}
-
 const int EventBytes = int(eventsUpTo(1).size());
 const std::string AllEvents = eventsUpTo(EventCount);
 
