Responses without a framing of upstreams that exit: failing tests, listed as red

An upstream's process that exits closes its listener and, in order, its connections. Callers get what arrived of a response without a length or chunks as complete: a stream that ends after an event, on a route that allows resumption and on one that doesn't (one run, status 200), and a plain body that ends anywhere (safe and not repeatable).

--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -122,9 +122,19 @@
   return Max;
 }
 
-void replica::crash() {
+void replica::stopListening() {
   Crashed = true;
   Listener.close();
+}
+
+void replica::exit() {
+  stopListening();
+  for (connection &Each : Connections)
+    kill(Each);
+}
+
+void replica::crash() {
+  stopListening();
   for (connection &Each : Connections) {
     // A close would end a response without a length or chunks in order.
     if (Each.Working)
@@ -200,8 +210,12 @@
     Answer = "!!! this is not HTTP\r\n\r\n";
   if (Fault == "extra")
     Answer += withBody(answerHead(200, "somebody-else", ""), "not yours");
-  if (Fault == "unframed")
+  if (Fault == "unframed") {
+    Text.resize(std::min(
+        Text.size(), size_t(numberOf(Head.Target, "cut", int(Text.size())))));
     Answer = answerHead(200, Id, "Connection: close\r\n") + "\r\n" + Text;
+  }
+  Connection.ExitAfter = numberOf(Head.Target, "exit", 0) > 0;
   Connection.CloseAfter = Fault == "cut" || Fault == "unframed";
   Connection.Answer = std::move(Answer);
   Connection.Later.startOnce(numberOf(Head.Target, "late", 0) * 1e-3);
@@ -219,6 +233,7 @@
   bool IsCut = Run <= numberOf(Target, "cut_runs", 1);
   Connection.CutAfter = IsCut ? numberOf(Target, "cut", -1) : -1;
   Connection.Proper = numberOf(Target, "proper", 0) > 0;
+  Connection.Exits = numberOf(Target, "exit", 0) > 0;
   Connection.Framing = framingOf(Target);
   Connection.PlainBody = queryOf(Target, "body");
   size_t Length = Connection.PlainBody.size();
@@ -245,6 +260,8 @@
     Connection.Stream.write(std::exchange(Connection.Answer, {}));
   if (Connection.LastEvent < 0) {
     Connection.Working = false;
+    if (Connection.ExitAfter)
+      return exit();
     if (Connection.CloseAfter)
       Connection.Stream.closeWhenSent();
     return;
@@ -280,6 +297,8 @@
         Connection.Framing == body_framing::Chunks ? chunk(Part) : Part);
   if (!Cut)
     return Connection.Later.startOnce(EventGapSeconds);
+  if (Connection.Exits)
+    return exit();
   return Connection.Proper ? endStream(Connection) : kill(Connection);
 }
 
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -27,6 +27,9 @@
 //   proper=1     with cut=N the framing is complete nevertheless
 //   type=T       Content-Type, default text/event-stream; none: no such header
 //   body=TEXT    the response has this body instead of events
+// Any of these, and do=unframed, also reads, with cut=N:
+//   exit=1       the process of the upstream exits instead: it stops listening
+//                and closes all connections in order
 // If the request asks for the model "large", large=X
 // is read in place of do=X.
 //
@@ -89,8 +92,11 @@
   /// Number of requests whose connection the client closed before the response
   /// was complete.
   int cancelled() const { return Cancelled; }
-  /// Closes all connections and stops listening.
+  /// Resets connections with a request in progress, closes the others, and
+  /// stops listening.
   void crash();
+  /// Like crash(), but closes all connections in order.
+  void exit();
   bool crashed() const { return Crashed; }
   /// Returns how often all upstreams together have run a request; unset: this
   /// upstream alone.
@@ -126,8 +132,10 @@
     std::string PlainBody; ///< Sent in place of events.
     int CutAfter = -1;     ///< Body bytes.
     bool Proper = false;
+    bool Exits = false; ///< The process exits in place of breaking off.
     bool Working = false;
     bool CloseAfter = false;
+    bool ExitAfter = false;
     bool Dead = false;
     bool Crashes = false; ///< The upstream crashes after event BreakAfter.
   };
@@ -140,6 +148,7 @@
   void writePart(connection &Connection, std::string Part);
   void endStream(connection &Connection);
   void kill(connection &Connection);
+  void stopListening();
   std::string answerHead(int Status, const std::string &Id,
                          const std::string &Extra) const;
 
--- a/tests/system/streams_test.cpp
+++ b/tests/system/streams_test.cpp
@@ -8,6 +8,7 @@
 
 #include "boost/test/unit_test.hpp"
 #include "tests/gateway_world.h"
+#include <algorithm>
 
 using namespace olivevalve;
 
@@ -18,13 +19,21 @@
 const int EventBytes = int(eventsUpTo(1).size());
 const std::string AllEvents = eventsUpTo(EventCount);
 
-/// A gateway with three upstreams, a resumable route "/stream/" and a route
+/// How gateways reach an upstream. A proxy accepts connections also after its
+/// upstream has exited.
+enum class upstream_path : uint8_t { Proxied, Direct };
+
+/// A gateway with upstreams, a resumable route "/stream/" and a route
 /// "/stream/once/" whose streams cannot be resumed.
 class stream_world : public gateway_world {
 public:
-  stream_world() {
-    for (int I = 1; I <= 3; ++I)
-      addReplica({.Id = "i-" + std::to_string(I)});
+  explicit stream_world(int Upstreams = 3,
+                        upstream_path Path = upstream_path::Proxied) {
+    for (int I = 1; I <= Upstreams; ++I) {
+      replica &Added = addReplica({.Id = "i-" + std::to_string(I)});
+      if (Path == upstream_path::Direct)
+        List->put(Added, Added.address());
+    }
     json Routing = defaultRouting();
     json Once = Routing["routes"][2];
     Once["name"] = "once";
@@ -119,6 +128,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(are_not_completed_after_a_switch_to_a_larger_model) {
+  stream_world World;
+  for (auto &[Id, Replica] : World.Replicas)
+    Replica->Confidence = 0.2;
+  for (int Bytes : {4, EventBytes + 4, 2 * EventBytes + 4})
+    BOOST_TEST_CONTEXT("each run cut after " << Bytes) {
+      client_response Answer =
+          World.request("/stream/x?cut_runs=9&events=9&frame=close&cut=" +
+                            std::to_string(Bytes),
+                        {.Headers = {"X-Model: *"}});
+      bool LooksComplete = Answer.Status == 200 && Answer.Error.empty();
+      BOOST_TEST(!LooksComplete, Answer.Body);
+      BOOST_TEST(World.runs(World.LastId) > 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(are_not_completed_if_their_framing_ends_properly) {
   stream_world World;
   for (const char *Framing : {"chunks", "length"})
@@ -132,6 +157,78 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(responses_without_a_framing)
+
+namespace {
+
+class exiting_world : public stream_world {
+public:
+  exiting_world() : stream_world(11, upstream_path::Direct) {}
+  int exited() const {
+    return int(
+        std::count_if(Replicas.begin(), Replicas.end(),
+                      [](const auto &Each) { return Each.second->crashed(); }));
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(of_upstreams_that_exit_after_an_event_are_not_completed) {
+  exiting_world World;
+  for (int Events : {1, 2}) {
+    int Bytes = Events * EventBytes;
+    BOOST_TEST_CONTEXT("resumable, exit after event " << Events) {
+      testWhole(World.cut("/stream/x", "close", Bytes, "&exit=1"));
+      BOOST_TEST(World.runs(World.LastId) == 2);
+    }
+    BOOST_TEST_CONTEXT("not resumable, exit after event " << Events) {
+      testBroken(World.cut("/stream/once/x", "close", Bytes, "&exit=1"), Bytes);
+      BOOST_TEST(World.runs(World.LastId) == 1);
+    }
+  }
+  BOOST_TEST(World.exited() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(of_upstreams_that_exit_in_a_body_are_not_completed) {
+  exiting_world World;
+  BOOST_TEST_CONTEXT("each upstream that runs the request exits") {
+    BOOST_TEST(World.request("/safe/x?do=unframed&cut=4&exit=1").Status == 502);
+    BOOST_TEST(World.exited() == 3);
+  }
+  BOOST_TEST_CONTEXT("not repeatable") {
+    client_response Answer =
+        World.request("/unsafe/x?do=unframed&cut=4&exit=1");
+    BOOST_TEST(Answer.Status == 502);
+    BOOST_TEST(Answer.outcome() == "unknown");
+    BOOST_TEST(World.runs(World.LastId) == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(of_upstreams_that_live_on_are_complete) {
+  exiting_world World;
+  for (int I = 0; I < 20; ++I) {
+    testWhole(World.request("/stream/x?frame=close&events=3"));
+    BOOST_TEST(World.runs(World.LastId) == 1);
+    BOOST_TEST(World.request("/unsafe/x?do=unframed").Status == 200);
+    BOOST_TEST(World.runs(World.LastId) == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(of_leaving_upstreams_that_exit_then_are_complete) {
+  exiting_world World;
+  auto Answer = World.beginRequest("/unsafe/x?do=unframed&late=2500&exit=1");
+  std::string Id = World.LastId;
+  World.until("the request runs", [&] { return World.runs(Id) > 0; });
+  for (auto &[Name, Replica] : World.Replicas)
+    if (Replica->runs(Id) > 0)
+      World.List->put(*Replica, Replica->address(), "draining");
+  World.until("the request is answered", [&] { return Answer->Done; });
+  BOOST_TEST(Answer->Status == 200);
+  BOOST_TEST(World.exited() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(responses_of_streaming_routes)
 
 BOOST_AUTO_TEST_CASE(without_events_are_delivered_whole) {
