An end that only a close shows counts if the upstream still listens

Callers got a response without a length or chunks as complete when its upstream's process had exited: a stream after an event, a plain body anywhere.

Cause: a process that exits closes its connections in order, so the close looks like the end of the response, and where the content does not contradict it (completeness::Unconfirmed) it passed.

Change: at such an end upstream_connection asks with a connection of its own whether the upstream still listens, for a round trip and 20 ms, and holds back the end of the response meanwhile. Refused: the response was broken off (broken_at::Exited), and is resumed, sent again or broken off visibly like any other. A leaving upstream is not asked. listener_probe tells now when nothing was shown, and how long a connection must stay open is an option.

Measured: of_upstreams_that_exit_after_an_event_are_not_completed and of_upstreams_that_exit_in_a_body_are_not_completed, red before (10 checks), green now; the 13 cases of streams_test.cpp and the unit tests pass.

--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -19,8 +19,12 @@
 // as a request sent while it closes is lost.
 constexpr double IdleMarginSeconds = 0.8;
 
+// Within this time a process that exits has closed its listener as well. The
+// end of a response is held back for as long.
+constexpr double ExitSeconds = 0.02;
+
 // In the order of broken_at.
-constexpr std::array<std::string_view, 9> BreakTexts = {
+constexpr std::array<std::string_view, 10> BreakTexts = {
     "no connection",
     "connection refused",
     "takes nothing new any more",
@@ -29,6 +33,7 @@
     "closed in the answer",
     "reset in the answer",
     "incomplete answer",
+    "exited at the end of the answer",
     "not an answer"};
 
 double idleSecondsOf(const http_head &Head) {
@@ -50,7 +55,7 @@
 upstream_connection::upstream_connection(struct ev_loop *Loop,
                                          upstream_connections &Owner,
                                          std::shared_ptr<upstream> NewUpstream)
-    : Owner(Owner), Upstream(std::move(NewUpstream)),
+    : Loop(Loop), Owner(Owner), Upstream(std::move(NewUpstream)),
       Stream(Loop, Upstream->Listed.Address), Reader(http_side::Answer),
       ConnectTimer(Loop, [this] { onEnd(true); }) {
   ++Upstream->Connections;
@@ -133,6 +138,22 @@
   completeness Completeness = Body.atEnd(End);
   if (Completeness == completeness::Incomplete)
     return fail(broken_at::Incomplete);
+  // The process of an upstream that leaves exits after its last response.
+  if (Completeness != completeness::Unconfirmed || Upstream->leaving())
+    return complete(Completeness, Surplus);
+  Probe.emplace(Loop,
+                listener_probe_options{.Address = Upstream->Listed.Address,
+                                       .OpenSeconds = ExitSeconds},
+                [this, Completeness, Surplus](probe_result Result) {
+                  if (Ended)
+                    return;
+                  if (Result == probe_result::Refused)
+                    return fail(broken_at::Exited);
+                  complete(Completeness, Surplus);
+                });
+}
+
+void upstream_connection::complete(completeness Completeness, bool Surplus) {
   if (!Body.heldBack().empty())
     User->onAnswerBytes(Body.heldBack(), 0);
   if (!User)
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -1,8 +1,9 @@
 //===- upstream_connection.h - One connection to an upstream ----*- C++ -*-===//
 //
 // Carries one request at a time and reports how it ended: whether the request
-// was sent at all, and whether the response is complete. Responses with the
-// attempt id of another request are skipped.
+// was sent at all, and whether the response is complete. If only the close of
+// the connection ends a response, the upstream must still be listening.
+// Responses with the attempt id of another request are skipped.
 //
 //===----------------------------------------------------------------------===//
 
@@ -13,6 +14,7 @@
 #include "net/http_reader.h"
 #include "net/response_body.h"
 #include "net/tcp_stream.h"
+#include "quarantine/listener_probe.h"
 
 namespace olivevalve {
 
@@ -26,6 +28,7 @@
   Answering,  ///< The response was cut off.
   Reset,      ///< As Answering; the connection was reset.
   Incomplete, ///< As Answering; see completeness::Incomplete.
+  Exited,     ///< As Answering; the upstream's process exited.
   Garbled     ///< The bytes received are not a valid response.
 };
 
@@ -107,15 +110,18 @@
   body_content contentOf(const http_head &Head) const;
   void onEnd(bool Reset);
   void finish(transfer_end End, bool Surplus);
+  void complete(completeness Completeness, bool Surplus);
   void fail(broken_at Where);
   void shutDown();
 
+  struct ev_loop *Loop;
   upstream_connections &Owner;
   std::shared_ptr<upstream> Upstream;
   tcp_stream Stream;
   http_reader Reader;
   response_body Body;
   timer ConnectTimer;
+  std::optional<listener_probe> Probe;
   upstream_user *User = nullptr;
   upstream_exchange Exchange;
   double AssignedAt = 0; ///< When the current request was passed to send().
--- a/quarantine/crash_watch.cpp
+++ b/quarantine/crash_watch.cpp
@@ -45,13 +45,15 @@
   if (ProbedAt > 0 && Now < ProbedAt + ProbeIntervalSeconds)
     return;
   ProbedAt = Now;
-  Probes.emplace_back(Loop, Upstream.Address, [this, Upstream](bool Refused) {
-    if (!Refused || CrashedAt.contains(Upstream.Key))
-      return;
-    recordCrash(Upstream, "connection refused");
-    if (OnCrash)
-      OnCrash(Upstream);
-  });
+  Probes.emplace_back(Loop, listener_probe_options{.Address = Upstream.Address},
+                      [this, Upstream](probe_result Result) {
+                        if (Result != probe_result::Refused ||
+                            CrashedAt.contains(Upstream.Key))
+                          return;
+                        recordCrash(Upstream, "connection refused");
+                        if (OnCrash)
+                          OnCrash(Upstream);
+                      });
 }
 
 void crash_watch::recordCrash(const watched_upstream &Upstream,
--- a/quarantine/listener_probe.cpp
+++ b/quarantine/listener_probe.cpp
@@ -11,14 +11,15 @@
 // probe is repeated.
 constexpr int MaxTries = 3;
 constexpr double RetrySeconds = 0.05;
-// For a connection to be established, and to stay open.
+// For a connection to be established.
 constexpr double ConnectWaitSeconds = 0.3;
 
 } // namespace
 
-listener_probe::listener_probe(struct ev_loop *Loop, std::string NewAddress,
-                               std::function<void(bool Refused)> OnResult)
-    : Loop(Loop), Address(std::move(NewAddress)), OnResult(std::move(OnResult)),
+listener_probe::listener_probe(struct ev_loop *Loop,
+                               listener_probe_options NewOptions,
+                               std::function<void(probe_result)> OnResult)
+    : Loop(Loop), Options(std::move(NewOptions)), OnResult(std::move(OnResult)),
       Timer(Loop, [this] { connect(); }) {
   connect();
 }
@@ -27,9 +28,11 @@
 // process is alive.
 void listener_probe::connect() {
   if (Stream && Stream->open())
-    return finish(Stream->connected() ? std::optional(false) : std::nullopt);
+    return finish(Stream->connected() ? probe_result::Listens
+                                      : probe_result::Unclear);
   ++Tries;
-  Stream.emplace(Loop, Address);
+  Stream.emplace(Loop, Options.Address);
+  Stream->OnConnected = [this] { Timer.startOnce(Options.OpenSeconds); };
   Stream->OnBytes = [](std::string_view) {};
   Stream->OnEnd = [this](bool) { onEnd(); };
   Timer.startOnce(ConnectWaitSeconds);
@@ -37,19 +40,18 @@
 
 void listener_probe::onEnd() {
   if (Stream->refused())
-    return finish(true);
+    return finish(probe_result::Refused);
   if (Tries == MaxTries)
-    return finish(std::nullopt);
+    return finish(probe_result::Unclear);
   Stream->close();
   Timer.startOnce(RetrySeconds);
 }
 
-void listener_probe::finish(std::optional<bool> Refused) {
+void listener_probe::finish(probe_result Result) {
   Timer.stop();
   Stream->close();
   Done = true;
-  if (Refused)
-    OnResult(*Refused);
+  OnResult(Result);
 }
 
 } // namespace olivevalve
--- a/quarantine/listener_probe.h
+++ b/quarantine/listener_probe.h
@@ -9,25 +9,37 @@
 
 namespace olivevalve {
 
-/// Opens a connection to an address and closes it. The callback is called once
-/// with the result, or never if the result is unclear and the process may have
-/// crashed or not.
+enum class probe_result : uint8_t {
+  Listens,
+  Refused, ///< No process listens at the address.
+  Unclear  ///< Neither was shown in time.
+};
+
+struct listener_probe_options {
+  std::string Address;
+  /// How long the connection must stay open: a process that exits may close its
+  /// listener last.
+  double OpenSeconds = 0.3;
+};
+
+/// Opens a connection to an address and closes it. The callback is called once,
+/// within a second.
 class listener_probe {
 public:
-  listener_probe(struct ev_loop *Loop, std::string Address,
-                 std::function<void(bool Refused)> OnResult);
+  listener_probe(struct ev_loop *Loop, listener_probe_options Options,
+                 std::function<void(probe_result)> OnResult);
 
-  /// True once the probe is over, with or without a result.
+  /// True once the callback has been called.
   bool done() const { return Done; }
 
 private:
   void connect();
   void onEnd();
-  void finish(std::optional<bool> Refused);
+  void finish(probe_result Result);
 
   struct ev_loop *Loop;
-  std::string Address;
-  std::function<void(bool)> OnResult;
+  listener_probe_options Options;
+  std::function<void(probe_result)> OnResult;
   std::optional<tcp_stream> Stream;
   timer Timer;
   int Tries = 0;
