A sidecar asks its engine at an end that only a close shows

Callers got, and were billed for, the part of a plain response without a length that an engine had sent before its process exited: 200 and {"choices": [.

Change: at an unconfirmed end the sidecar asks whether its engine still listens before it concludes the attempt; refused, the response is incomplete. Probes that run are owned in one place, listener_probes, for crash_watch and for sidecars.

Ruled out: judging by whether the body parses as JSON. The sidecar streams bodies and would have to hold each one, and a number or a service's own text parses at any cut.

--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -19,10 +19,6 @@
 // as a request sent while it closes is lost.
 constexpr double IdleMarginSeconds = 0.8;
 
-// Within this time a process that exits has closed its listener as well. The
-// end of a response is held back for as long.
-constexpr double ExitSeconds = 0.02;
-
 // In the order of broken_at.
 constexpr std::array<std::string_view, 10> BreakTexts = {
     "no connection",
--- a/quarantine/crash_watch.cpp
+++ b/quarantine/crash_watch.cpp
@@ -21,10 +21,7 @@
 
 crash_watch::crash_watch(struct ev_loop *Loop, metrics &Metrics,
                          crash_reports &Reports)
-    : Loop(Loop), Metrics(Metrics), Reports(Reports), Prepare(Loop, [this] {
-        Probes.remove_if(
-            [](const listener_probe &Each) { return Each.done(); });
-      }) {}
+    : Metrics(Metrics), Reports(Reports), Probes(Loop) {}
 
 void crash_watch::recordInterruptedRequest(const watched_upstream &Upstream,
                                            const short_digest &Request) {
@@ -45,15 +42,14 @@
   if (ProbedAt > 0 && Now < ProbedAt + ProbeIntervalSeconds)
     return;
   ProbedAt = Now;
-  Probes.emplace_back(Loop, listener_probe_options{.Address = Upstream.Address},
-                      [this, Upstream](probe_result Result) {
-                        if (Result != probe_result::Refused ||
-                            CrashedAt.contains(Upstream.Key))
-                          return;
-                        recordCrash(Upstream, "connection refused");
-                        if (OnCrash)
-                          OnCrash(Upstream);
-                      });
+  Probes.start(
+      {.Address = Upstream.Address}, [this, Upstream](probe_result Result) {
+        if (Result != probe_result::Refused || CrashedAt.contains(Upstream.Key))
+          return;
+        recordCrash(Upstream, "connection refused");
+        if (OnCrash)
+          OnCrash(Upstream);
+      });
 }
 
 void crash_watch::recordCrash(const watched_upstream &Upstream,
--- a/quarantine/crash_watch.h
+++ b/quarantine/crash_watch.h
@@ -14,7 +14,6 @@
 
 #include "quarantine/crash_reports.h"
 #include "quarantine/listener_probe.h"
-#include <list>
 #include <string>
 #include <unordered_map>
 
@@ -58,14 +57,12 @@
   void probe(const watched_upstream &Upstream);
   void forgetOld(double Now);
 
-  struct ev_loop *Loop;
   metrics &Metrics;
   crash_reports &Reports;
   /// By upstream key.
   std::unordered_map<uint64_t, suspected_upstream> Suspected;
   std::unordered_map<uint64_t, double> CrashedAt; ///< By upstream key.
-  std::list<listener_probe> Probes;
-  before_wait Prepare;
+  listener_probes Probes;
 };
 
 } // namespace olivevalve
--- a/quarantine/listener_probe.cpp
+++ b/quarantine/listener_probe.cpp
@@ -54,4 +54,15 @@
   OnResult(Result);
 }
 
+listener_probes::listener_probes(struct ev_loop *Loop)
+    : Loop(Loop), Prepare(Loop, [this] {
+        Probes.remove_if(
+            [](const listener_probe &Each) { return Each.done(); });
+      }) {}
+
+void listener_probes::start(listener_probe_options Options,
+                            std::function<void(probe_result)> OnResult) {
+  Probes.emplace_back(Loop, std::move(Options), std::move(OnResult));
+}
+
 } // namespace olivevalve
--- a/quarantine/listener_probe.h
+++ b/quarantine/listener_probe.h
@@ -4,6 +4,7 @@
 #define OLIVEVALVE_QUARANTINE_LISTENER_PROBE_H
 
 #include "net/tcp_stream.h"
+#include <list>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,10 @@
   Unclear  ///< Neither was shown in time.
 };
 
+/// Within this time a process that exits has closed its listener as well, if it
+/// closes its connections first.
+constexpr double ExitSeconds = 0.02;
+
 struct listener_probe_options {
   std::string Address;
   /// How long the connection must stay open: a process that exits may close its
@@ -46,6 +51,22 @@
   bool Done = false;
 };
 
+/// Owns probes until their callbacks have been called.
+class listener_probes {
+public:
+  explicit listener_probes(struct ev_loop *Loop);
+
+  void start(listener_probe_options Options,
+             std::function<void(probe_result)> OnResult);
+
+private:
+  struct ev_loop *Loop;
+  std::list<listener_probe> Probes;
+  // Destroyed before the event loop's next wait, as none may be destroyed
+  // within its own callback.
+  before_wait Prepare;
+};
+
 } // namespace olivevalve
 
 #endif // OLIVEVALVE_QUARANTINE_LISTENER_PROBE_H
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -31,6 +31,8 @@
 // Stands for the leader in crash reports: only the leader sends grants, so it
 // need not be told apart from the other control VMs.
 constexpr uint64_t AnyLeader = 1;
+constexpr std::string_view IncompleteResponse =
+    "the engine's response is incomplete";
 
 } // namespace
 
@@ -50,7 +52,8 @@
                .Control = Options.Control}),
       Outbox(Control, Loop, BillHoldSeconds), Http(Loop),
       Loader(Http, Options.EngineUrl), Queue(MaxQueueLength), Reports(Metrics),
-      Crashes(Loop, Metrics, Reports), Timer(Loop, [this] { tick(); }) {
+      Crashes(Loop, Metrics, Reports), Probes(Loop),
+      Timer(Loop, [this] { tick(); }) {
   Control.OnRenew = [this](wire::renew &Renew) {
     wire::news &Report = *Renew.mutable_upstream_news();
     Report = makeReport();
@@ -393,29 +396,42 @@
     removeAttempt(Ticket, attempt_progress::NotStarted);
     return startNext();
   }
-  std::string Message = Result.Error;
-  if (Message.empty()) {
-    completeness Completeness = Work->Body.atEnd(Result.End);
-    Metrics.count("response_ends", nameOf(Completeness));
-    if (Completeness == completeness::Incomplete)
-      Message = "the engine's response is incomplete";
-    else if (!Work->Body.heldBack().empty())
-      passOn(*Work, Work->Body.heldBack());
+  if (!Result.Error.empty())
+    return conclude(Ticket, Result.Error);
+  completeness Completeness = Work->Body.atEnd(Result.End);
+  Metrics.count("response_ends", nameOf(Completeness));
+  if (Completeness == completeness::Incomplete)
+    return conclude(Ticket, std::string(IncompleteResponse));
+  if (Completeness == completeness::Complete)
+    return conclude(Ticket, "");
+  Probes.start({.Address = engine().Address, .OpenSeconds = ExitSeconds},
+               [this, Ticket](probe_result Engine) {
+                 bool Exited = Engine == probe_result::Refused;
+                 conclude(Ticket,
+                          Exited ? std::string(IncompleteResponse) : "");
+               });
+}
+
+// \p Error: what kept the engine's response from being complete; empty: it is
+// complete.
+void sidecar_task::conclude(uint64_t Ticket, std::string Error) {
+  active_attempt *Work = find(Ticket);
+  if (Work && Error.empty() && !Work->Body.heldBack().empty()) {
+    passOn(*Work, Work->Body.heldBack());
     Work = find(Ticket);
-    if (!Work)
-      return startNext();
   }
-  recordEngineResult(*Work, Message.empty());
-  bool Failed = !Message.empty() || (isEngine() && Result.Status >= 500);
+  if (!Work)
+    return startNext();
+  recordEngineResult(*Work, Error.empty());
+  bool Failed = !Error.empty() || (isEngine() && Work->Status >= 500);
   error_kind Kind = Failed ? error_kind::EngineFailed : error_kind::None;
-  if (Message.empty() && Kind != error_kind::None)
-    Message =
-        "the engine responded with status " + std::to_string(Result.Status);
+  if (Error.empty() && Failed)
+    Error = "the engine responded with status " + std::to_string(Work->Status);
   if (Work->claimed() && Kind == error_kind::None)
     storeOutcome(*Work);
   if (Kind == error_kind::None)
     holdBill(*Work);
-  sendEnd(*Work, Kind, Message);
+  sendEnd(*Work, Kind, Error);
   removeAttempt(Ticket, attempt_progress::Finished);
   startNext();
 }
--- a/sidecar/sidecar_task.h
+++ b/sidecar/sidecar_task.h
@@ -103,6 +103,7 @@
   bool onBytes(uint64_t Ticket, std::string_view Bytes);
   void onHead(uint64_t Ticket, int Status, std::string_view ContentType);
   void onDone(uint64_t Ticket, const fetch_result &Result);
+  void conclude(uint64_t Ticket, std::string Error);
   void storeOutcome(const active_attempt &Work);
   void sendEnd(const active_attempt &Work, error_kind Kind,
                std::string_view Message);
@@ -145,6 +146,7 @@
   int64_t Running = 0;
   crash_reports Reports;
   crash_watch Crashes;
+  listener_probes Probes;
   /// Counts the engine starts that this process has detected.
   uint64_t EngineGeneration = 0;
   /// When the engine was found to have crashed; 0: not since its last start.
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -4,7 +4,9 @@
 #include "tests/world.h"
 #include <arpa/inet.h>
 #include <array>
+#include <list>
 #include <netinet/in.h>
+#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -158,9 +160,50 @@
   }
 }
 
-// Guards against buffering a response without bound for a caller that does not
-// read. Flow control reaches back to the engine, and the caller gets the
-// complete response when it reads later.
+namespace {
+
+/// Takes the place of an engine that exits in the middle of a response without
+/// a length.
+class exiting_engine {
+public:
+  exiting_engine(struct ev_loop *Loop, const std::string &Address)
+      : Listener(Loop, [this, Loop](int Socket) {
+          Stream.emplace(Loop, Socket);
+          Stream->OnBytes = [this](std::string_view) { exit(); };
+          Stream->OnEnd = [](bool) {};
+        }) {
+    BOOST_REQUIRE(Listener.bind(Address));
+  }
+
+private:
+  void exit() {
+    Listener.close();
+    Stream->write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+                  "{\"choices\": [");
+    Stream->closeWhenSent();
+  }
+
+  std::optional<tcp_stream> Stream;
+  tcp_listener Listener;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_response_whose_engine_exits_in_its_body_is_broken) {
+  world World;
+  World.startDefaultSystem();
+  std::list<exiting_engine> Engines;
+  for (auto &[Name, Sidecar] : World.Sidecars) {
+    std::string Address = Sidecar->Engine->address();
+    Sidecar->Engine.reset();
+    Engines.emplace_back(World.Loop, Address);
+  }
+  client_response Answer = World.call(World.Entries["entry-1"]->Address.text(),
+                                      {.Body = chatBody("plan", "tokens=3")});
+  BOOST_TEST((Answer.Status == 502 || !Answer.Error.empty()),
+             Answer.Status << " " << Answer.Body);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_without_the_last_event_of_its_engine_is_broken) {
   world World;
   World.startDefaultSystem();
@@ -176,6 +219,9 @@
   }
 }
 
+// Guards against buffering a response without bound for a caller that does not
+// read. Flow control reaches back to the engine, and the caller gets the
+// complete response when it reads later.
 BOOST_AUTO_TEST_CASE(a_slow_caller_throttles_its_engine) {
   world World;
   World.startDefaultSystem(1);
