Log the blocks of a prompt and how far a response had come when it broke off

The lines on interrupted requests could not tell whether requests under which upstreams crash have a part of their prompts in common, nor whether they were waiting, had just begun or were in the midst of their response. Both are fields now; interrupted_requests counts the second.

No functional change.

--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -28,6 +28,15 @@
 // upstream reports.
 constexpr uint32_t MaxReportedRequests = 1 << 20;
 
+// Ids of the prompt's blocks for logs, separated by spaces.
+std::string blockIds(const platform::caller_facts &Facts) {
+  std::string Ids;
+  if (Facts.Model)
+    for (const platform::prefix_block &Block : Facts.Model->PrefixBlocks)
+      Ids.append(Ids.empty() ? "" : " ").append(hexOf(Block.Id));
+  return Ids;
+}
+
 } // namespace
 
 void forwarding::onAnswerHead(const http_head &AnswerHead,
@@ -307,6 +316,10 @@
   if (Where == broken_at::Reused)
     Tried.erase(Upstream->Listed.Id);
   Interrupted = Interrupted || Sent;
+  bool HasHead = HeadReceivedAt > SentAt;
+  if (Sent)
+    State.Metrics->count("interrupted_requests",
+                         HasHead ? "answer begun" : "waiting");
   if (Sent)
     logLine(log_level::Info, "upstream interrupted a request",
             {{"id", Facts.AttemptId},
@@ -315,6 +328,8 @@
              {"how", textOf(Where)},
              {"framing", nameOf(Framing)},
              {"unfinished_event_bytes", int64_t(UnfinishedEventBytes)},
+             {"blocks", blockIds(Facts)},
+             {"since_head_s", HasHead ? steadySeconds() - HeadReceivedAt : -1},
              {"seconds_there", steadySeconds() - SentAt},
              {"others_there", int64_t(Upstream->InFlight) - 1}});
   if (Where == broken_at::Refused) {
@@ -435,6 +450,7 @@
        {"prompt_tokens", int64_t(Facts.Model ? Facts.Model->PromptTokens : 0)},
        {"kept_tokens", int64_t(CachedTokens)},
        {"shared_prefix", PrefixReuse},
+       {"blocks", blockIds(Facts)},
        {"expected_first_s", ExpectedSeconds},
        {"expected_wait_s", WaitSeconds},
        {"first_event_s", FirstEventAt > 0 ? FirstEventAt - SentAt : -1},
