Prompts with a block that crashes upstreams: failing tests, listed as red

Upstreams that crash when they begin to answer a prompt with one block, with or without the head of the response, each replaced by one with another id. Requests with the block are all different and share their account, their first block and others with sound requests, which are sent all the while.

--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -46,6 +46,13 @@
   return Value ? *Value : "";
 }
 
+bool hasSharedBlock(const http_head &Head, const std::string &Block) {
+  std::string Blocks = headerOf(Head, "X-Prefix-Hash");
+  Blocks.resize(std::min(Blocks.rfind(','), Blocks.size()));
+  return !Block.empty() &&
+         ("," + Blocks).find("," + Block + ":") != std::string::npos;
+}
+
 std::string withBody(const std::string &Head, const std::string &Body) {
   return Head + "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
          Body;
@@ -197,6 +204,8 @@
     return kill(Connection);
   if (Fault == "crash" && Head.Target.find("/stream/") == std::string::npos)
     return crash();
+  if (CrashesBeforeHead && hasSharedBlock(Head, CrashingBlock))
+    return crash();
   if (Head.Target.find("/stream/") != std::string::npos)
     return stream(Connection, Head.Target, Id);
   std::string Text = Options.Id + " got " + Body;
@@ -228,6 +237,10 @@
   Connection.LastEvent = numberOf(Target, "events", 5);
   int Break = numberOf(Target, "break", -1);
   Connection.Crashes = queryOf(Target, "do") == "crash";
+  if (hasSharedBlock(LastHead, CrashingBlock)) {
+    Connection.Crashes = true;
+    Break = 0;
+  }
   Connection.BreakAfter = Last.empty() || Connection.Crashes ? Break : -1;
   int Run = RunsAnywhere ? RunsAnywhere(Id) : runs(Id);
   bool IsCut = Run <= numberOf(Target, "cut_runs", 1);
@@ -256,8 +269,12 @@
 }
 
 void replica::step(connection &Connection) {
-  if (!Connection.Answer.empty())
+  if (!Connection.Answer.empty()) {
     Connection.Stream.write(std::exchange(Connection.Answer, {}));
+    // The head must arrive before the reset of a crash.
+    if (Connection.Crashes && Connection.BreakAfter == 0)
+      return Connection.Later.startOnce(EventGapSeconds);
+  }
   if (Connection.LastEvent < 0) {
     Connection.Working = false;
     if (Connection.ExitAfter)
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -102,6 +102,11 @@
   /// upstream alone.
   std::function<int(const std::string &AttemptId)> RunsAnywhere;
 
+  /// The upstream crashes when it begins to answer a prompt with this block,
+  /// unless it is the last one; empty: there is no such block.
+  std::string CrashingBlock;
+  /// The crash comes before the head of that answer.
+  bool CrashesBeforeHead = false;
   /// Confidence reported with each response, from 0 to 1.
   double Confidence = 0.9;
   bool Fails = false;   ///< Responds to each request with status 500.
--- a/tests/system/crashes_test.cpp
+++ b/tests/system/crashes_test.cpp
@@ -5,13 +5,17 @@
 // at all gateways, also after they restart. Requests must not be quarantined
 // because they ran next to the crashing one, because they are popular and many
 // copies run when upstreams crash for another reason, or because an upstream
-// that is still alive aborted them.
+// that is still alive aborted them. The same holds for a block of prompts that
+// crashes upstreams, whatever else the requests with it contain.
 //
 //===----------------------------------------------------------------------===//
 
+#include "base/clock.h"
 #include "boost/test/unit_test.hpp"
 #include "tests/gateway_world.h"
 #include <algorithm>
+#include <array>
+#include <set>
 
 using namespace olivevalve;
 
@@ -340,3 +344,265 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(crashing_prompt_blocks)
+
+namespace {
+
+// Target: at most so many runs of requests with the block from so long after
+// the fifth crash on.
+constexpr int CrashesUntilKnown = 5;
+constexpr int MaxLateRuns = 3;
+const std::string BadBlock = "bad";
+
+/// Sound requests and requests with a block that crashes upstreams, all
+/// different, that share their first block, their account and other blocks.
+class block_world : public crashing_world {
+public:
+  explicit block_world(size_t GatewayCount, bool CrashesBeforeHead = false)
+      : crashing_world(10, GatewayCount), CrashesBeforeHead(CrashesBeforeHead) {
+    json Routing = defaultRouting();
+    Routing["accounts"].push_back({{"name", "other"}, {"keys", {"k2"}}});
+    BOOST_REQUIRE_EQUAL(putRouting(Routing).Status, 200);
+    run(1);
+    setCrashingBlock(BadBlock);
+  }
+  void setCrashingBlock(const std::string &Block) {
+    Crashing = Block;
+    for (auto &[Id, Replica] : Replicas) {
+      Replica->CrashingBlock = Block;
+      Replica->CrashesBeforeHead = CrashesBeforeHead;
+    }
+  }
+  /// Sends a request whose last block is its own.
+  std::shared_ptr<client_response>
+  beginPrompt(const std::vector<std::string> &SharedBlocks, size_t Gateway,
+              const std::string &Key = "k1") {
+    LastId = nextId();
+    std::string Blocks;
+    for (const std::string &Block : SharedBlocks)
+      Blocks += Block + ":200,";
+    std::array<char, 24> Own{};
+    std::snprintf(Own.data(), Own.size(), "f%06d:100", ++Prompts);
+    return begin(Gateways[Gateway]->Address.text(),
+                 {.Path = "/stream/" + LastId + "?events=3",
+                  .Body = LastId,
+                  .Key = "",
+                  .Headers = {"Host: a.example", "X-Credential: " + Key,
+                              "X-Deadline-Ms: 5000", "X-Attempt-Id: " + LastId,
+                              "X-Model: small", "X-Token-Count: 1000,20",
+                              "X-Prefix-Hash: " + Blocks + Own.data()}});
+  }
+  /// Plays \p Seconds of sound requests, one of \p Every with the bad block; 0:
+  /// none. A crashed upstream is replaced by one with another id.
+  void play(double Seconds, int Every) {
+    double End = steadySeconds() + Seconds;
+    for (; steadySeconds() < End; run(0.02)) {
+      ++Turn;
+      size_t Gateway = size_t(Turn) % Gateways.size();
+      std::string Middle = "b" + std::to_string(Turn % 3);
+      std::string Key = Turn % 5 == 0 ? "k2" : "k1";
+      Sound.push_back({beginPrompt({"a1", Middle}, Gateway, Key), LastId});
+      if (Every > 0 && Turn % Every == 0)
+        beginBad(Gateway, Middle, Key);
+      replaceCrashed();
+    }
+  }
+  /// Plays until CrashesUntilKnown upstreams have crashed or no more crash, and
+  /// then until all gateways have to refuse the block.
+  void playUntilKnown(int Every = 8) {
+    play(1, 0);
+    for (int I = 0; I < 10 && Crashes < CrashesUntilKnown; ++I)
+      play(0.5, Every);
+    play(PropagationSeconds, Every);
+    Sound.clear();
+  }
+  void crashAllAtOnce() {
+    crashAll(10);
+    for (auto &[Id, Replica] : Replicas)
+      if (Replica->crashed())
+        Replaced.insert(Id);
+    setCrashingBlock(Crashing);
+  }
+  int badRuns() const {
+    int Sum = 0;
+    for (const std::string &Id : BadIds)
+      Sum += runs(Id);
+    return Sum;
+  }
+  void testRefused(double Seconds = 3) {
+    int Before = badRuns();
+    play(Seconds, 4);
+    BOOST_TEST(badRuns() - Before <= MaxLateRuns);
+    testSoundServed();
+  }
+  /// Target: sound requests begin at their first attempt at least half as often
+  /// as without crashes, where all do.
+  void testSoundServed() {
+    run(1);
+    size_t First = 0;
+    for (const sent_request &Each : Sound)
+      First += Each.Answer->Status == 200 && runs(Each.Id) == 1;
+    BOOST_TEST_MESSAGE("sound requests served at the first attempt: "
+                       << First << " of " << Sound.size() << ", crashes "
+                       << Crashes);
+    BOOST_TEST(2 * First >= Sound.size());
+  }
+  json quarantined() {
+    client_response Shown = operatorCall("GET", "/v1/quarantine", "");
+    return json::parse(Shown.Body)["quarantine"];
+  }
+
+  int Crashes = 0;
+
+private:
+  struct sent_request {
+    std::shared_ptr<client_response> Answer;
+    std::string Id;
+  };
+  void beginBad(size_t Gateway, const std::string &Middle,
+                const std::string &Key) {
+    std::vector<std::vector<std::string>> Prompts = {
+        {"a1", BadBlock, Middle}, {BadBlock, Middle}, {"a2", Middle, BadBlock}};
+    Bad.push_back(beginPrompt(Prompts[size_t(Turn) % 3], Gateway, Key));
+    BadIds.push_back(LastId);
+  }
+  void replaceCrashed() {
+    for (auto &[Id, Replica] : Replicas)
+      if (Replica->crashed() && Replaced.insert(Id).second) {
+        ++Crashes;
+        List->remove(Id);
+        addUpstream();
+        return setCrashingBlock(Crashing);
+      }
+  }
+
+  bool CrashesBeforeHead;
+  std::string Crashing;
+  int Prompts = 0;
+  int Turn = 0;
+  std::vector<sent_request> Sound;
+  std::vector<std::shared_ptr<client_response>> Bad;
+  std::vector<std::string> BadIds;
+  std::set<std::string> Replaced;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(stop_crashing_upstreams_at_one_gateway) {
+  block_world World(1);
+  World.playUntilKnown();
+  World.testRefused();
+  BOOST_TEST_CONTEXT("a request with the block is refused as not run") {
+    auto Answer = World.beginPrompt({BadBlock}, 0);
+    World.until("the request is answered", [&] { return Answer->Done; });
+    BOOST_TEST(Answer->Status == 503);
+    BOOST_TEST(Answer->outcome() == "not-run");
+    BOOST_TEST(std::atof(Answer->header("retry-after").c_str()) > 1);
+  }
+  BOOST_TEST_CONTEXT("as the last block it belongs to the request only") {
+    auto Answer = World.beginPrompt({"a1"}, 0);
+    World.until("the request is answered", [&] { return Answer->Done; });
+    BOOST_TEST(Answer->Status == 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(stop_crashing_upstreams_at_three_gateways) {
+  block_world World(3);
+  World.playUntilKnown();
+  World.testRefused();
+}
+
+BOOST_AUTO_TEST_CASE(stop_crashing_upstreams_that_send_no_head) {
+  block_world World(3, true);
+  World.playUntilKnown();
+  World.testRefused();
+}
+
+BOOST_AUTO_TEST_CASE(that_were_sound_before_are_refused) {
+  block_world World(2);
+  World.setCrashingBlock("");
+  World.play(3, 2);
+  BOOST_TEST(World.Crashes == 0);
+  World.setCrashingBlock(BadBlock);
+  World.playUntilKnown();
+  World.testRefused();
+}
+
+BOOST_AUTO_TEST_CASE(are_refused_at_a_gateway_that_starts_later) {
+  block_world World(1);
+  World.playUntilKnown();
+  World.addGateway();
+  World.untilServing();
+  World.testRefused();
+}
+
+BOOST_AUTO_TEST_CASE(stay_refused_after_all_processes_restart) {
+  block_world World(2);
+  World.playUntilKnown();
+  World.restartAll();
+  World.testRefused();
+}
+
+BOOST_AUTO_TEST_CASE(exclude_blocks_in_flight_during_mass_crashes) {
+  block_world World(3);
+  World.setCrashingBlock("");
+  for (int Round = 0; Round < 3; ++Round) {
+    World.play(2, 4);
+    World.crashAllAtOnce();
+  }
+  World.play(PropagationSeconds, 4);
+  for (const json &Each : World.quarantined())
+    BOOST_TEST(Each["kind"] == "request", Each.dump());
+  World.playUntilKnown();
+  World.play(2, 0);
+  World.testSoundServed();
+}
+
+BOOST_AUTO_TEST_CASE(are_served_again_once_upstreams_have_been_fixed) {
+  block_world World(2);
+  for (int I = 0; I < 20 && World.Crashes < CrashesToQuarantine; ++I)
+    World.play(0.25, 8);
+  World.setCrashingBlock("");
+  World.until("the block is quarantined", [&] {
+    World.play(0.25, 8);
+    for (const json &Each : World.quarantined())
+      if (Each["kind"] == "block")
+        return true;
+    return false;
+  });
+  World.until("the block is released", [&] {
+    World.play(0.25, 8);
+    for (const json &Each : World.quarantined())
+      if (Each["kind"] == "block")
+        return false;
+    return true;
+  });
+  World.until("a request with the block is served", [&] {
+    auto Answer = World.beginPrompt({"a1", BadBlock}, 0);
+    World.until("the request is answered", [&] { return Answer->Done; });
+    return Answer->Status == 200;
+  });
+}
+
+BOOST_AUTO_TEST_CASE(are_listed_and_released_by_operators) {
+  block_world World(1);
+  World.playUntilKnown();
+  json Blocks = json::array();
+  for (const json &Each : World.quarantined())
+    if (Each["kind"] == "block")
+      Blocks.push_back(Each);
+  BOOST_REQUIRE_MESSAGE(Blocks.size() == 1U, Blocks.dump());
+  World.setCrashingBlock("");
+  json Release = {{"request", Blocks[0]["request"]}};
+  BOOST_TEST(
+      World.operatorCall("POST", "/v1/quarantine/release", Release.dump())
+          .Status == 200);
+  World.until("a request with the block is served", [&] {
+    auto Answer = World.beginPrompt({"a1", BadBlock}, 0);
+    World.until("the request is answered", [&] { return Answer->Done; });
+    return Answer->Status == 200;
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
