Evidence of crashes is gathered for blocks of prompts as for requests

Sound requests of the same routes met upstreams that were down.

Cause: evidence was gathered for whole requests, by account, path and body. Requests that crash upstreams because of a part of them have no name in common, so each began without evidence, while sound requests that were in progress were quarantined in their place, 153 in 12 s.

Change: a crash has causes, the request and each block of its prompt but the last, and both are kept in one set of evidence, one quarantine and one check before an attempt. Three crashes, under two requests, one sent after the first crash, each 1.2 s old; - the block with the most crashes explains them: they count against no other cause, and requests that were quarantined for them are released. A quarantined cause gets a trial: control grants one process the sending of one request, after 1 s, 60 s, 10 min and each hour, in the replicated state. The list of 256 drops requests before blocks.

Ruled out: evidence by account (sound requests share it) and by prefix (a block crashes upstreams whatever stands before it); convicting a block at a gateway; a later quarantine of whole requests, which stays at three crashes.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -126,7 +126,7 @@
   if (!leads(Now))
     return redirect(Peer);
   Nodes.recordRenewal(Peer, Renew, Now);
-  receiveCrashReports(Renew.crashes(), Now);
+  receiveCrashReports(Renew.crashes(), Renew.incarnation(), Now);
   if (Renew.stopping())
     Nodes.releaseLease(Peer);
   else
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -92,7 +92,8 @@
   void countNoticeBytes(const wire::notice &Notice);
   void scheduleNotices();
   void sendAllNotices();
-  void receiveCrashReports(const wire::crash_news &Crashes, double Now);
+  void receiveCrashReports(const wire::crash_news &Crashes, uint64_t Sender,
+                           double Now);
   void proposeQuarantineChanges(double Now);
   void fillQuarantine(uint64_t HeldRevision,
                       wire::quarantine_news &Update) const;
--- a/control/gateway_notices.cpp
+++ b/control/gateway_notices.cpp
@@ -21,12 +21,31 @@
 // force at the gateways within 2 s.
 constexpr double MinNoticeGapSeconds = 0.25;
 
+void logQuarantineChange(const wire::quarantine_change &Change) {
+  if (Change.has_add())
+    logLine(log_level::Warning, "proposing to quarantine a request",
+            {{"request", hexOf(digestOf(Change.add().request()))},
+             {"kind", Change.add().kind() == wire::CRASH_CAUSE_BLOCK
+                          ? nameOf(crash_cause_kind::Block)
+                          : nameOf(crash_cause_kind::Request)},
+             {"upstreams_ended", int64_t(Change.add().upstreams_size())}});
+  else if (Change.has_release())
+    logLine(log_level::Warning,
+            "proposing to release a request from quarantine",
+            {{"request", hexOf(digestOf(Change.release()))}});
+  else
+    logLine(log_level::Warning, "proposing a trial of a quarantined request",
+            {{"request", hexOf(digestOf(Change.trial().cause()))},
+             {"trial", int64_t(Change.trial().number())},
+             {"holder", hexOf(Change.trial().holder())}});
+}
+
 } // namespace
 
 void control_task::onWatch(const std::string &Peer, const wire::watch &Watch) {
   double Now = steadySeconds();
   Gateways.recordWatch(Peer, Watch, Now);
-  receiveCrashReports(Watch.crashes(), Now);
+  receiveCrashReports(Watch.crashes(), Watch.incarnation(), Now);
   Duties->recordWatch(Watch, Now);
   if (!Watch.has_retries() || !leads(Now))
     return sendNotice(Peer);
@@ -49,10 +68,12 @@
 }
 
 void control_task::receiveCrashReports(const wire::crash_news &Crashes,
-                                       double Now) {
-  if (Crashes.crashes_size() + Crashes.answered_size() == 0)
+                                       uint64_t Sender, double Now) {
+  if (Crashes.crashes_size() + Crashes.answered_size() +
+          Crashes.survivals_size() + Crashes.wanted_size() ==
+      0)
     return;
-  Quarantine.addReports(Crashes, Now);
+  Quarantine.addReports(Crashes, Now, Sender);
   if (leads(Now))
     proposeQuarantineChanges(Now);
 }
@@ -71,13 +92,7 @@
 void control_task::proposeQuarantineChanges(double Now) {
   for (wire::quarantine_change &Change :
        Quarantine.changes(Log->state().quarantine(), Now)) {
-    const wire::request_name &Name =
-        Change.has_add() ? Change.add().request() : Change.release();
-    logLine(log_level::Warning,
-            Change.has_add() ? "proposing to quarantine a request"
-                             : "proposing to release a request from quarantine",
-            {{"request", hexOf(digestOf(Name))},
-             {"upstreams_ended", int64_t(Change.add().upstreams_size())}});
+    logQuarantineChange(Change);
     wire::command Command;
     *Command.mutable_quarantine() = std::move(Change);
     Log->propose(std::move(Command), [](const apply_result *) {});
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -325,7 +325,11 @@
       Upstreams.push_back(hexOf(Upstream));
     List.push_back(
         {{"request", hexOf(Request)},
+         {"kind", nameOf(Each.kind() == wire::CRASH_CAUSE_BLOCK
+                             ? crash_cause_kind::Block
+                             : crash_cause_kind::Request)},
          {"upstreams_ended", Upstreams},
+         {"trials", Each.trials()},
          {"since_seconds", std::max(0.0, Wall - Each.since_wall())},
          {"seconds_left", Control.Quarantine.secondsLeft(Request, Now)}});
   }
--- a/control/quarantine_manager.cpp
+++ b/control/quarantine_manager.cpp
@@ -2,6 +2,7 @@
 
 #include "control/quarantine_manager.h"
 #include <algorithm>
+#include <array>
 
 namespace olivevalve {
 
@@ -9,75 +10,171 @@
 
 // By then a proposal is either applied or lost with its leader.
 constexpr double ProposalTimeoutSeconds = 2;
+// Time before each trial of a cause. The first one releases soon what was only
+// in progress during crashes; each costs an upstream if the cause is to blame.
+constexpr std::array<double, 4> TrialDelays = {1, 60, 600, 3600};
+// A trial is granted only to a process that has just kept back a request, so
+// that it can use it.
+constexpr double WantedSeconds = 2;
 
-wire::quarantine_change releaseOf(const short_digest &Request) {
+// Crashes and responses longer ago do not matter.
+constexpr double MaxAgeSeconds = 3600;
+
+// The age in a message, which may be any number or none.
+double ageOf(float Age) {
+  return Age >= 0 ? std::min(double(Age), MaxAgeSeconds) : 0;
+}
+
+double trialDelay(uint32_t Trials) {
+  return TrialDelays[std::min(size_t(Trials), TrialDelays.size() - 1)];
+}
+
+wire::quarantine_change releaseOf(const short_digest &Cause) {
+  wire::quarantine_change Change;
+  fillName(Cause, *Change.mutable_release());
+  return Change;
+}
+
+wire::quarantine_change trialOf(const short_digest &Cause, uint32_t Number,
+                                uint64_t Holder) {
   wire::quarantine_change Change;
-  fillName(Request, *Change.mutable_release());
+  wire::quarantine_trial *Trial = Change.mutable_trial();
+  fillName(Cause, *Trial->mutable_cause());
+  Trial->set_number(Number);
+  Trial->set_holder(Holder);
   return Change;
 }
 
+wire::quarantine_change additionOf(const crash_verdict &Verdict, double Now) {
+  wire::quarantine_change Change;
+  wire::quarantined_request &Add = *Change.mutable_add();
+  fillName(Verdict.Cause, *Add.mutable_request());
+  for (uint64_t Upstream : Verdict.Upstreams)
+    Add.add_upstreams(Upstream);
+  if (Verdict.Kind == crash_cause_kind::Block) {
+    Add.set_kind(wire::CRASH_CAUSE_BLOCK);
+    Add.set_crash_age(float(Now - Verdict.LastCrashAt));
+  }
+  return Change;
+}
+
+crash_report reportOf(const wire::crash_report &Report, double Now) {
+  crash_report Read{.Cause = digestOf(Report.request()),
+                    .Upstream = Report.upstream()};
+  if (Report.kind() != wire::CRASH_CAUSE_BLOCK)
+    return Read;
+  Read.Kind = crash_cause_kind::Block;
+  Read.Request = Report.under();
+  Read.SentAt = Now - ageOf(Report.sent_age());
+  Read.CrashedAt = Now - ageOf(Report.crash_age());
+  return Read;
+}
+
 } // namespace
 
-void quarantine_manager::addReports(const wire::crash_news &Crashes,
-                                    double Now) {
+void quarantine_manager::addReports(const wire::crash_news &Crashes, double Now,
+                                    uint64_t Sender) {
   for (const wire::request_name &Name : Crashes.answered())
     Evidence.recordResponse(digestOf(Name), Now);
+  for (const wire::block_survival &Each : Crashes.survivals())
+    Evidence.recordSurvival(digestOf(Each.block()),
+                            Now - ageOf(Each.begun_age()));
   for (const wire::crash_report &Report : Crashes.crashes())
-    Evidence.addCrash(
-        {.Request = digestOf(Report.request()), .Upstream = Report.upstream()},
-        Now);
+    Evidence.addCrash(reportOf(Report, Now), Now);
+  for (const wire::request_name &Name : Crashes.wanted()) {
+    auto It = Observed.find(digestOf(Name));
+    if (It == Observed.end())
+      continue;
+    It->second.WantedBy = Sender;
+    It->second.WantedAt = Now;
+  }
 }
 
-// A released request starts without evidence against it, whoever released it.
-// Gateways keep sending their earlier crash reports for some time; recording an
-// answer makes those count for nothing.
+// A released cause starts without evidence against it, whoever released it.
+// Gateways keep sending their earlier crash reports for some time; recording a
+// response makes those count for nothing.
 void quarantine_manager::synchronize(const quarantine_store &Quarantined,
                                      double Now) {
-  std::erase_if(FirstSeenAt, [&](const auto &Each) {
-    bool IsReleased = !Quarantined.contains(Each.first);
-    if (IsReleased)
-      Evidence.recordResponse(Each.first, Now);
-    return IsReleased;
+  std::erase_if(Observed, [&](const auto &Each) {
+    const auto &[Cause, Seen] = Each;
+    if (Quarantined.contains(Cause))
+      return false;
+    if (Seen.Kind == crash_cause_kind::Block)
+      Evidence.recordSurvival(Cause, Now);
+    else
+      Evidence.recordResponse(Cause, Now);
+    return true;
   });
-  for (const wire::quarantined_request &Each : Quarantined.all())
-    FirstSeenAt.try_emplace(digestOf(Each.request()), Now);
+  for (const wire::quarantined_request &Each : Quarantined.all()) {
+    observation First{.LastCrashAt = Now - ageOf(Each.crash_age()),
+                      .Trials = Each.trials(),
+                      .ChangedAt = Now};
+    if (Each.kind() == wire::CRASH_CAUSE_BLOCK)
+      First.Kind = crash_cause_kind::Block;
+    observation &Seen =
+        Observed.try_emplace(digestOf(Each.request()), First).first->second;
+    if (Seen.Trials == Each.trials())
+      continue;
+    Seen.Trials = Each.trials();
+    Seen.ChangedAt = Now;
+  }
 }
 
-bool quarantine_manager::mayPropose(const short_digest &Request, double Now) {
-  double &At = ProposedAt[Request];
+bool quarantine_manager::mayPropose(const short_digest &Cause, double Now) {
+  double &At = ProposedAt[Cause];
   if (At > 0 && Now < At + ProposalTimeoutSeconds)
     return false;
   At = Now;
   return true;
 }
 
+// Requests that were in progress when a block crashed upstreams are released
+// once the block is in quarantine.
+bool quarantine_manager::isReleasable(const short_digest &Cause,
+                                      const observation &Seen,
+                                      const std::vector<short_digest> &Blocks,
+                                      double Now) const {
+  bool IsForgotten =
+      Now >= std::max(Seen.ChangedAt, Seen.WantedAt) + MaxQuarantineSeconds;
+  if (IsForgotten)
+    return true;
+  if (Seen.Kind == crash_cause_kind::Block)
+    return Evidence.isCleared(Cause, Seen.LastCrashAt);
+  return Evidence.answeredRecently(Cause, Now) ||
+         Evidence.isExplained(Cause, Blocks, Now);
+}
+
 std::vector<wire::quarantine_change>
 quarantine_manager::changes(const quarantine_store &Quarantined, double Now) {
   synchronize(Quarantined, Now);
   std::erase_if(ProposedAt, [&](const auto &Each) {
     return Now >= Each.second + ProposalTimeoutSeconds;
   });
+  std::vector<short_digest> Blocks;
+  for (const auto &[Cause, Seen] : Observed)
+    if (Seen.Kind == crash_cause_kind::Block)
+      Blocks.push_back(Cause);
   std::vector<wire::quarantine_change> Changes;
-  for (const auto &[Request, Since] : FirstSeenAt)
-    if ((Evidence.answeredRecently(Request, Now) ||
-         Now >= Since + MaxQuarantineSeconds) &&
-        mayPropose(Request, Now))
-      Changes.push_back(releaseOf(Request));
-  for (const short_digest &Request : Evidence.requestsToQuarantine(Now)) {
-    if (Quarantined.contains(Request) || !mayPropose(Request, Now))
-      continue;
-    wire::quarantined_request &Add = *Changes.emplace_back().mutable_add();
-    fillName(Request, *Add.mutable_request());
-    for (uint64_t Upstream : Evidence.crashedUpstreams(Request, Now))
-      Add.add_upstreams(Upstream);
+  for (const auto &[Cause, Seen] : Observed) {
+    bool TrialIsDue = Now >= Seen.ChangedAt + trialDelay(Seen.Trials) &&
+                      Now < Seen.WantedAt + WantedSeconds;
+    if (isReleasable(Cause, Seen, Blocks, Now) && mayPropose(Cause, Now))
+      Changes.push_back(releaseOf(Cause));
+    else if (TrialIsDue && mayPropose(Cause, Now))
+      Changes.push_back(trialOf(Cause, Seen.Trials + 1, Seen.WantedBy));
   }
+  for (const crash_verdict &Verdict : Evidence.verdicts(Blocks, Now))
+    if (!Quarantined.contains(Verdict.Cause) && mayPropose(Verdict.Cause, Now))
+      Changes.push_back(additionOf(Verdict, Now));
   return Changes;
 }
 
-double quarantine_manager::secondsLeft(const short_digest &Request,
+double quarantine_manager::secondsLeft(const short_digest &Cause,
                                        double Now) const {
-  auto It = FirstSeenAt.find(Request);
-  double Since = It == FirstSeenAt.end() ? Now : It->second;
+  auto It = Observed.find(Cause);
+  double Since = It == Observed.end()
+                     ? Now
+                     : std::max(It->second.ChangedAt, It->second.WantedAt);
   return std::max(0.0, Since + MaxQuarantineSeconds - Now);
 }
 
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -459,7 +459,9 @@
 absl::Status quarantine(const command_options &Options) {
   return printList(Options, "/v1/quarantine", "quarantine",
                    {{"REQUEST", "request"},
+                    {"KIND", "kind"},
                     {"UPSTREAMS ENDED", "upstreams_ended"},
+                    {"TRIALS", "trials"},
                     {"SINCE S", "since_seconds"},
                     {"LEFT S", "seconds_left"}});
 }
--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -68,10 +68,11 @@
       Rater(Control, Loop, Options.RatingUrl,
             Options.Node + "/" + hexOf(Incarnation)),
       Sessions(Control),
-      Crashes(Metrics), Context{Incarnation, Control,    Pool,    Rater,
-                                Sessions,    Outbox,     Metrics, Estimates,
-                                Prepared,    Allowances, Retries, Random,
-                                Crashes},
+      Crashes(Metrics, Incarnation), Context{Incarnation, Control,   Pool,
+                                             Rater,       Sessions,  Outbox,
+                                             Metrics,     Estimates, Prepared,
+                                             Allowances,  Retries,   Random,
+                                             Crashes},
       Server(Loop, limitsOf(Options),
              [this](const exchange &Exchange) { handle(Exchange); }),
       Timer(Loop, [this] { tick(); }) {
@@ -170,11 +171,11 @@
   Facts.Account = Account.Name;
   Facts.Method = Exchange.method();
   Facts.Path = Exchange.path();
-  Facts.Identity = identityOf({.Account = Account.Name,
-                               .Method = Exchange.method(),
-                               .Host = "",
-                               .Target = Exchange.path(),
-                               .Body = Exchange.body()});
+  Facts.Causes.Request = identityOf({.Account = Account.Name,
+                                     .Method = Exchange.method(),
+                                     .Host = "",
+                                     .Target = Exchange.path(),
+                                     .Body = Exchange.body()});
   Facts.ContentType = Exchange.header("Content-Type");
   Facts.Key = Exchange.header("Idempotency-Key");
   Facts.Session = Exchange.header("X-Session");
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -62,7 +62,8 @@
 //===----------------------------------------------------------------------===//
 
 void request_task::sendAttempt(const std::string &Chosen) {
-  if (Context.Crashes.refuses(Facts.Identity)) {
+  send_permission Permission = Context.Crashes.permissionFor(Facts.Causes);
+  if (Permission == send_permission::Refused) {
     releaseClaim();
     return refuse(error_kind::Quarantined,
                   "the request is quarantined: upstreams crashed while "
@@ -78,6 +79,9 @@
                   "no upstream accepts requests for " +
                       (Facts.isChat() ? Version.text() : Facts.Service));
   }
+  OnTrial = Permission == send_permission::Trial;
+  if (OnTrial)
+    Context.Crashes.beginTrial(Facts.Causes);
   ++AttemptCount;
   Id.set_entry(Context.Incarnation);
   Id.set_request(Facts.Number);
@@ -113,7 +117,10 @@
   Attempt->set_credits(InitialCredits);
   Attempt->set_repeatable(!claimed());
   Attempt->set_idempotency_key(Facts.Key);
-  fillName(Facts.Identity, *Attempt->mutable_request());
+  fillName(Facts.Causes.Request, *Attempt->mutable_request());
+  for (const short_digest &Block : Facts.Causes.Blocks)
+    fillName(Block, *Attempt->add_blocks());
+  Attempt->set_trial(OnTrial);
   if (!Facts.isChat()) {
     Attempt->set_body(Facts.Body);
     return Message;
--- a/entry/request_task.h
+++ b/entry/request_task.h
@@ -23,7 +23,7 @@
 #include "policy/limits.h"
 #include "policy/version_choice.h"
 #include "quarantine/crash_reports.h"
-#include "quarantine/request_identity.h"
+#include "quarantine/request_causes.h"
 #include "wire/attempt_key.h"
 #include <memory>
 #include <set>
@@ -68,7 +68,7 @@
   double QualityTarget = 0.8; ///< Expected rating, 0 to 1.
   uint32_t Priority = 1;      ///< 0 is the most urgent.
   std::string Session;        ///< Empty: no session.
-  short_digest Identity{};    ///< Equal for all tries of it by its caller.
+  request_causes Causes;      ///< What crashes under it are blamed on.
   /// Idempotency-Key; empty: the request may run more than once.
   std::string Key;
   double Arrived = 0;  ///< By steadySeconds().
@@ -196,6 +196,7 @@
   uint32_t AttemptCount = 0;
   std::set<version_name> Withdrawn; ///< Reported as withdrawn by a sidecar.
   int PinAttempts = 0;
+  bool OnTrial = false;    ///< Sent in spite of the quarantine of a cause.
   bool InFlight = false;   ///< The pool counts the attempt as in flight.
   bool MayHaveRun = false; ///< An earlier attempt may have started.
   bool Accepted = false;
--- a/gateway/fallback_response.cpp
+++ b/gateway/fallback_response.cpp
@@ -52,7 +52,8 @@
 void fallback_response::onAnswerEnd() {
   Parts.Connection = nullptr; // Idle now, or closed.
   Parts.Upstream->recordResponse();
-  State.Reports->answered(Parts.Request);
+  State.Reports->answered(Parts.Causes.Request);
+  State.Reports->survived(Parts.Causes.Blocks, Parts.BegunAt);
   Complete = true;
   release();
 }
@@ -60,8 +61,9 @@
 void fallback_response::onBroken(broken_at Where) {
   Parts.Connection = nullptr;
   if (Where != broken_at::Garbled && !Parts.Upstream->leaving())
-    State.Crashes->recordInterruptedRequest(watchedUpstream(*Parts.Upstream),
-                                            Parts.Request);
+    State.Crashes->recordInterruptedRequest(
+        watchedUpstream(*Parts.Upstream),
+        {.Causes = Parts.Causes, .SentAt = Parts.SentAt});
   release();
 }
 
--- a/gateway/fallback_response.h
+++ b/gateway/fallback_response.h
@@ -37,7 +37,9 @@
   size_t ModelIndex = 0;
   /// Reported by the model, 0 to 1; -1: not reported.
   double Confidence = -1;
-  short_digest Request{}; ///< Digest that is the same for each retry.
+  request_causes Causes; ///< Of the request.
+  double SentAt = 0;     ///< Seconds of the steady clock.
+  double BegunAt = 0;    ///< When the response began, likewise.
 };
 
 /// Response of a smaller model, kept while a larger one is tried.
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -90,13 +90,8 @@
                   "the API key is missing or unknown");
   double Deadline = Facts.DeadlineSeconds.value_or(NoDeadlineSeconds);
   EndsAt = ArrivedAt + std::min(Deadline, Route->TimeoutSeconds);
-  Identity =
-      identityOf({.Account = Account ? std::string_view(Account->Name) : "",
-                  .Method = Head.Method,
-                  .Host = Host ? std::string_view(*Host) : "",
-                  .Target = Head.Target,
-                  .Body = Body});
   Service = pickService();
+  Causes = findCauses();
   retry_share &Retries =
       State.Retries.try_emplace(Service, State.RetryBounds, State.Gateways)
           .first->second;
@@ -110,6 +105,25 @@
   attempt();
 }
 
+// The last block of a prompt belongs to this request or its session only. What
+// the caller states of the tokens does not matter here.
+request_causes forwarding::findCauses() const {
+  const std::string *Host = Head.find("Host");
+  request_causes Found{
+      .Request =
+          identityOf({.Account = Account ? std::string_view(Account->Name) : "",
+                      .Method = Head.Method,
+                      .Host = Host ? std::string_view(*Host) : "",
+                      .Target = Head.Target,
+                      .Body = Body})};
+  if (!Facts.Model)
+    return Found;
+  const auto &Blocks = Facts.Model->PrefixBlocks;
+  for (size_t I = 0; I + 1 < Blocks.size() && I < MaxBlocksOfRequest; ++I)
+    Found.Blocks.push_back(blockIdentity(Service, hexOf(Blocks[I].Id)));
+  return Found;
+}
+
 bool forwarding::authorise() {
   if (!Routing->needsKeys())
     return true;
@@ -156,7 +170,9 @@
     return onTimer();
   if (Host.parkUntilReady(*this))
     return;
-  if (State.Reports->refuses(Identity)) {
+  send_permission Permission =
+      OnTrial ? send_permission::Trial : State.Reports->permissionFor(Causes);
+  if (Permission == send_permission::Refused) {
     RetryAfterSeconds = QuarantineRetryAfterSeconds;
     return conclude("upstreams end under this request",
                     error_kind::Quarantined);
@@ -175,7 +191,7 @@
   // A request that may have crashed an upstream uses a new connection, which an
   // upstream that has crashed already refuses. Sent on an idle one, the request
   // would be blamed for that crash too.
-  bool Suspect = Interrupted || State.Reports->suspects(Identity);
+  bool Suspect = Interrupted || State.Reports->suspects(Causes.Request);
   Connection = Host.acquire(Upstream, Suspect ? connection_kind::New
                                               : connection_kind::Any);
   Tried.insert(Upstream->Listed.Id);
@@ -183,6 +199,8 @@
     Upstream = nullptr;
     return retryOrConclude(false, "too many connections");
   }
+  if (Permission == send_permission::Trial && !std::exchange(OnTrial, true))
+    State.Reports->beginTrial(Causes);
   ++Attempts;
   if (SendCount++ > 0)
     logRetry();
@@ -387,7 +405,7 @@
   Sent.Priority = priority();
   Sent.SendPriority = Facts.Model.has_value();
   SentAt = LastReceivedAt = Now;
-  AnswerIsEvents = AnswerCounted = false;
+  AnswerIsEvents = AnswerCounted = Survived = false;
   Framing = body_framing::None;
   UnfinishedEventBytes = 0;
   std::string Bytes = platform::writeRequestHead(Head, Sent, Body.size());
@@ -499,10 +517,22 @@
 
 // An upstream that is leaving stops as planned, with any requests that it still
 // has; that is no crash.
-void forwarding::recordInterruption() {
-  if (!Upstream->leaving())
-    State.Crashes->recordInterruptedRequest(watchedUpstream(*Upstream),
-                                            Identity);
+void forwarding::recordInterruption(bool WasAlive) {
+  if (Upstream->leaving())
+    return;
+  interrupted_request Request{.Causes = Causes, .SentAt = SentAt};
+  if (Survived || !WasAlive)
+    Request.Causes.Blocks.clear();
+  State.Crashes->recordInterruptedRequest(watchedUpstream(*Upstream),
+                                          std::move(Request));
+}
+
+// Called with each part of a response.
+void forwarding::recordSurvival() {
+  if (Survived || steadySeconds() < BegunAt + SurvivalSeconds)
+    return;
+  Survived = true;
+  State.Reports->survived(Causes.Blocks, BegunAt);
 }
 
 // A request that was sent and got no response may have run. One to a model
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -17,7 +17,7 @@
 #include "gateway/upstream_connection.h"
 #include "net/caller_connection.h"
 #include "policy/model_choice.h"
-#include "quarantine/request_identity.h"
+#include "quarantine/request_causes.h"
 #include <set>
 #include <span>
 
@@ -94,6 +94,7 @@
 
 private:
   bool authorise();
+  request_causes findCauses() const;
   const std::string &pickService();
   void attempt();
   void recordForPacing(const send_permit &Permit, double Now);
@@ -139,7 +140,10 @@
   double silenceTimeout() const;
   double fallbackDueAt() const;
   void armTimer();
-  void recordInterruption();
+  /// \p WasAlive: the upstream was alive when the request was sent.
+  void recordInterruption(bool WasAlive = true);
+  void recordSurvival();
+  void recordCompletion();
   void recordSilence();
   void leaveUpstream();
   void releasePrompt();
@@ -172,7 +176,7 @@
   std::shared_ptr<const route_spec> Route;
   std::shared_ptr<const caller_account> Account;
   std::string Service;
-  short_digest Identity{}; ///< The same for each retry by the caller.
+  request_causes Causes; ///< What crashes under this request are blamed on.
 
   /// Arrival, seconds of the steady clock.
   double ArrivedAt;
@@ -189,6 +193,9 @@
   bool AwaitsRetryToken = false;
   /// Reason of the latest retry, for logs and metrics.
   std::string_view RetryReason;
+  /// May be sent in spite of the quarantine of one of its causes: until an
+  /// upstream may have run it.
+  bool OnTrial = false;
   /// The caller has its response or the beginning of it.
   bool Settled = false;
   /// A token of the shared retry bound is held for the next send.
@@ -223,6 +230,11 @@
   double PacedFirstSeconds = 0;
   double SentAt = 0;         ///< When the current attempt was sent.
   double HeadReceivedAt = 0; ///< When its response head was received.
+  /// When the current response began. It has a value of its own, as a response
+  /// that is kept during a model switch began before the other one.
+  double BegunAt = 0;
+  /// The current response has survived its beginning, see SurvivalSeconds.
+  bool Survived = false;
   /// When the first event of the response was received; 0: none yet.
   double FirstEventAt = 0;
   /// When the current response last received bytes, or the request was sent.
--- a/gateway/forwarding_model_switch.cpp
+++ b/gateway/forwarding_model_switch.cpp
@@ -106,7 +106,9 @@
                               .IsEvents = AnswerIsEvents,
                               .ModelIndex = ModelIndex,
                               .Confidence = Confidence,
-                              .Request = Identity});
+                              .Causes = Causes,
+                              .SentAt = SentAt,
+                              .BegunAt = BegunAt});
   ModelIndex = LargerModelIndex;
   MayHaveRun = true;
   attempt();
@@ -138,6 +140,8 @@
   Connection = Parts.Connection;
   Answer = std::move(Parts.Answer);
   ModelIndex = Parts.ModelIndex;
+  BegunAt = Parts.BegunAt;
+  Survived = false;
   Model = Route->Sizes[ModelIndex];
   Confidence = Parts.Confidence;
   LastReceivedAt = steadySeconds();
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -22,6 +22,8 @@
 // Retry-After of a refusal: another upstream or gateway usually has room within
 // a fraction of a second.
 constexpr double DefaultRetryAfterSeconds = 0.3;
+// By then the reset of a connection to a process that has terminated arrives.
+constexpr double MaxResetSeconds = 0.05;
 // Header names that are recorded; bounds what a faulty upstream can add.
 constexpr size_t MaxUnreadHeaders = 16;
 // More requests than any upstream has; bounds the sum of the two counts that an
@@ -43,7 +45,7 @@
                               const platform::answer_facts &AnswerFacts,
                               body_content Content) {
   double Now = steadySeconds();
-  LastReceivedAt = HeadReceivedAt = Now;
+  LastReceivedAt = HeadReceivedAt = BegunAt = Now;
   if (!AnswerFacts.OtherIncarnation)
     State.Crashes->recordResponse(Upstream->Key, SentAt);
   applyUpstreamHints(AnswerFacts);
@@ -56,8 +58,10 @@
   AnswerIsEvents = Streams && Content != body_content::Opaque;
   // A request to a model begins to run with its first token, any other one when
   // it is sent, as far as can be told from here.
-  if (!AnswerFacts.NotRun)
+  if (!AnswerFacts.NotRun) {
+    OnTrial = false;
     countRun(Facts.Model ? Now : SentAt);
+  }
   if (Streams && Facts.Model) {
     recordWorkTime(State, *Upstream,
                    {.Work = paced_work::FirstToken,
@@ -207,8 +211,10 @@
 void forwarding::onAnswerBytes(std::string_view Bytes, size_t Received) {
   LastReceivedAt = steadySeconds();
   State.Metrics->count("upstream_received_bytes", hallLabel(), Received);
-  if (AnswerIsEvents)
+  if (AnswerIsEvents) {
+    recordSurvival();
     return forwardEvents(Bytes);
+  }
   if (Answer.Body.size() + Bytes.size() <= MaxBufferedAnswerBytes) {
     Answer.Body.append(Bytes);
     return;
@@ -260,7 +266,7 @@
   if (!Answer.NotRun)
     Upstream->recordResponse();
   if (AnswerIsEvents) {
-    State.Reports->answered(Identity);
+    recordCompletion();
     return finish();
   }
   if (Answer.NotRun) {
@@ -279,7 +285,7 @@
   countAnswer(Failed);
   MayHaveRun = true;
   if (Answer.Status < 300)
-    State.Reports->answered(Identity);
+    recordCompletion();
   // With more requests than slots, the time tells of the queue.
   if (Answer.Status < 300 && !Facts.Model &&
       Upstream->load(steadySeconds()) <= Upstream->Listed.Slots)
@@ -316,6 +322,7 @@
   if (Where == broken_at::Reused)
     Tried.erase(Upstream->Listed.Id);
   Interrupted = Interrupted || Sent;
+  OnTrial = OnTrial && !Sent;
   bool HasHead = HeadReceivedAt > SentAt;
   if (Sent)
     State.Metrics->count("interrupted_requests",
@@ -323,7 +330,7 @@
   if (Sent)
     logLine(log_level::Info, "upstream interrupted a request",
             {{"id", Facts.AttemptId},
-             {"request", hexOf(Identity)},
+             {"request", hexOf(Causes.Request)},
              {"upstream", Upstream->Listed.Id},
              {"how", textOf(Where)},
              {"framing", nameOf(Framing)},
@@ -338,7 +345,10 @@
                                "connection refused");
     State.Peers->reportCrash(*Upstream);
   } else if (Sent && Where != broken_at::Garbled) {
-    recordInterruption();
+    // An upstream that has crashed already resets a resting connection at once.
+    bool WasAlive = Where != broken_at::Reused ||
+                    steadySeconds() > SentAt + MaxResetSeconds;
+    recordInterruption(WasAlive);
   }
   // The head of a response that was cut off is not delivered.
   if (!HeadSent)
@@ -352,6 +362,14 @@
   retryOrConclude(Sent, textOf(Where));
 }
 
+// A complete response shows that neither the request nor its prompt crashes
+// upstreams.
+void forwarding::recordCompletion() {
+  Survived = true;
+  State.Reports->answered(Causes.Request);
+  State.Reports->survived(Causes.Blocks, BegunAt);
+}
+
 void forwarding::countRun(double BeganAt) {
   if (Account && !std::exchange(RunCounted, true))
     State.Usage.record(Account->Name, BeganAt, steadySeconds());
@@ -438,7 +456,7 @@
   logLine(
       log_level::Info, "request finished",
       {{"id", Facts.AttemptId},
-       {"request", hexOf(Identity)},
+       {"request", hexOf(Causes.Request)},
        {"route", Name},
        {"routing", int64_t(RoutingVersion)},
        {"account", Account ? std::string_view(Account->Name) : ""},
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -69,7 +69,7 @@
 gateway_task::gateway_task(link_context &Context, struct ev_loop *Loop,
                            metrics &Metrics, gateway_options NewOptions)
     : Loop(Loop), Options(std::move(NewOptions)),
-      Incarnation(randomIncarnation()), Reports(Metrics),
+      Incarnation(randomIncarnation()), Reports(Metrics, Incarnation),
       Crashes(Loop, Metrics, Reports),
       Peers(Loop, State.Upstreams,
             {.Incarnation = Incarnation, .Address = Options.PeerAddress}),
--- a/ledger/quarantine.cpp
+++ b/ledger/quarantine.cpp
@@ -14,6 +14,8 @@
     Changed = add(std::move(Request));
   } else if (Change.has_release()) {
     Changed = release(digestOf(Change.release()));
+  } else if (Change.has_trial()) {
+    Changed = grantTrial(Change.trial());
   }
   Revision += Changed;
   return Changed;
@@ -22,12 +24,33 @@
 bool quarantine_store::add(wire::quarantined_request Request) {
   if (contains(digestOf(Request.request())))
     return false;
+  if (Requests.size() == MaxRequests)
+    makeRoom();
   Requests.push_back(std::move(Request));
-  if (Requests.size() > MaxRequests)
-    Requests.pop_front();
   return true;
 }
 
+void quarantine_store::makeRoom() {
+  auto Oldest =
+      std::find_if(Requests.begin(), Requests.end(), [](const auto &Each) {
+        return Each.kind() == wire::CRASH_CAUSE_REQUEST;
+      });
+  Requests.erase(Oldest == Requests.end() ? Requests.begin() : Oldest);
+}
+
+bool quarantine_store::grantTrial(const wire::quarantine_trial &Trial) {
+  for (wire::quarantined_request &Each : Requests) {
+    bool IsNext = digestOf(Each.request()) == digestOf(Trial.cause()) &&
+                  Trial.number() == Each.trials() + 1;
+    if (!IsNext)
+      continue;
+    Each.set_trials(Trial.number());
+    Each.set_trial_holder(Trial.holder());
+    return true;
+  }
+  return false;
+}
+
 bool quarantine_store::release(const short_digest &Request) {
   return std::erase_if(Requests, [&](const auto &Each) {
            return digestOf(Each.request()) == Request;
--- a/ledger/quarantine.h
+++ b/ledger/quarantine.h
@@ -1,8 +1,9 @@
 //===- quarantine.h - Requests that crash upstreams -------------*- C++ -*-===//
 //
-// Requests that are no longer sent to any upstream, because several upstreams
-// crashed while processing them. Part of the replicated state, so that the list
-// survives restarts; nothing here reads a clock.
+// Requests, and blocks of prompts, that are no longer sent to any upstream,
+// because several upstreams crashed while processing them. Part of the
+// replicated state, so that the list survives restarts; nothing here reads a
+// clock.
 //
 //===----------------------------------------------------------------------===//
 
@@ -16,11 +17,13 @@
 
 class quarantine_store {
 public:
-  /// Bounds the list; adding one more releases the oldest.
+  /// Bounds the list; adding one more releases the oldest request or, without
+  /// one, the oldest block. A block may take many requests with it.
   static constexpr size_t MaxRequests = 256;
 
-  /// Adds or releases a request at \p WallSeconds, in seconds since the epoch.
-  /// False if it is in quarantine already, or not in quarantine, respectively.
+  /// Adds or releases a cause of crashes, or grants a trial, at \p WallSeconds,
+  /// in seconds since the epoch. False if it is in quarantine already, not in
+  /// quarantine, or the trial is not the next one, respectively.
   bool apply(const wire::quarantine_change &Change, double WallSeconds);
   bool contains(const short_digest &Request) const;
   /// Oldest first.
@@ -34,6 +37,8 @@
 private:
   bool add(wire::quarantined_request Request);
   bool release(const short_digest &Request);
+  bool grantTrial(const wire::quarantine_trial &Trial);
+  void makeRoom();
 
   std::deque<wire::quarantined_request> Requests;
   uint64_t Revision = 0;
--- a/quarantine/crash_watch.cpp
+++ b/quarantine/crash_watch.cpp
@@ -24,13 +24,14 @@
     : Metrics(Metrics), Reports(Reports), Probes(Loop) {}
 
 void crash_watch::recordInterruptedRequest(const watched_upstream &Upstream,
-                                           const short_digest &Request) {
+                                           interrupted_request Request) {
   double Now = steadySeconds();
   forgetOld(Now);
+  Request.At = Now;
   if (CrashedAt.contains(Upstream.Key))
-    return Reports.report({.Request = Request, .Upstream = Upstream.Key});
+    return report(Upstream, Request);
   std::deque<interrupted_request> &Requests = Suspected[Upstream.Key].Requests;
-  Requests.push_back({.Request = Request, .At = Now});
+  Requests.push_back(std::move(Request));
   if (Requests.size() > MaxInterruptedPerUpstream)
     Requests.pop_front();
   probe(Upstream);
@@ -70,7 +71,20 @@
   }
   for (const interrupted_request &Each : Requests)
     if (Now < Each.At + InterruptedSeconds)
-      Reports.report({.Request = Each.Request, .Upstream = Upstream.Key});
+      report(Upstream, Each);
+}
+
+void crash_watch::report(const watched_upstream &Upstream,
+                         const interrupted_request &Request) {
+  const short_digest &Name = Request.Causes.Request;
+  Reports.report({.Cause = Name, .Upstream = Upstream.Key});
+  for (const short_digest &Block : Request.Causes.Blocks)
+    Reports.report({.Cause = Block,
+                    .Upstream = Upstream.Key,
+                    .Kind = crash_cause_kind::Block,
+                    .Request = Name[0],
+                    .SentAt = Request.SentAt,
+                    .CrashedAt = Request.At});
 }
 
 void crash_watch::recordResponse(uint64_t Key, double SentAt) {
--- a/quarantine/crash_watch.h
+++ b/quarantine/crash_watch.h
@@ -26,14 +26,22 @@
   std::string Address;
 };
 
+/// A request that an upstream left without a complete response.
+struct interrupted_request {
+  /// Without the blocks of its prompt if its response has survived its
+  /// beginning.
+  request_causes Causes;
+  double SentAt = 0; ///< Seconds of the steady clock.
+  double At = 0;     ///< When it was interrupted, set by crash_watch.
+};
+
 /// Relates interrupted requests to crashes of their upstreams.
 class crash_watch {
 public:
   crash_watch(struct ev_loop *Loop, metrics &Metrics, crash_reports &Reports);
 
-  /// Records that an upstream left a request without a complete response.
   void recordInterruptedRequest(const watched_upstream &Upstream,
-                                const short_digest &Request);
+                                interrupted_request Request);
   /// Records that the upstream's process has terminated. \p How: the evidence,
   /// for logs and metrics.
   void recordCrash(const watched_upstream &Upstream, std::string_view How);
@@ -45,16 +53,14 @@
   std::function<void(const watched_upstream &)> OnCrash;
 
 private:
-  struct interrupted_request {
-    short_digest Request{};
-    double At = 0;
-  };
   struct suspected_upstream {
     std::deque<interrupted_request> Requests; ///< Oldest first.
     double ProbedAt = 0;
   };
 
   void probe(const watched_upstream &Upstream);
+  void report(const watched_upstream &Upstream,
+              const interrupted_request &Request);
   void forgetOld(double Now);
 
   metrics &Metrics;
--- a/quarantine/request_identity.cpp
+++ b/quarantine/request_causes.cpp
@@ -1,6 +1,6 @@
-//===- request_identity.cpp - Identity of a request across retries --------===//
+//===- request_causes.cpp - What crashes may be blamed on -----------------===//
 
-#include "quarantine/request_identity.h"
+#include "quarantine/request_causes.h"
 #include <algorithm>
 #include <string>
 
@@ -34,4 +34,12 @@
   return shortDigest(Bytes);
 }
 
+// A request has five fields, so that no block has the name of a request.
+short_digest blockIdentity(std::string_view Service, std::string_view Block) {
+  std::string Bytes;
+  append(Bytes, Service);
+  append(Bytes, Block);
+  return shortDigest(Bytes);
+}
+
 } // namespace olivevalve
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -34,6 +34,13 @@
 constexpr std::string_view IncompleteResponse =
     "the engine's response is incomplete";
 
+request_causes causesOf(const wire::attempt &Attempt) {
+  request_causes Causes{.Request = digestOf(Attempt.request())};
+  for (const wire::request_name &Block : Attempt.blocks())
+    Causes.Blocks.push_back(digestOf(Block));
+  return Causes;
+}
+
 } // namespace
 
 sidecar_task::sidecar_task(link_context &Context, struct ev_loop *Loop,
@@ -129,8 +136,16 @@
   Loader.update(Assignment, InUse);
 }
 
+bool sidecar_task::isQuarantined(const wire::attempt &Attempt) const {
+  return Reports.refuses(digestOf(Attempt.request())) ||
+         std::any_of(Attempt.blocks().begin(), Attempt.blocks().end(),
+                     [this](const wire::request_name &Block) {
+                       return Reports.refuses(digestOf(Block));
+                     });
+}
+
 absl::Status sidecar_task::check(const wire::attempt &Attempt) const {
-  if (Reports.refuses(digestOf(Attempt.request())))
+  if (!Attempt.trial() && isQuarantined(Attempt))
     return makeError(error_kind::Quarantined,
                      "the request is quarantined: upstreams crashed while "
                      "processing it");
@@ -320,6 +335,7 @@
   if (!Work)
     return;
   Work->Status = Status;
+  Work->BegunAt = steadySeconds();
   if (isPrintable(ContentType))
     Work->ContentType = std::string(ContentType);
   // An engine's server error is not passed on: the entry may retry elsewhere.
@@ -349,12 +365,22 @@
     Work->Paused = true;
     return false;
   }
+  recordSurvival(*Work);
   std::string_view Ready = Work->Body.take(Bytes);
   if (!Ready.empty())
     passOn(*Work, Ready);
   return true;
 }
 
+// Called with each part of a response.
+void sidecar_task::recordSurvival(active_attempt &Work) {
+  if (Work.Survived || Work.Status >= 300 ||
+      steadySeconds() < Work.BegunAt + SurvivalSeconds)
+    return;
+  Work.Survived = true;
+  Reports.survived(causesOf(Work.Attempt).Blocks, Work.BegunAt);
+}
+
 void sidecar_task::passOn(active_attempt &Work, std::string_view Bytes) {
   if (Work.Credits > 0)
     --Work.Credits;
@@ -452,12 +478,18 @@
     ++EngineGeneration;
     EngineCrashedAt = 0;
   }
-  short_digest Request = digestOf(Work.Attempt.request());
-  if (!Answered)
-    return Crashes.recordInterruptedRequest(engine(), Request);
+  request_causes Causes = causesOf(Work.Attempt);
+  if (!Answered) {
+    if (Work.Survived)
+      Causes.Blocks.clear();
+    return Crashes.recordInterruptedRequest(
+        engine(), {.Causes = std::move(Causes), .SentAt = Work.Started});
+  }
   Crashes.recordResponse(engine().Key, Work.Started);
-  if (Work.Status < 300)
-    Reports.answered(Request);
+  if (Work.Status >= 300)
+    return;
+  Reports.answered(Causes.Request);
+  Reports.survived(Causes.Blocks, Work.BegunAt);
 }
 
 void sidecar_task::sendEnd(const active_attempt &Work, error_kind Kind,
--- a/sidecar/sidecar_task.h
+++ b/sidecar/sidecar_task.h
@@ -66,6 +66,9 @@
     http_client::fetch_id Fetch = 0;
     uint32_t Credits = 0; ///< Frames that may be sent now.
     bool Paused = false;  ///< The transfer waits for credits.
+    double BegunAt = 0;   ///< When the response began.
+    /// The response has survived its beginning, see SurvivalSeconds.
+    bool Survived = false;
     uint32_t NextSequence = 0;
     int Status = 0;
     response_body Body;
@@ -124,6 +127,8 @@
   void fillVersionLoads(wire::renew &Renew) const;
   void updateVersions();
   absl::Status check(const wire::attempt &Attempt) const;
+  bool isQuarantined(const wire::attempt &Attempt) const;
+  void recordSurvival(active_attempt &Work);
   watched_upstream engine() const;
   void recordEngineResult(const active_attempt &Work, bool Answered);
 
--- a/tests/system/crashes_test.cpp
+++ b/tests/system/crashes_test.cpp
@@ -448,9 +448,14 @@
                        << Crashes);
     BOOST_TEST(2 * First >= Sound.size());
   }
-  json quarantined() {
+  json quarantinedBlocks() {
     client_response Shown = operatorCall("GET", "/v1/quarantine", "");
-    return json::parse(Shown.Body)["quarantine"];
+    json List = json::parse(Shown.Body)["quarantine"];
+    json Blocks = json::array();
+    for (const json &Each : List)
+      if (Each.value("kind", "") == "block")
+        Blocks.push_back(Each);
+    return Blocks;
   }
 
   int Crashes = 0;
@@ -552,8 +557,7 @@
     World.crashAllAtOnce();
   }
   World.play(PropagationSeconds, 4);
-  for (const json &Each : World.quarantined())
-    BOOST_TEST(Each["kind"] == "request", Each.dump());
+  BOOST_TEST(World.quarantinedBlocks().empty());
   World.playUntilKnown();
   World.play(2, 0);
   World.testSoundServed();
@@ -561,22 +565,14 @@
 
 BOOST_AUTO_TEST_CASE(are_served_again_once_upstreams_have_been_fixed) {
   block_world World(2);
-  for (int I = 0; I < 20 && World.Crashes < CrashesToQuarantine; ++I)
-    World.play(0.25, 8);
-  World.setCrashingBlock("");
   World.until("the block is quarantined", [&] {
-    World.play(0.25, 8);
-    for (const json &Each : World.quarantined())
-      if (Each["kind"] == "block")
-        return true;
-    return false;
+    World.play(0.2, 8);
+    return !World.quarantinedBlocks().empty();
   });
+  World.setCrashingBlock("");
   World.until("the block is released", [&] {
-    World.play(0.25, 8);
-    for (const json &Each : World.quarantined())
-      if (Each["kind"] == "block")
-        return false;
-    return true;
+    World.play(0.2, 8);
+    return World.quarantinedBlocks().empty();
   });
   World.until("a request with the block is served", [&] {
     auto Answer = World.beginPrompt({"a1", BadBlock}, 0);
@@ -588,10 +584,7 @@
 BOOST_AUTO_TEST_CASE(are_listed_and_released_by_operators) {
   block_world World(1);
   World.playUntilKnown();
-  json Blocks = json::array();
-  for (const json &Each : World.quarantined())
-    if (Each["kind"] == "block")
-      Blocks.push_back(Each);
+  json Blocks = World.quarantinedBlocks();
   BOOST_REQUIRE_MESSAGE(Blocks.size() == 1U, Blocks.dump());
   World.setCrashingBlock("");
   json Release = {{"request", Blocks[0]["request"]}};
