Messages of a chat prompt are causes of crashes, as blocks are

A message that crashes engines crashed one after another behind sidecars: 13 more after six had ended and 3 s had passed, as each request with it is another one by its body.

Change: entries name each message but the last of a prompt, within the model, and send the names with an attempt. Sidecars blame them for crashes of their engine, clear them by responses, and refuse them; control, the quarantine and trials are the same.

Ruled out: names without the model. A message may crash the engines of one model only, and responses of the others would clear it each time.

--- a/entry/chat_request.cpp
+++ b/entry/chat_request.cpp
@@ -3,6 +3,8 @@
 #include "entry/chat_request.h"
 #include "base/digest.h"
 #include "base/error.h"
+#include "quarantine/request_causes.h"
+#include <algorithm>
 
 namespace olivevalve {
 
@@ -38,6 +40,10 @@
   std::string Prompt =
       B["messages"].dump(-1, ' ', false, json::error_handler_t::replace);
   Request.PromptBytes = Prompt.size();
+  size_t Blocks = std::min(B["messages"].size() - 1, MaxBlocksOfRequest);
+  for (size_t I = 0; I < Blocks; ++I)
+    Request.Blocks.push_back(
+        B["messages"][I].dump(-1, ' ', false, json::error_handler_t::replace));
   Request.PrefixHash =
       checksum(std::string_view(Prompt).substr(0, PrefixBytes));
   return Request;
--- a/entry/chat_request.h
+++ b/entry/chat_request.h
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "base/fields.h"
 #include <string>
+#include <vector>
 
 namespace olivevalve {
 
@@ -21,6 +22,8 @@
   bool Stream = false;
   uint64_t PrefixHash = 0; ///< Of the prompt's beginning, for cache affinity.
   size_t PromptBytes = 0;
+  /// The messages but the last one, as JSON, at most MaxBlocksOfRequest.
+  std::vector<std::string> Blocks;
 };
 
 /// Error: BadRequest, naming the field.
--- a/entry/request_task.cpp
+++ b/entry/request_task.cpp
@@ -62,6 +62,10 @@
 //===----------------------------------------------------------------------===//
 
 void request_task::sendAttempt(const std::string &Chosen) {
+  // A message may crash the engines of one model only.
+  Facts.Causes.Blocks.clear();
+  for (const std::string &Block : Facts.Chat.Blocks)
+    Facts.Causes.Blocks.push_back(blockIdentity(Version.Model, Block));
   send_permission Permission = Context.Crashes.permissionFor(Facts.Causes);
   if (Permission == send_permission::Refused) {
     releaseClaim();
--- a/tests/system/crashes_test.cpp
+++ b/tests/system/crashes_test.cpp
@@ -144,6 +144,36 @@
   size_t Upstreams = 0;
 };
 
+/// Entries, and engines behind sidecars. A crashed engine is started again.
+class engine_world : public world {
+public:
+  engine_world() { startDefaultSystem(); }
+  client_response sendChat(const std::string &Entry, const std::string &Body) {
+    int Before = Crashes;
+    auto Answer = begin(Entries[Entry]->Address.text(),
+                        {.Body = Body, .Headers = {"X-Deadline-Ms: 5000"}});
+    until("the request is answered", [&] {
+      for (auto &[Name, Sidecar] : Sidecars)
+        if (Sidecar->Engine->crashes()) {
+          ++Crashes;
+          std::string Address = Sidecar->Engine->address();
+          Sidecar->Engine.reset();
+          run(0.3);
+          Sidecar->Engine = std::make_unique<stand_in>(
+              Loop, stand_in_options{.Address = Address});
+          BOOST_REQUIRE(Sidecar->Engine->bind());
+        }
+      return Answer->Done;
+    });
+    // A request that crashed an engine must not be reported as not run.
+    if (Crashes > Before)
+      BOOST_TEST(Answer->outcome() != "not-run");
+    return *Answer;
+  }
+
+  int Crashes = 0;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(crashing_requests)
@@ -302,40 +332,18 @@
 // The same failure in the other deployment: entries, and a sidecar next to each
 // engine.
 BOOST_AUTO_TEST_CASE(crash_no_more_engines_behind_sidecars) {
-  world World;
-  World.startDefaultSystem();
-  int Crashes = 0;
+  engine_world World;
   auto SendRequest = [&](const std::string &Entry, const std::string &Prompt) {
-    int Before = Crashes;
-    auto Answer = World.begin(
-        World.Entries[Entry]->Address.text(),
-        {.Body = chatBody("plan", Prompt), .Headers = {"X-Deadline-Ms: 5000"}});
-    World.until("the request is answered", [&] {
-      for (auto &[Name, Sidecar] : World.Sidecars)
-        if (Sidecar->Engine->crashes()) {
-          ++Crashes;
-          std::string Address = Sidecar->Engine->address();
-          Sidecar->Engine.reset();
-          World.run(0.3);
-          Sidecar->Engine = std::make_unique<stand_in>(
-              World.Loop, stand_in_options{.Address = Address});
-          BOOST_REQUIRE(Sidecar->Engine->bind());
-        }
-      return Answer->Done;
-    });
-    // A request that crashed an engine must not be reported as not run.
-    if (Crashes > Before)
-      BOOST_TEST(Answer->outcome() != "not-run");
-    return *Answer;
+    return World.sendChat(Entry, chatBody("plan", Prompt));
   };
-  for (int I = 0; I < Attempts && Crashes < CrashesToQuarantine; ++I)
+  for (int I = 0; I < Attempts && World.Crashes < CrashesToQuarantine; ++I)
     SendRequest("entry-1", "crash=1");
-  BOOST_REQUIRE(Crashes >= CrashesToQuarantine);
+  BOOST_REQUIRE(World.Crashes >= CrashesToQuarantine);
   World.run(PropagationSeconds);
-  int Before = Crashes;
+  int Before = World.Crashes;
   for (int I = 0; I < Attempts; ++I)
     SendRequest(I % 2 ? "entry-1" : "entry-2", "crash=1");
-  BOOST_TEST(Crashes - Before <= MaxFurtherCrashes);
+  BOOST_TEST(World.Crashes - Before <= MaxFurtherCrashes);
   client_response Refused = SendRequest("entry-2", "crash=1");
   BOOST_TEST(Refused.Status == 503);
   BOOST_TEST(Refused.outcome() == "not-run");
@@ -598,4 +606,32 @@
   });
 }
 
+// The same failure with entries and sidecars, where the blocks are messages.
+BOOST_AUTO_TEST_CASE(crash_no_more_engines_behind_sidecars) {
+  engine_world World;
+  int Number = 0;
+  auto Chat = [&](const std::string &First) {
+    json Messages = json::array();
+    for (const std::string &Text :
+         {std::string("tokens=3"), First, "own=" + std::to_string(++Number)})
+      Messages.push_back({{"role", "user"}, {"content", Text}});
+    return json({{"model", "plan"}, {"messages", Messages}}).dump();
+  };
+  auto EntryOf = [](int I) { return I % 2 ? "entry-1" : "entry-2"; };
+  for (int I = 0; I < Attempts && World.Crashes < CrashesUntilKnown; ++I) {
+    World.sendChat(EntryOf(I), Chat("crash=1"));
+    BOOST_TEST(World.sendChat(EntryOf(I), Chat("sound")).Status == 200);
+  }
+  World.run(PropagationSeconds);
+  int Before = World.Crashes;
+  for (int I = 0; I < Attempts; ++I) {
+    World.sendChat(EntryOf(I), Chat("crash=1"));
+    BOOST_TEST(World.sendChat(EntryOf(I), Chat("sound")).Status == 200);
+  }
+  BOOST_TEST(World.Crashes - Before <= MaxLateRuns);
+  client_response Refused = World.sendChat("entry-2", Chat("crash=1"));
+  BOOST_TEST(Refused.Status == 503);
+  BOOST_TEST(Refused.outcome() == "not-run");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
