A block is blamed by how surprising its presence at crashes is

Under load, blocks were blamed by the number of crashes alone. Played against control's decisions without a network (blame_test: nine upstreams, 60 sound requests a second, four gateways): popular blocks, which are in progress at every crash, were quarantined in place of the guilty one, and after a mass crash most sound requests were refused for seconds.

Cause: a block that is in a third of all prompts is present at each crash by chance. The count of crashes does not say how unlikely that is.

Change: a report tells which share of the sender's prompts contain the block (policy/block_shares), how many requests the crash may be blamed on, and which of them had begun to get their response. Control blames a block if its presence at the crashes is too unlikely by chance (Chernoff's bound, one in a hundred), taken over all interrupted requests or over those that had begun. A frequent block is blamed if it is one of at most two that no response has cleared for 1.2 s, or, while upstreams crash for 5 s without any response, the one with the most crashes. Judgements are at least 0.1 s apart.

Listed as red: a block that crashes upstreams before the head of any response.

--- a/control/control_task.h
+++ b/control/control_task.h
@@ -130,6 +130,7 @@
   std::vector<guard_report> Reports;
   double NextGuard = 0;
   double NextPlacement = 0;
+  double NextQuarantine = 0;
   double NextRollouts = 0;
   /// When the newest routing is next encoded, even if no gateway requests it.
   double NextRoutingUpdate = 0;
--- a/control/gateway_notices.cpp
+++ b/control/gateway_notices.cpp
@@ -20,6 +20,9 @@
 // Minimum time between two notices about changes. Each change has to be in
 // force at the gateways within 2 s.
 constexpr double MinNoticeGapSeconds = 0.25;
+// Minimum time between two judgements on reports of crashes; all gateways
+// report a mass crash at once.
+constexpr double MinQuarantineGapSeconds = 0.1;
 
 void logQuarantineChange(const wire::quarantine_change &Change) {
   if (Change.has_add())
@@ -74,8 +77,10 @@
       0)
     return;
   Quarantine.addReports(Crashes, Now, Sender);
-  if (leads(Now))
-    proposeQuarantineChanges(Now);
+  if (!leads(Now) || Now < NextQuarantine)
+    return;
+  NextQuarantine = Now + MinQuarantineGapSeconds;
+  proposeQuarantineChanges(Now);
 }
 
 // Adds nothing if the receiver holds the current revision.
--- a/control/quarantine_manager.cpp
+++ b/control/quarantine_manager.cpp
@@ -20,6 +20,9 @@
 // Crashes and responses longer ago do not matter.
 constexpr double MaxAgeSeconds = 3600;
 
+// More requests than one process has at an upstream.
+constexpr uint32_t MaxCompany = 1 << 16;
+
 // The age in a message, which may be any number or none.
 double ageOf(float Age) {
   return Age >= 0 ? std::min(double(Age), MaxAgeSeconds) : 0;
@@ -58,7 +61,8 @@
   return Change;
 }
 
-crash_report reportOf(const wire::crash_report &Report, double Now) {
+crash_report reportOf(const wire::crash_report &Report, uint64_t Reporter,
+                      double Now) {
   crash_report Read{.Cause = digestOf(Report.request()),
                     .Upstream = Report.upstream()};
   if (Report.kind() != wire::CRASH_CAUSE_BLOCK)
@@ -67,6 +71,12 @@
   Read.Request = Report.under();
   Read.SentAt = Now - ageOf(Report.sent_age());
   Read.CrashedAt = Now - ageOf(Report.crash_age());
+  Read.Reporter = Reporter;
+  Read.Share = Report.share() >= 0 ? std::min(double(Report.share()), 1.0) : 0;
+  Read.Begun = Report.begun();
+  Read.Company.Requests = std::min(Report.company().requests(), MaxCompany);
+  Read.Company.Begun =
+      std::min(Report.company().begun(), Read.Company.Requests);
   return Read;
 }
 
@@ -80,7 +90,7 @@
     Evidence.recordSurvival(digestOf(Each.block()),
                             Now - ageOf(Each.begun_age()));
   for (const wire::crash_report &Report : Crashes.crashes())
-    Evidence.addCrash(reportOf(Report, Now), Now);
+    Evidence.addCrash(reportOf(Report, Sender, Now), Now);
   for (const wire::request_name &Name : Crashes.wanted()) {
     auto It = Observed.find(digestOf(Name));
     if (It == Observed.end())
--- a/gateway/fallback_response.cpp
+++ b/gateway/fallback_response.cpp
@@ -63,7 +63,7 @@
   if (Where != broken_at::Garbled && !Parts.Upstream->leaving())
     State.Crashes->recordInterruptedRequest(
         watchedUpstream(*Parts.Upstream),
-        {.Causes = Parts.Causes, .SentAt = Parts.SentAt});
+        {.Causes = Parts.Causes, .Begun = true, .SentAt = Parts.SentAt});
   release();
 }
 
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -92,6 +92,7 @@
   EndsAt = ArrivedAt + std::min(Deadline, Route->TimeoutSeconds);
   Service = pickService();
   Causes = findCauses();
+  State.Reports->received(Causes);
   retry_share &Retries =
       State.Retries.try_emplace(Service, State.RetryBounds, State.Gateways)
           .first->second;
@@ -118,6 +119,7 @@
                       .Body = Body})};
   if (!Facts.Model)
     return Found;
+  Found.Service = checksum(Service);
   const auto &Blocks = Facts.Model->PrefixBlocks;
   for (size_t I = 0; I + 1 < Blocks.size() && I < MaxBlocksOfRequest; ++I)
     Found.Blocks.push_back(blockIdentity(Service, hexOf(Blocks[I].Id)));
@@ -520,7 +522,8 @@
 void forwarding::recordInterruption(bool WasAlive) {
   if (Upstream->leaving())
     return;
-  interrupted_request Request{.Causes = Causes, .SentAt = SentAt};
+  interrupted_request Request{
+      .Causes = Causes, .Begun = BegunAt > SentAt, .SentAt = SentAt};
   if (Survived || !WasAlive)
     Request.Causes.Blocks.clear();
   State.Crashes->recordInterruptedRequest(watchedUpstream(*Upstream),
--- a/policy/crash_evidence.cpp
+++ b/policy/crash_evidence.cpp
@@ -3,6 +3,7 @@
 #include "policy/crash_evidence.h"
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace olivevalve {
 
@@ -14,14 +15,35 @@
 // How long a complete response clears a request. Frequent requests get a
 // response more often than this.
 constexpr double AnsweredSeconds = 60;
-// A crash counts against a block only after this time: by then a response to
-// another prompt with the block, sent after the crash, has survived its
-// beginning and is known here. It leaves time for the verdict to spread: all
-// gateways must have it 3 s after the fifth crash.
-constexpr double SettleSeconds = 1.2;
+// By then all gateways have reported a crash.
+constexpr double SettleSeconds = 0.6;
+// By then a response to another prompt with the block, sent after the crash,
+// has survived its beginning and is known here.
+constexpr double UnclearedSeconds = 1.2;
+// Natural logarithm of the odds against a coincidence from which on a rare
+// block is blamed: one in a hundred. A trial soon releases what was blamed
+// wrongly.
+constexpr double MinSurprise = 4.6;
+// Bounds on the estimated probability that a block is present by chance.
+constexpr double MinChance = 0.01;
+constexpr double MaxChance = 0.99;
+// More frequent blocks than these cannot all be to blame: then upstreams crash
+// for another reason.
+constexpr size_t MaxAmbiguousBlocks = 2;
+// If no response has cleared any of them for this time, the one with the most
+// crashes is blamed.
+constexpr double PersistentSeconds = 5;
+// Crashes of which the circumstances are held, and for how long if there are
+// more.
+constexpr double SceneSeconds = 60;
+constexpr size_t MaxScenes = 4096;
 
 constexpr std::array<std::string_view, 2> KindNames = {"request", "block"};
 
+bool isSettled(double CrashedAt, double Now) {
+  return CrashedAt <= Now - SettleSeconds;
+}
+
 std::set<uint64_t> withoutExplained(const std::set<uint64_t> &Upstreams,
                                     const std::set<uint64_t> &Explained) {
   std::set<uint64_t> Rest;
@@ -77,6 +99,8 @@
 bool crash_evidence::addCrash(const crash_report &Report, double Now) {
   bool IsBlock = Report.Kind == crash_cause_kind::Block;
   double CrashedAt = IsBlock ? Report.CrashedAt : Now;
+  if (IsBlock)
+    addScene(Report, Now);
   if (isCleared(Report.Cause, CrashedAt))
     return false;
   if (!find(Report.Cause, Now))
@@ -87,19 +111,40 @@
     It = Records.try_emplace(Report.Cause, record{.Kind = Report.Kind}).first;
   }
   record &Record = It->second;
+  auto Known = Record.Crashes.find(Report.Upstream);
+  if (Known != Record.Crashes.end()) {
+    Known->second.Share = std::max(Known->second.Share, Report.Share);
+    Known->second.Begun = Known->second.Begun || Report.Begun;
+  }
   size_t MaxCrashes = IsBlock ? MaxCrashesOfBlock : CrashesToQuarantine;
-  if (Record.Crashes.contains(Report.Upstream) ||
-      Record.Crashes.size() >= MaxCrashes)
+  if (Known != Record.Crashes.end() || Record.Crashes.size() >= MaxCrashes)
     return false;
   Order.erase(orderOf(Report.Cause, Record));
   Record.Crashes[Report.Upstream] = {.Request = Report.Request,
                                      .SentAt = Report.SentAt,
-                                     .CrashedAt = CrashedAt};
+                                     .CrashedAt = CrashedAt,
+                                     .Share = Report.Share,
+                                     .Begun = Report.Begun};
   Record.LastAt = Now;
   Order.insert(orderOf(Report.Cause, Record));
   return true;
 }
 
+void crash_evidence::addScene(const crash_report &Report, double Now) {
+  if (Scenes.size() >= MaxScenes && !Scenes.contains(Report.Upstream))
+    std::erase_if(Scenes, [Now](const auto &Each) {
+      return Now >= Each.second.At + SceneSeconds;
+    });
+  if (Scenes.size() >= MaxScenes)
+    return;
+  auto [It, IsNew] = Scenes.try_emplace(Report.Upstream);
+  scene &Scene = It->second;
+  Scene.At = IsNew ? Report.CrashedAt : std::min(Scene.At, Report.CrashedAt);
+  crash_company &Company = Scene.Company[Report.Reporter];
+  Company.Requests = std::max(Company.Requests, Report.Company.Requests);
+  Company.Begun = std::max(Company.Begun, Report.Company.Begun);
+}
+
 bool crash_evidence::recordResponse(const short_digest &Request, double Now) {
   return clearUntil(Request, Now + AnsweredSeconds);
 }
@@ -149,21 +194,57 @@
          Record->Crashes.size() >= CrashesToQuarantine;
 }
 
-// One request with the block may itself be the cause, and upstreams that crash
-// at the same time have a cause in common that is none of their requests. So
-// there must be two requests, and one that was sent after the first crash.
-bool crash_evidence::isConvicted(const crash_map &Crashes) {
-  if (Crashes.size() < CrashesToQuarantine)
-    return false;
-  std::set<uint64_t> Requests;
+// Upstreams that crash at the same time have a cause in common that is none of
+// their requests, so one request must have been sent after the first crash.
+bool crash_evidence::isRepeated(const crash_map &Crashes) {
   double FirstCrashAt = Crashes.begin()->second.CrashedAt;
   double LastSentAt = Crashes.begin()->second.SentAt;
   for (const auto &[Upstream, Crash] : Crashes) {
-    Requests.insert(Crash.Request);
     FirstCrashAt = std::min(FirstCrashAt, Crash.CrashedAt);
     LastSentAt = std::max(LastSentAt, Crash.SentAt);
   }
-  return Requests.size() > 1 && LastSentAt > FirstCrashAt;
+  return LastSentAt > FirstCrashAt;
+}
+
+// Chernoff's bound on the probability that a block is present at so many of the
+// crashes by chance. By chance it is present if at least one of the requests
+// that may be to blame contains it.
+double crash_evidence::surprise(const crash_map &Crashes,
+                                const std::set<uint64_t> &Explained,
+                                blame Blame, double Now) const {
+  bool BegunOnly = Blame == blame::BegunOnly;
+  double FirstCrashAt = Now;
+  double Share = 0;
+  size_t Present = 0;
+  for (const auto &[Upstream, Crash] : Crashes) {
+    FirstCrashAt = std::min(FirstCrashAt, Crash.CrashedAt);
+    Share += Crash.Share / double(Crashes.size());
+    Present += !BegunOnly || Crash.Begun;
+  }
+  double Chances = 0;
+  size_t Count = 0;
+  for (const auto &[Upstream, Scene] : Scenes) {
+    bool Counts = Crashes.contains(Upstream) ||
+                  (Scene.At >= FirstCrashAt && isSettled(Scene.At, Now) &&
+                   !Explained.contains(Upstream));
+    if (!Counts)
+      continue;
+    uint32_t Company = 0;
+    for (const auto &[Reporter, Each] : Scene.Company)
+      Company += BegunOnly ? Each.Begun : Each.Requests;
+    Chances += 1 - std::pow(1 - Share, Company);
+    ++Count;
+  }
+  if (Present < CrashesToQuarantine)
+    return 0;
+  double Rate = double(Present) / double(Count);
+  double Chance = std::clamp(Chances / double(Count), MinChance, MaxChance);
+  if (Rate <= Chance)
+    return 0;
+  double Divergence = Rate * std::log(Rate / Chance);
+  if (Rate < 1)
+    Divergence += (1 - Rate) * std::log((1 - Rate) / (1 - Chance));
+  return double(Count) * Divergence;
 }
 
 std::set<uint64_t>
@@ -183,44 +264,117 @@
          withoutExplained(Upstreams, explainedBy(Blocks, Now)).empty();
 }
 
-// Each prompt with the block to blame contains other blocks, and other prompts
-// are in progress when it crashes an upstream. All of these have part of the
-// crashes of the block to blame, so the block with the most crashes is taken
-// first. Blocks with the very same crashes cannot be told apart.
-std::vector<crash_verdict>
-crash_evidence::verdicts(const std::vector<short_digest> &Quarantined,
-                         double Now) const {
-  std::vector<crash_verdict> Verdicts;
-  std::set<uint64_t> Explained = explainedBy(Quarantined, Now);
-  std::set<std::set<uint64_t>> Blamed; // Sets of crashes.
+double crash_evidence::suspect_block::firstCrashAt() const {
+  double FirstAt = Crashes.begin()->second.CrashedAt;
+  for (const auto &[Upstream, Crash] : Crashes)
+    FirstAt = std::min(FirstAt, Crash.CrashedAt);
+  return FirstAt;
+}
+
+std::set<uint64_t> crash_evidence::suspect_block::upstreams() const {
+  std::set<uint64_t> Upstreams;
+  for (const auto &[Upstream, Crash] : Crashes)
+    Upstreams.insert(Upstream);
+  return Upstreams;
+}
+
+std::vector<crash_evidence::suspect_block>
+crash_evidence::suspectBlocks(const std::set<short_digest> &Quarantined,
+                              const std::set<uint64_t> &Explained,
+                              double Now) const {
+  std::vector<suspect_block> Suspects;
   for (auto It = Order.rbegin();
        It != Order.rend() && std::get<size_t>(*It) >= CrashesToQuarantine;
        ++It) {
     const auto &Block = std::get<short_digest>(*It);
     const record *Record = find(Block, Now);
-    bool IsNew = Record && Record->Kind == crash_cause_kind::Block &&
-                 std::find(Quarantined.begin(), Quarantined.end(), Block) ==
-                     Quarantined.end();
-    if (!IsNew)
+    if (!Record || Record->Kind != crash_cause_kind::Block ||
+        Quarantined.contains(Block))
       continue;
-    crash_verdict Verdict{.Cause = Block, .Kind = crash_cause_kind::Block};
-    crash_map Settled;
-    crash_map Unexplained;
-    for (const auto &[Upstream, Crash] : Record->Crashes) {
-      if (Crash.CrashedAt > Now - SettleSeconds)
-        continue;
-      Settled[Upstream] = Crash;
-      if (!Explained.contains(Upstream))
-        Unexplained[Upstream] = Crash;
-      Verdict.Upstreams.insert(Upstream);
-      Verdict.LastCrashAt = std::max(Verdict.LastCrashAt, Crash.CrashedAt);
-    }
-    bool SameAsBlamed = Blamed.contains(Verdict.Upstreams);
-    if (!isConvicted(SameAsBlamed ? Settled : Unexplained))
+    suspect_block Suspect{.Block = Block};
+    // One request may itself be the cause.
+    std::set<uint64_t> Requests;
+    for (const auto &[Upstream, Crash] : Record->Crashes)
+      if (isSettled(Crash.CrashedAt, Now) && !Explained.contains(Upstream)) {
+        Suspect.Crashes[Upstream] = Crash;
+        Requests.insert(Crash.Request);
+      }
+    if (Suspect.Crashes.size() < CrashesToQuarantine || Requests.size() < 2)
       continue;
-    Explained.insert(Verdict.Upstreams.begin(), Verdict.Upstreams.end());
-    Blamed.insert(Verdict.Upstreams);
-    Verdicts.push_back(std::move(Verdict));
+    // An upstream may crash before or after the head of its response.
+    Suspect.Surprise =
+        std::max(surprise(Suspect.Crashes, Explained, blame::AnySuspect, Now),
+                 surprise(Suspect.Crashes, Explained, blame::BegunOnly, Now));
+    Suspects.push_back(std::move(Suspect));
+  }
+  return Suspects;
+}
+
+// All prompts in progress have part of the crashes of the block to blame, and
+// some blocks are in most prompts. A rare block is blamed if its presence at
+// the crashes is no coincidence. Frequent blocks are always present; one of
+// them is blamed if crashes go on and it is the only one that no response
+// clears.
+std::vector<crash_evidence::suspect_block>
+crash_evidence::blocksToBlame(const std::set<short_digest> &Quarantined,
+                              const std::set<uint64_t> &Explained,
+                              double Now) const {
+  std::vector<suspect_block> Suspects =
+      suspectBlocks(Quarantined, Explained, Now);
+  auto Surprising = std::max_element(
+      Suspects.begin(), Suspects.end(),
+      [](const auto &A, const auto &B) { return A.Surprise < B.Surprise; });
+  if (Surprising != Suspects.end() && Surprising->Surprise >= MinSurprise) {
+    // Blocks that are always in the same prompts cannot be told apart.
+    std::set<uint64_t> Upstreams = Surprising->upstreams();
+    std::erase_if(Suspects, [&](const suspect_block &Each) {
+      return Each.Surprise < MinSurprise || Each.upstreams() != Upstreams;
+    });
+    return Suspects;
+  }
+  std::erase_if(Suspects, [Now](const suspect_block &Each) {
+    crash_map Old = Each.Crashes;
+    std::erase_if(Old, [Now](const auto &Crash) {
+      return Crash.second.CrashedAt > Now - UnclearedSeconds;
+    });
+    return Old.size() < CrashesToQuarantine || !isRepeated(Old);
+  });
+  if (Suspects.size() <= MaxAmbiguousBlocks)
+    return Suspects;
+  // While all upstreams crash again and again, no response can clear any block.
+  std::erase_if(Suspects, [Now](const suspect_block &Each) {
+    return Each.firstCrashAt() > Now - PersistentSeconds;
+  });
+  auto Most = std::max_element(Suspects.begin(), Suspects.end(),
+                               [](const auto &A, const auto &B) {
+                                 return A.Crashes.size() < B.Crashes.size();
+                               });
+  if (Most == Suspects.end())
+    return {};
+  return {*Most};
+}
+
+std::vector<crash_verdict>
+crash_evidence::verdicts(const std::vector<short_digest> &Quarantined,
+                         double Now) const {
+  std::vector<crash_verdict> Verdicts;
+  std::set<short_digest> Blocks(Quarantined.begin(), Quarantined.end());
+  std::set<uint64_t> Explained = explainedBy(Quarantined, Now);
+  // Ends, as each turn adds to the blocks that are passed over.
+  for (;;) {
+    std::vector<suspect_block> Blamed = blocksToBlame(Blocks, Explained, Now);
+    if (Blamed.empty())
+      break;
+    for (const suspect_block &Each : Blamed) {
+      crash_verdict Verdict{.Cause = Each.Block,
+                            .Kind = crash_cause_kind::Block,
+                            .Upstreams = Each.upstreams()};
+      for (const auto &[Upstream, Crash] : Each.Crashes)
+        Verdict.LastCrashAt = std::max(Verdict.LastCrashAt, Crash.CrashedAt);
+      Blocks.insert(Each.Block);
+      Explained.insert(Verdict.Upstreams.begin(), Verdict.Upstreams.end());
+      Verdicts.push_back(std::move(Verdict));
+    }
   }
   for (auto It = Order.rbegin();
        It != Order.rend() && std::get<size_t>(*It) >= CrashesToQuarantine;
--- a/policy/crash_evidence.h
+++ b/policy/crash_evidence.h
@@ -40,6 +40,13 @@
 /// survived its beginning: crashes that come later are not due to its prompt.
 constexpr double SurvivalSeconds = 0.5;
 
+/// Requests of one process that a crash interrupted and that may be to blame
+/// for it, as their responses have not survived their beginning.
+struct crash_company {
+  uint32_t Requests = 1;
+  uint32_t Begun = 0; ///< Of these, with a response that had begun.
+};
+
 /// An upstream crashed while it was processing a request. Times are
 /// steady-clock seconds.
 struct crash_report {
@@ -50,6 +57,12 @@
   uint64_t Request = 0; ///< First half of the digest of the request.
   double SentAt = 0;    ///< When that request was sent to the upstream.
   double CrashedAt = 0;
+  uint64_t Reporter = 0; ///< Incarnation of the process that saw the crash.
+  /// Share of the reporter's requests that contain the block, 0 to 1.
+  double Share = 0;
+  /// The response to a request with the block had begun.
+  bool Begun = false;
+  crash_company Company; ///< Of the reporter.
 };
 
 /// A cause to quarantine.
@@ -146,6 +159,13 @@
     uint64_t Request = 0;
     double SentAt = 0;
     double CrashedAt = 0;
+    double Share = 0;
+    bool Begun = false;
+  };
+  /// What is known of a crash beside the causes that it may be blamed on.
+  struct scene {
+    double At = 0;
+    std::map<uint64_t, crash_company> Company; ///< By reporter.
   };
   using crash_map = std::map<uint64_t, crash>; ///< By upstream incarnation.
   struct record {
@@ -158,7 +178,27 @@
   static order_key orderOf(const short_digest &Cause, const record &Record) {
     return {Record.Crashes.size(), Record.LastAt, Cause};
   }
-  static bool isConvicted(const crash_map &Crashes);
+  /// A block and the crashes that are held against it.
+  struct suspect_block {
+    short_digest Block{};
+    crash_map Crashes;
+    /// Natural logarithm of the odds against its presence by chance.
+    double Surprise = 0;
+    std::set<uint64_t> upstreams() const;
+    double firstCrashAt() const;
+  };
+  static bool isRepeated(const crash_map &Crashes);
+  /// The requests that a crash is blamed on.
+  enum class blame : uint8_t { AnySuspect, BegunOnly };
+  double surprise(const crash_map &Crashes, const std::set<uint64_t> &Explained,
+                  blame Blame, double Now) const;
+  std::vector<suspect_block>
+  suspectBlocks(const std::set<short_digest> &Quarantined,
+                const std::set<uint64_t> &Explained, double Now) const;
+  std::vector<suspect_block>
+  blocksToBlame(const std::set<short_digest> &Quarantined,
+                const std::set<uint64_t> &Explained, double Now) const;
+  void addScene(const crash_report &Report, double Now);
   bool isCurrent(const record &Record, double Now) const;
   const record *find(const short_digest &Cause, double Now) const;
   bool clearUntil(const short_digest &Cause, double Until);
@@ -169,6 +209,7 @@
   crash_evidence_options Options;
   std::map<short_digest, record> Records;
   std::set<order_key> Order;
+  std::map<uint64_t, scene> Scenes; ///< By upstream incarnation.
   cleared_causes Cleared;
 };
 
--- a/quarantine/crash_reports.cpp
+++ b/quarantine/crash_reports.cpp
@@ -39,6 +39,10 @@
   Out.set_under(Report.Request);
   Out.set_sent_age(float(Now - Report.SentAt));
   Out.set_crash_age(float(Now - Report.CrashedAt));
+  Out.set_share(float(Report.Share));
+  Out.set_begun(Report.Begun);
+  Out.mutable_company()->set_requests(Report.Company.Requests);
+  Out.mutable_company()->set_begun(Report.Company.Begun);
 }
 
 crash_cause_kind kindOf(wire::crash_cause Kind) {
@@ -48,6 +52,15 @@
 
 } // namespace
 
+void crash_reports::received(const request_causes &Causes) {
+  Shares.record(Causes.Service, Causes.Blocks, steadySeconds());
+}
+
+double crash_reports::shareOf(uint64_t Service,
+                              const short_digest &Block) const {
+  return Shares.share(Service, Block, steadySeconds());
+}
+
 void crash_reports::answered(const short_digest &Request) {
   double Now = steadySeconds();
   if (Evidence.recordResponse(Request, Now))
@@ -73,7 +86,7 @@
       IsBlock &&
       Evidence.crashedUpstreams(Report.Cause, Now).contains(Report.Upstream);
   if (IsKnown)
-    return;
+    return markBegun(Report);
   record(Report);
   Reports.push_back({.Report = Report, .SeenAt = Now});
   if (Reports.size() > MaxReports)
@@ -82,6 +95,17 @@
     OnReport();
 }
 
+// A further request with a block that this crash is blamed on already.
+void crash_reports::markBegun(const crash_report &Report) {
+  for (auto It = Reports.rbegin(); Report.Begun && It != Reports.rend(); ++It)
+    if (It->Report.Cause == Report.Cause &&
+        It->Report.Upstream == Report.Upstream) {
+      It->Report.Begun = true;
+      It->AcknowledgedAt = 0;
+      return;
+    }
+}
+
 void crash_reports::record(const crash_report &Report) {
   double Now = steadySeconds();
   if (Evidence.isCleared(Report.Cause, Report.Kind == crash_cause_kind::Block
--- a/quarantine/crash_reports.h
+++ b/quarantine/crash_reports.h
@@ -10,6 +10,7 @@
 #define OLIVEVALVE_QUARANTINE_CRASH_REPORTS_H
 
 #include "base/metrics.h"
+#include "policy/block_shares.h"
 #include "policy/crash_evidence.h"
 #include "quarantine/request_causes.h"
 #include "wire/request_name.h"
@@ -35,6 +36,10 @@
   explicit crash_reports(metrics &Metrics, uint64_t Incarnation = 0)
       : Metrics(Metrics), Incarnation(Incarnation) {}
 
+  /// Records that a request with these causes has been received.
+  void received(const request_causes &Causes);
+  /// Share of the prompts to a service that contain the block, 0 to 1.
+  double shareOf(uint64_t Service, const short_digest &Block) const;
   /// Records a crash that this process saw.
   void report(const crash_report &Report);
   /// Records that the request got a complete response.
@@ -89,6 +94,7 @@
   };
 
   void record(const crash_report &Report);
+  void markBegun(const crash_report &Report);
   void noteClearance(const short_digest &Cause, crash_cause_kind Kind,
                      double Now);
   void fillClearance(const short_digest &Cause, crash_cause_kind Kind,
@@ -102,6 +108,7 @@
   metrics &Metrics;
   uint64_t Incarnation;
   crash_evidence Evidence;
+  block_shares Shares;
   std::deque<own_report> Reports; ///< Oldest first.
   /// Causes cleared lately against which there was evidence; reported to other
   /// processes for some seconds.
--- a/quarantine/crash_watch.cpp
+++ b/quarantine/crash_watch.cpp
@@ -3,6 +3,7 @@
 #include "quarantine/crash_watch.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include <algorithm>
 #include <utility>
 
 namespace olivevalve {
@@ -29,7 +30,7 @@
   forgetOld(Now);
   Request.At = Now;
   if (CrashedAt.contains(Upstream.Key))
-    return report(Upstream, Request);
+    return report(Upstream, Request, {.Requests = 1, .Begun = Request.Begun});
   std::deque<interrupted_request> &Requests = Suspected[Upstream.Key].Requests;
   Requests.push_back(std::move(Request));
   if (Requests.size() > MaxInterruptedPerUpstream)
@@ -69,13 +70,22 @@
              {"how", How},
              {"requests_broken_off", int64_t(Requests.size())}});
   }
+  std::erase_if(Requests, [Now](const interrupted_request &Each) {
+    return Now >= Each.At + InterruptedSeconds;
+  });
+  crash_company Company{.Requests = 0};
+  for (const interrupted_request &Each : Requests) {
+    bool MayBeToBlame = !Each.Causes.Blocks.empty();
+    Company.Requests += MayBeToBlame;
+    Company.Begun += MayBeToBlame && Each.Begun;
+  }
   for (const interrupted_request &Each : Requests)
-    if (Now < Each.At + InterruptedSeconds)
-      report(Upstream, Each);
+    report(Upstream, Each, Company);
 }
 
 void crash_watch::report(const watched_upstream &Upstream,
-                         const interrupted_request &Request) {
+                         const interrupted_request &Request,
+                         const crash_company &Company) {
   const short_digest &Name = Request.Causes.Request;
   Reports.report({.Cause = Name, .Upstream = Upstream.Key});
   for (const short_digest &Block : Request.Causes.Blocks)
@@ -84,7 +94,10 @@
                     .Kind = crash_cause_kind::Block,
                     .Request = Name[0],
                     .SentAt = Request.SentAt,
-                    .CrashedAt = Request.At});
+                    .CrashedAt = Request.At,
+                    .Share = Reports.shareOf(Request.Causes.Service, Block),
+                    .Begun = Request.Begun,
+                    .Company = Company});
 }
 
 void crash_watch::recordResponse(uint64_t Key, double SentAt) {
--- a/quarantine/crash_watch.h
+++ b/quarantine/crash_watch.h
@@ -31,8 +31,9 @@
   /// Without the blocks of its prompt if its response has survived its
   /// beginning.
   request_causes Causes;
-  double SentAt = 0; ///< Seconds of the steady clock.
-  double At = 0;     ///< When it was interrupted, set by crash_watch.
+  bool Begun = false; ///< Its response had begun.
+  double SentAt = 0;  ///< Seconds of the steady clock.
+  double At = 0;      ///< When it was interrupted, set by crash_watch.
 };
 
 /// Relates interrupted requests to crashes of their upstreams.
@@ -60,7 +61,7 @@
 
   void probe(const watched_upstream &Upstream);
   void report(const watched_upstream &Upstream,
-              const interrupted_request &Request);
+              const interrupted_request &Request, const crash_company &Company);
   void forgetOld(double Now);
 
   metrics &Metrics;
--- a/quarantine/request_causes.h
+++ b/quarantine/request_causes.h
@@ -26,6 +26,7 @@
   short_digest Request{}; ///< The same for each retry of the request.
   /// Blocks of its prompt that other prompts may share.
   std::vector<short_digest> Blocks;
+  uint64_t Service = 0; ///< Checksum of what serves it, for shares of blocks.
 };
 
 /// Blocks of one request that are considered, from the start of the prompt.
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -38,6 +38,7 @@
   request_causes Causes{.Request = digestOf(Attempt.request())};
   for (const wire::request_name &Block : Attempt.blocks())
     Causes.Blocks.push_back(digestOf(Block));
+  Causes.Service = checksum(Attempt.model());
   return Causes;
 }
 
@@ -303,6 +304,7 @@
 }
 
 void sidecar_task::start(active_attempt &Work, double Now) {
+  Reports.received(causesOf(Work.Attempt));
   Work.Running = true;
   Work.Started = Now;
   ++Running;
@@ -482,8 +484,10 @@
   if (!Answered) {
     if (Work.Survived)
       Causes.Blocks.clear();
-    return Crashes.recordInterruptedRequest(
-        engine(), {.Causes = std::move(Causes), .SentAt = Work.Started});
+    return Crashes.recordInterruptedRequest(engine(),
+                                            {.Causes = std::move(Causes),
+                                             .Begun = Work.BegunAt > 0,
+                                             .SentAt = Work.Started});
   }
   Crashes.recordResponse(engine().Key, Work.Started);
   if (Work.Status >= 300)
--- a/tests/unit/crash_evidence_test.cpp
+++ b/tests/unit/crash_evidence_test.cpp
@@ -295,6 +295,7 @@
   uint64_t Request = 0;
   double SentAt = 0;
   double CrashedAt = 0;
+  double Share = 0; ///< Of the requests that contain the block.
 };
 
 crash_report reportOf(const block_crash &Crash) {
@@ -303,7 +304,9 @@
           .Kind = crash_cause_kind::Block,
           .Request = Crash.Request,
           .SentAt = Crash.SentAt,
-          .CrashedAt = Crash.CrashedAt};
+          .CrashedAt = Crash.CrashedAt,
+          .Share = Crash.Share,
+          .Company = {.Requests = 4}};
 }
 
 /// The block in a prompt each second, at one upstream after another.
@@ -353,24 +356,41 @@
   BOOST_TEST(convicted(Evidence, 5 + SettledSeconds).empty());
 }
 
-BOOST_AUTO_TEST_CASE(are_not_convicted_by_crashes_at_the_same_time) {
+BOOST_AUTO_TEST_CASE(that_are_frequent_are_not_convicted_by_one_mass_crash) {
   crash_evidence Evidence;
   for (uint64_t I = 1; I <= 9; ++I)
     Evidence.addCrash(reportOf({.Upstream = I,
                                 .Request = I,
                                 .SentAt = 0.1 * double(I),
-                                .CrashedAt = 1}),
+                                .CrashedAt = 1,
+                                .Share = 0.8}),
                       1);
   BOOST_TEST(convicted(Evidence, 1 + SettledSeconds).empty());
-  BOOST_TEST_CONTEXT("unless one more request is sent after them") {
-    Evidence.addCrash(
-        reportOf(
-            {.Upstream = 10, .Request = 10, .SentAt = 1.1, .CrashedAt = 1.2}),
-        1.2);
+  BOOST_TEST_CONTEXT("unless one more request is sent after it") {
+    Evidence.addCrash(reportOf({.Upstream = 10,
+                                .Request = 10,
+                                .SentAt = 1.1,
+                                .CrashedAt = 1.2,
+                                .Share = 0.8}),
+                      1.2);
     BOOST_TEST((convicted(Evidence, 1.2 + SettledSeconds) == OnlyBadBlock));
   }
 }
 
+BOOST_AUTO_TEST_CASE(that_are_rare_are_not_convicted_by_chance) {
+  crash_evidence Evidence;
+  for (uint64_t I = 1; I <= 30; ++I)
+    for (const short_digest &Block : {OtherBlock, unrelatedRequest(I % 10)})
+      Evidence.addCrash(reportOf({.Block = Block,
+                                  .Upstream = I,
+                                  .Request = I,
+                                  .SentAt = 0.5,
+                                  .CrashedAt = 1,
+                                  .Share = Block == OtherBlock ? 0.9 : 0.1}),
+                        1);
+  BOOST_TEST(convicted(Evidence, 1 + SettledSeconds).empty());
+}
+
 BOOST_AUTO_TEST_CASE(are_cleared_only_of_crashes_before_a_response_began) {
   crash_evidence Evidence;
   addCrashes(Evidence, OtherBlock, 1, 3);
