--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -3,7 +3,8 @@
 // Runs control VMs and gateways as processes; clients and upstreams are
 // simulated in the test process. Random, overlapping faults are injected:
 // signals, network faults between gateways and upstreams, upstreams that crash,
-// state request limits, break responses off, or are drained and replaced,
+// crash under prompts with one block, state request limits, break responses
+// off, or are drained and replaced,
 // invalid entries in the upstream list, and series of routing changes. The
 // responses of upstreams differ in what ends them: a length, chunks, or the
 // close of their connection. The responses that clients
@@ -36,6 +37,7 @@
 // After this time a routing change is given up, whether it took effect or not.
 constexpr double OperatorTimeoutSeconds = 3;
 constexpr int StreamEvents = 6;
+const std::string BadBlock = "bad";
 
 uint64_t seedOf() {
   const char *Text = std::getenv("OLIVEVALVE_SEED");
@@ -192,7 +194,7 @@
         &soak::disturbPath,   &soak::disturbPath,    &soak::crashUpstream,
         &soak::drainUpstream, &soak::changeSeries,   &soak::changeSeries,
         &soak::sendSighup,    &soak::corruptList,    &soak::refuseListRequests,
-        &soak::limitUpstream};
+        &soak::limitUpstream, &soak::crashUnderBlock};
     (this->*All[below(std::size(All))])();
   }
 
@@ -266,6 +268,26 @@
     addUpstream();
   }
 
+  // For a while each upstream crashes that begins to answer a prompt with the
+  // block.
+  void crashUnderBlock() {
+    setCrashingBlock(BadBlock);
+    schedule(0.5 + 0.5 * double(below(4)), [this] { setCrashingBlock(""); });
+  }
+  void setCrashingBlock(const std::string &Block) {
+    for (const std::string &Id : Listed)
+      Replicas[Id]->CrashingBlock = Block;
+  }
+
+  void replaceCrashed() {
+    for (const std::string &Id : std::vector(Listed))
+      if (Replicas[Id]->crashed()) {
+        std::erase(Listed, Id);
+        schedule(1, [this, Id] { List->remove(Id); });
+        addUpstream();
+      }
+  }
+
   void drainUpstream() {
     size_t Index = below(Listed.size());
     std::string Id = Listed[Index];
@@ -315,6 +337,7 @@
   // sends new ones.
   void turn() {
     runScheduled();
+    replaceCrashed();
     for (size_t I = 0; I < GatewayCount; ++I)
       checkProcess(I);
     std::erase_if(Open, [&](sent_request &Each) {
@@ -374,17 +397,30 @@
       Path = "/mark-" + std::to_string(Request.Marker) + "/x";
       break;
     }
-    Request.Answer = begin(
-        Gateways[Request.Gateway]->Address.text(),
-        {.Path = Path,
-         .Body = "of " + Request.Id + ".",
-         .Key = "",
-         .Headers = {"Host: a.example", "X-Credential: k1",
-                     "X-Deadline-Ms: 4000", "X-Attempt-Id: " + Request.Id},
-         .Seconds = ClientTimeoutSeconds});
+    std::vector<std::string> Headers = {"Host: a.example", "X-Credential: k1",
+                                        "X-Deadline-Ms: 4000",
+                                        "X-Attempt-Id: " + Request.Id};
+    if (Request.Kind == request_kind::Stream)
+      addPrompt(Headers);
+    Request.Answer = begin(Gateways[Request.Gateway]->Address.text(),
+                           {.Path = Path,
+                            .Body = "of " + Request.Id + ".",
+                            .Key = "",
+                            .Headers = std::move(Headers),
+                            .Seconds = ClientTimeoutSeconds});
     Open.push_back(std::move(Request));
   }
 
+  // A prompt with a first block that all share, another block and its own one.
+  void addPrompt(std::vector<std::string> &Headers) {
+    std::string Middle =
+        chance(0.1) ? BadBlock : "b" + std::to_string(below(6));
+    Headers.push_back("X-Model: small");
+    Headers.push_back("X-Token-Count: 1000,20");
+    Headers.push_back("X-Prefix-Hash: a1:300," + Middle + ":200,f" +
+                      std::to_string(Checked.size()) + ":100");
+  }
+
   // A stream in any framing, often cut after a random number of bytes. Nothing
   // shows that a stream without a length or chunks was cut after an event.
   std::string streamPath(sent_request &Request) {
@@ -478,7 +514,8 @@
     std::string Newest = "/mark-" + std::to_string(NewestMarker) + "/x";
     for (size_t I = 0; I < GatewayCount; ++I)
       for (const std::string &Path :
-           {Newest, std::string("/safe/x"), std::string("/unsafe/x")})
+           {Newest, std::string("/safe/x"), std::string("/unsafe/x"),
+            std::string("/stream/x?events=2")})
         until(
             Path + " is served again",
             [&] {
@@ -509,7 +546,8 @@
                 {.Path = Path,
                  .Key = "",
                  .Headers = {"Host: a.example", "X-Credential: k1",
-                             "X-Attempt-Id: " + nextId()},
+                             "X-Attempt-Id: " + nextId(), "X-Model: small",
+                             "X-Prefix-Hash: a1:300,b1:200,e1:100"},
                  .Seconds = 3})
         .Status;
   }
