A frequent block is blamed only if it is present at most crashes

After a mass crash a rare block that was in progress at three of the crashes, and for which no request came since, was one of at most two candidates and was quarantined; its next caller was refused until a trial.

Change: such a block must have been present at half of the crashes since its first one. Blocks of which the circumstances of crashes are no longer held are not judged.

--- a/policy/crash_evidence.cpp
+++ b/policy/crash_evidence.cpp
@@ -27,6 +27,8 @@
 // Bounds on the estimated probability that a block is present by chance.
 constexpr double MinChance = 0.01;
 constexpr double MaxChance = 0.99;
+// A frequent block that is to blame is present at most crashes.
+constexpr double MinRate = 0.5;
 // More frequent blocks than these cannot all be to blame: then upstreams crash
 // for another reason.
 constexpr size_t MaxAmbiguousBlocks = 2;
@@ -206,45 +208,50 @@
   return LastSentAt > FirstCrashAt;
 }
 
+std::vector<const crash_evidence::scene *>
+crash_evidence::scenesSince(const suspect_block &Suspect,
+                            const std::set<uint64_t> &Explained,
+                            double Now) const {
+  std::vector<const scene *> Since;
+  double FirstCrashAt = Suspect.firstCrashAt();
+  for (const auto &[Upstream, Scene] : Scenes)
+    if (Suspect.Crashes.contains(Upstream) ||
+        (Scene.At >= FirstCrashAt && isSettled(Scene.At, Now) &&
+         !Explained.contains(Upstream)))
+      Since.push_back(&Scene);
+  return Since;
+}
+
 // Chernoff's bound on the probability that a block is present at so many of the
 // crashes by chance. By chance it is present if at least one of the requests
 // that may be to blame contains it.
-double crash_evidence::surprise(const crash_map &Crashes,
-                                const std::set<uint64_t> &Explained,
-                                blame Blame, double Now) const {
+double crash_evidence::surprise(const suspect_block &Suspect,
+                                const std::vector<const scene *> &Since,
+                                blame Blame) {
   bool BegunOnly = Blame == blame::BegunOnly;
-  double FirstCrashAt = Now;
   double Share = 0;
   size_t Present = 0;
-  for (const auto &[Upstream, Crash] : Crashes) {
-    FirstCrashAt = std::min(FirstCrashAt, Crash.CrashedAt);
-    Share += Crash.Share / double(Crashes.size());
+  for (const auto &[Upstream, Crash] : Suspect.Crashes) {
+    Share += Crash.Share / double(Suspect.Crashes.size());
     Present += !BegunOnly || Crash.Begun;
   }
-  double Chances = 0;
-  size_t Count = 0;
-  for (const auto &[Upstream, Scene] : Scenes) {
-    bool Counts = Crashes.contains(Upstream) ||
-                  (Scene.At >= FirstCrashAt && isSettled(Scene.At, Now) &&
-                   !Explained.contains(Upstream));
-    if (!Counts)
-      continue;
+  if (Present < CrashesToQuarantine)
+    return 0;
+  double Chance = 0;
+  for (const scene *Scene : Since) {
     uint32_t Company = 0;
-    for (const auto &[Reporter, Each] : Scene.Company)
+    for (const auto &[Reporter, Each] : Scene->Company)
       Company += BegunOnly ? Each.Begun : Each.Requests;
-    Chances += 1 - std::pow(1 - Share, Company);
-    ++Count;
+    Chance += (1 - std::pow(1 - Share, Company)) / double(Since.size());
   }
-  if (Present < CrashesToQuarantine)
-    return 0;
-  double Rate = double(Present) / double(Count);
-  double Chance = std::clamp(Chances / double(Count), MinChance, MaxChance);
+  Chance = std::clamp(Chance, MinChance, MaxChance);
+  double Rate = double(Present) / double(Since.size());
   if (Rate <= Chance)
     return 0;
   double Divergence = Rate * std::log(Rate / Chance);
   if (Rate < 1)
     Divergence += (1 - Rate) * std::log((1 - Rate) / (1 - Chance));
-  return double(Count) * Divergence;
+  return double(Since.size()) * Divergence;
 }
 
 std::set<uint64_t>
@@ -301,10 +308,13 @@
       }
     if (Suspect.Crashes.size() < CrashesToQuarantine || Requests.size() < 2)
       continue;
+    auto Since = scenesSince(Suspect, Explained, Now);
+    if (Since.size() < Suspect.Crashes.size())
+      continue; // The circumstances of some crashes are no longer held.
+    Suspect.Rate = double(Suspect.Crashes.size()) / double(Since.size());
     // An upstream may crash before or after the head of its response.
-    Suspect.Surprise =
-        std::max(surprise(Suspect.Crashes, Explained, blame::AnySuspect, Now),
-                 surprise(Suspect.Crashes, Explained, blame::BegunOnly, Now));
+    Suspect.Surprise = std::max(surprise(Suspect, Since, blame::AnySuspect),
+                                surprise(Suspect, Since, blame::BegunOnly));
     Suspects.push_back(std::move(Suspect));
   }
   return Suspects;
@@ -337,7 +347,8 @@
     std::erase_if(Old, [Now](const auto &Crash) {
       return Crash.second.CrashedAt > Now - UnclearedSeconds;
     });
-    return Old.size() < CrashesToQuarantine || !isRepeated(Old);
+    return Each.Rate < MinRate || Old.size() < CrashesToQuarantine ||
+           !isRepeated(Old);
   });
   if (Suspects.size() <= MaxAmbiguousBlocks)
     return Suspects;
--- a/policy/crash_evidence.h
+++ b/policy/crash_evidence.h
@@ -184,14 +184,20 @@
     crash_map Crashes;
     /// Natural logarithm of the odds against its presence by chance.
     double Surprise = 0;
+    /// Share of all crashes since its first one at which it was present.
+    double Rate = 0;
     std::set<uint64_t> upstreams() const;
     double firstCrashAt() const;
   };
   static bool isRepeated(const crash_map &Crashes);
   /// The requests that a crash is blamed on.
   enum class blame : uint8_t { AnySuspect, BegunOnly };
-  double surprise(const crash_map &Crashes, const std::set<uint64_t> &Explained,
-                  blame Blame, double Now) const;
+  /// The crashes since the first one of a block, except explained ones.
+  std::vector<const scene *> scenesSince(const suspect_block &Suspect,
+                                         const std::set<uint64_t> &Explained,
+                                         double Now) const;
+  static double surprise(const suspect_block &Suspect,
+                         const std::vector<const scene *> &Since, blame Blame);
   std::vector<suspect_block>
   suspectBlocks(const std::set<short_digest> &Quarantined,
                 const std::set<uint64_t> &Explained, double Now) const;
