--- a/quarantine/crash_watch.cpp
+++ b/quarantine/crash_watch.cpp
@@ -3,7 +3,6 @@
 #include "quarantine/crash_watch.h"
 #include "base/clock.h"
 #include "base/log.h"
-#include <algorithm>
 #include <utility>
 
 namespace olivevalve {
