--- a/review/world/play.sh
+++ b/review/world/play.sh
@@ -63,7 +63,7 @@
   echo "last lines of the processes' logs that are no JSON:"
   grep -hv '^{' "$data"/*.log | sort | uniq -c || true
 } >>"$folder/record.txt"
-grep -E 'LOST:|ended by itself [0-9]|not answered|did not start|in use' "$folder/record.txt" || true
+grep -E 'LOST:|MIXED:|REFUSED:|stray messages|ended by itself [0-9]|not answered|did not start|in use' "$folder/record.txt" || true
 case $code in
   0 | 1) exit "$code" ;;
   *) exit 2 ;;
--- a/review/world/world.cpp
+++ b/review/world/world.cpp
@@ -14,6 +14,9 @@
 // writer, for some seconds. Clients keep connections and send requests that
 // must not be repeated.
 //
+// SCENARIO stray-bytes: one upstream in four sends bytes that belong to no
+// request after some of its answers, where the next answer is due.
+//
 // SCENARIO planned-stop: clients on slow links read large answers while their
 // gateway gets SIGTERM.
 //
@@ -43,6 +46,7 @@
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace {
@@ -297,6 +301,10 @@
         return false;
     return true;
   }
+  /// From now on the first upstream sends stray bytes after one in StrayEvery
+  /// of its answers, or no longer.
+  void setStrays(bool On) { Strays = On; }
+  int strays() const { return StrayCount; }
   /// How often an upstream has begun the request with this id.
   int runs(const std::string &Id) {
     std::lock_guard Lock(Mutex);
@@ -304,14 +312,26 @@
   }
 
 private:
+  // They belong to no request: they name none and are not signed.
+  bool sendStray(connection &Connection) {
+    bool IsSuccess = StrayCount++ % 2 == 0;
+    Record.write(std::string("stray     bytes like a ") +
+                 (IsSuccess ? "200" : "408") + " from i-0");
+    return Connection.send(
+        answer(IsSuccess ? 200 : 408, "Content-Type: text/plain\r\n", "ok\n"));
+  }
+
   void work(connection &Connection, int Number) {
     std::string Body(Bytes, 'a');
+    bool StrayDue = false;
     for (;;) {
       std::string Head = Connection.readHead();
       if (Head.empty())
         return;
       Connection.readBody(lengthOf(Head));
       std::string Id = headerOf(Head, "X-Attempt-Id");
+      if (std::exchange(StrayDue, false) && !sendStray(Connection))
+        return;
       Free[size_t(Number)].acquire();
       {
         std::lock_guard Lock(Mutex);
@@ -325,9 +345,16 @@
           "\r\nX-Server-Load: 1,0," + std::to_string(Slots) + "\r\n";
       if (!Connection.send(answer(200, Headers, Body)))
         return;
+      StrayDue = Number == 0 && Strays && ++Answers % StrayEvery == 0;
     }
   }
 
+  /// Under 0.03 of its answers.
+  static constexpr int StrayEvery = 34;
+
+  std::atomic<bool> Strays = false;
+  std::atomic<int> StrayCount = 0;
+  std::atomic<int> Answers = 0; ///< Of the first upstream, with strays on.
   double WorkSeconds;
   size_t Bytes;
   std::mutex Mutex;
@@ -620,6 +647,105 @@
   return LostTooMany ? Broken : Held;
 }
 
+/// What clients saw of a service whose answers are signed.
+struct answer_counts {
+  std::atomic<int> Sent = 0;
+  std::atomic<int> Good = 0;
+  std::atomic<int> Wrong = 0; ///< Successes without the upstream's signature.
+  std::atomic<int> FalseRefusals = 0; ///< 408, and an upstream ran it.
+  std::atomic<int> Doubled = 0;       ///< Bookings that ran for two attempts.
+  std::atomic<int> Other = 0;
+};
+
+/// One try of a booking. Returns whether its client may send it again.
+bool tryBooking(connection &Connection, const std::string &Id,
+                upstream_pool &Pool, answer_counts &Counts) {
+  ++Counts.Sent;
+  Record.write("sent      " + Id);
+  std::string Head;
+  if (Connection.send(requestOf("POST", Id, 3000, std::string(600, 'b'))))
+    Head = Connection.readHead();
+  size_t Length = lengthOf(Head);
+  bool Whole = !Head.empty() && Connection.readBody(Length) == Length;
+  int Status = Whole ? statusOf(Head) : 0;
+  std::string Signature = headerOf(Head, "X-Response-Seal");
+  Record.write("answered  " + Id + " " + std::to_string(Status) +
+               (Signature.empty() ? ", no signature" : ""));
+  if (Status == 200) {
+    ++(Signature == "3e1b." + Id ? Counts.Good : Counts.Wrong);
+    return false;
+  }
+  if (Status != 408) {
+    ++Counts.Other;
+    return false;
+  }
+  // An upstream that has the request begins it within this time.
+  sleepFor(0.3);
+  Counts.FalseRefusals += Pool.runs(Id) > 0;
+  return true;
+}
+
+/// A client that keeps its connection. After a 408, which says that the request
+/// has not run, it sends the booking once more, on a new connection.
+void bookSigned(const std::atomic<bool> &Done, int Gateway, int Client,
+                upstream_pool &Pool, answer_counts &Counts) {
+  std::string Name =
+      "c" + std::to_string(Gateway) + "x" + std::to_string(Client) + "x";
+  connect_options Options{.TimeoutSeconds = 3};
+  int Number = 0;
+  while (!Done) {
+    connection Connection(
+        connectTo(FirstGatewayHost + Gateway, CallerPort, Options));
+    bool Again = false;
+    std::string Id;
+    while (!Done && !Again && Connection.open()) {
+      Id = Name + std::to_string(Number++);
+      Again = tryBooking(Connection, Id, Pool, Counts);
+    }
+    if (!Again)
+      continue;
+    connection Second(
+        connectTo(FirstGatewayHost + Gateway, CallerPort, Options));
+    tryBooking(Second, Id + "r", Pool, Counts);
+    Counts.Doubled += Pool.runs(Id) > 0 && Pool.runs(Id + "r") > 0;
+  }
+}
+
+int playStrayBytes(upstream_pool &Pool, bool Trouble) {
+  constexpr int ClientsPerGateway = 3;
+  answer_counts Counts;
+  std::atomic<bool> Done = false;
+  std::vector<std::thread> Clients;
+  for (int Gateway = 0; Gateway < Gateways; ++Gateway)
+    for (int Client = 0; Client < ClientsPerGateway; ++Client)
+      Clients.emplace_back([&, Gateway, Client] {
+        bookSigned(Done, Gateway, Client, Pool, Counts);
+      });
+  sleepFor(2);
+  Pool.setStrays(Trouble);
+  sleepFor(5);
+  Pool.setStrays(false);
+  sleepFor(2);
+  Done = true;
+  for (std::thread &Client : Clients)
+    Client.join();
+  bool IsBroken = Counts.Wrong > 0 || Counts.FalseRefusals > 0;
+  Record.write("stray messages " + std::to_string(Pool.strays()) + ", sent " +
+               std::to_string(Counts.Sent) + ", good " +
+               std::to_string(Counts.Good) + ", other " +
+               std::to_string(Counts.Other));
+  Record.write(std::string("MIXED: ") +
+               (Counts.Wrong > 0 ? "broken, " : "held, ") +
+               std::to_string(Counts.Wrong) +
+               " successes without the signature of a replica, 0 allowed");
+  Record.write(std::string("REFUSED: ") +
+               (Counts.FalseRefusals > 0 ? "broken, " : "held, ") +
+               std::to_string(Counts.FalseRefusals) +
+               " answered 408 and run, 0 allowed; bookings run twice: " +
+               std::to_string(Counts.Doubled));
+  return IsBroken ? Broken : Held;
+}
+
 int playPlannedStop(supervisor &Supervisor, upstream_pool &Pool, bool Trouble) {
   constexpr int Callers = 3;
   constexpr int DeadlineMs = 20000;
@@ -659,10 +785,12 @@
 
 int play(const std::string &Scenario, const std::string &Folder, bool Trouble) {
   bool IsStop = Scenario == "planned-stop";
+  bool IsStray = Scenario == "stray-bytes";
   // The list and the upstreams last until the program ends, as their threads
   // do.
   static platform_list List;
-  static upstream_pool Pool(IsStop ? 0.05 : 0.25, IsStop ? 3'600'000 : 800);
+  static upstream_pool Pool(IsStop || IsStray ? 0.05 : 0.25,
+                            IsStop ? 3'600'000 : 800);
   if (!List.start() || !Pool.start()) {
     Record.write("an address is in use");
     return CouldNotRun;
@@ -680,8 +808,11 @@
   }
   // All gateways know of each other, and all control VMs are voters.
   sleepFor(3);
-  return IsStop ? playPlannedStop(Supervisor, Pool, Trouble)
-                : playForeignEntry(Supervisor, List, Pool, Trouble);
+  if (IsStop)
+    return playPlannedStop(Supervisor, Pool, Trouble);
+  if (IsStray)
+    return playStrayBytes(Pool, Trouble);
+  return playForeignEntry(Supervisor, List, Pool, Trouble);
 }
 
 } // namespace
