--- a/review/world/play.sh
+++ b/review/world/play.sh
@@ -4,6 +4,8 @@
 # deployment laurentien-theo, and writes FOLDER/record.txt. TROUBLE=0: the same without
 # the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 set -euo pipefail
+# What goes wrong before the scenario plays isn't a broken rule.
+trap 'exit 2' ERR
 cd "$(dirname "$0")/../.."
 scenario=$1
 folder=$2
