--- a/review/world/play.sh
+++ b/review/world/play.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# usage: play.sh SCENARIO FOLDER
+# usage: play.sh SCENARIO FOLDER TROUBLE
 # Plays a scenario of world.cpp with five control processes and four gateways, as on the
-# deployment laurentien-theo, and writes FOLDER/record.txt. TROUBLE=0: the same without
+# deployment laurentien-theo, and writes FOLDER/record.txt. TROUBLE 0: the same without
 # the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 set -euo pipefail
 # What goes wrong before the scenario plays isn't a broken rule.
@@ -9,6 +9,7 @@
 cd "$(dirname "$0")/../.."
 scenario=$1
 folder=$2
+trouble=$3
 world=target/review/review_world
 if [ ! -x target/bin/olivevalved ] || [ ! -x "$world" ]; then
   echo "not built: the build of deploy/system.toml, then review/build.sh" >&2
@@ -60,12 +61,12 @@
   fi
 done
 code=0
-timeout -k 2 110 "$world" "$scenario" "$net" "$data" "${TROUBLE:-1}" >"$folder/record.txt" || code=$?
+timeout -k 2 110 "$world" "$scenario" "$net" "$data" "$trouble" >"$folder/record.txt" || code=$?
 {
   echo "last lines of the processes' logs that are no JSON:"
   grep -hv '^{' "$data"/*.log | sort | uniq -c || true
 } >>"$folder/record.txt"
-grep -E 'LOST:|MIXED:|REFUSED:|stray messages|ended by itself [0-9]|not answered|did not start|in use' "$folder/record.txt" || true
+grep -E ' (LOST|MIXED|REFUSED|Fault)|run twice|stray messages|tries |did not start|in use' "$folder/record.txt" || true
 case $code in
   0 | 1) exit "$code" ;;
   *) exit 2 ;;
--- a/review/world/world.cpp
+++ b/review/world/world.cpp
@@ -26,6 +26,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -34,6 +35,7 @@
 #include <filesystem>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -119,6 +121,10 @@
   connection &operator=(const connection &) = delete;
 
   bool open() const { return Socket >= 0; }
+  /// The last read ended as nothing came in time, not as the peer closed.
+  bool timedOut() const { return TimedOut; }
+  /// Bytes of the next message that have come.
+  bool hasBytes() const { return !Buffer.empty(); }
   void close() {
     if (Socket >= 0)
       ::close(Socket);
@@ -166,12 +172,14 @@
   bool fill() {
     std::array<char, 16384> Bytes{};
     ssize_t Count = ::recv(Socket, Bytes.data(), Bytes.size(), 0);
+    TimedOut = Count < 0 && errno == EAGAIN;
     if (Count <= 0)
       return false;
     Buffer.append(Bytes.data(), size_t(Count));
     return true;
   }
 
+  bool TimedOut = false;
   int Socket;
   std::string Buffer;
 };
@@ -308,12 +316,25 @@
   /// How often an upstream has begun the request with this id.
   int runs(const std::string &Id) {
     std::lock_guard Lock(Mutex);
-    return Runs[Id];
+    auto It = Runs.find(Id);
+    return It == Runs.end() ? 0 : It->second;
   }
 
 private:
+  static constexpr const char *NotRun = "X-Not-Executed: 1\r\n";
+  /// Under 0.03 of its answers.
+  static constexpr int StrayEvery = 34;
+
+  struct upstream {
+    std::counting_semaphore<Slots> Free{Slots};
+    std::atomic<int> Running = 0;
+    std::atomic<int> Waiting = 0;
+  };
+
+  static std::string idOf(int Number) { return "i-" + std::to_string(Number); }
+
   // They belong to no request: they name none and are not signed.
-  bool sendStray(connection &Connection) {
+  bool sendStray(const connection &Connection) {
     bool IsSuccess = StrayCount++ % 2 == 0;
     Record.write(std::string("stray     bytes like a ") +
                  (IsSuccess ? "200" : "408") + " from i-0");
@@ -322,46 +343,65 @@
   }
 
   void work(connection &Connection, int Number) {
-    std::string Body(Bytes, 'a');
     bool StrayDue = false;
     for (;;) {
       std::string Head = Connection.readHead();
       if (Head.empty())
         return;
+      double ArrivedAt = now();
       Connection.readBody(lengthOf(Head));
-      std::string Id = headerOf(Head, "X-Attempt-Id");
       if (std::exchange(StrayDue, false) && !sendStray(Connection))
         return;
-      Free[size_t(Number)].acquire();
-      {
-        std::lock_guard Lock(Mutex);
-        ++Runs[Id];
-      }
-      Record.write("run       " + Id + " at i-" + std::to_string(Number));
-      sleepFor(WorkSeconds);
-      Free[size_t(Number)].release();
-      std::string Headers =
-          "X-Attempt-Id: " + Id + "\r\nX-Response-Seal: 3e1b." + Id +
-          "\r\nX-Server-Load: 1,0," + std::to_string(Slots) + "\r\n";
-      if (!Connection.send(answer(200, Headers, Body)))
+      if (!Connection.send(answerTo(Head, Number, ArrivedAt)))
         return;
       StrayDue = Number == 0 && Strays && ++Answers % StrayEvery == 0;
     }
   }
 
-  /// Under 0.03 of its answers.
-  static constexpr int StrayEvery = 34;
+  std::string answerTo(const std::string &Head, int Number, double ArrivedAt) {
+    if (Head.starts_with("GET /healthz "))
+      return answer(200, "X-Instance-Id: " + idOf(Number) + "\r\n", "");
+    std::string Id = headerOf(Head, "X-Attempt-Id");
+    std::string Echo = "X-Attempt-Id: " + Id + "\r\n";
+    std::string Meant = headerOf(Head, "X-Expect-Instance");
+    if (!Meant.empty() && Meant != idOf(Number))
+      return answer(421, Echo + NotRun, "");
+    double Deadline = std::atof(headerOf(Head, "X-Deadline-Ms").c_str()) / 1e3;
+    auto Left = [&] { return ArrivedAt + Deadline - now(); };
+    upstream &Upstream = All[size_t(Number)];
+    ++Upstream.Waiting;
+    bool Begins = Upstream.Free.try_acquire_for(
+        std::chrono::duration<double>(std::max(0.0, Left())));
+    --Upstream.Waiting;
+    if (!Begins)
+      return answer(503, Echo + NotRun, "");
+    {
+      std::lock_guard Lock(Mutex);
+      ++Runs[Id];
+    }
+    ++Upstream.Running;
+    Record.write("run       " + Id + " at " + idOf(Number));
+    bool InTime = WorkSeconds < Left();
+    sleepFor(std::max(0.0, std::min(WorkSeconds, Left())));
+    std::string Load = std::to_string(Upstream.Running) + "," +
+                       std::to_string(Upstream.Waiting) + "," +
+                       std::to_string(Slots);
+    --Upstream.Running;
+    Upstream.Free.release();
+    return answer(InTime ? 200 : 504,
+                  Echo + "X-Response-Seal: 3e1b." + Id +
+                      "\r\nX-Server-Load: " + Load + "\r\n",
+                  std::string(InTime ? Bytes : 0, 'a'));
+  }
 
-  std::atomic<bool> Strays = false;
-  std::atomic<int> StrayCount = 0;
-  std::atomic<int> Answers = 0; ///< Of the first upstream, with strays on.
   double WorkSeconds;
   size_t Bytes;
   std::mutex Mutex;
   std::map<std::string, int> Runs;
-  using slots = std::counting_semaphore<Slots>;
-  std::array<slots, Upstreams> Free = {slots(Slots), slots(Slots), slots(Slots),
-                                       slots(Slots)};
+  std::array<upstream, Upstreams> All;
+  std::atomic<bool> Strays = false;
+  std::atomic<int> StrayCount = 0;
+  std::atomic<int> Answers = 0; ///< Of the first upstream, with strays on.
 };
 
 /// One of the project's processes. It is started again whenever it ends.
@@ -503,21 +543,32 @@
       R"("max_body_bytes":4194304,"header_timeout_ms":3000,)"
       R"("idle_timeout_ms":15000},"accounts":[{"name":"school",)"
       R"("keys":["n2ctnfzs989anu6wsjnb"]}]})";
+  std::string Request = "POST /v1/routing HTTP/1.1\r\nHost: control\r\n"
+                        "Content-Type: application/json\r\n"
+                        "Content-Length: " +
+                        std::to_string(Body.size()) + "\r\n\r\n" + Body;
   double GiveUpAt = now() + 20;
+  double Pause = 0.05;
   for (int Try = 0; now() < GiveUpAt && !Interrupted; ++Try) {
     int Host = 1 + Try % ControlVms;
-    connection Connection(connectTo(Host, OperatorPort, {}));
-    std::string Request = "POST /v1/routing HTTP/1.1\r\nHost: control\r\n"
-                          "Content-Type: application/json\r\n"
-                          "Content-Length: " +
-                          std::to_string(Body.size()) + "\r\n\r\n" + Body;
-    bool Sent = Connection.open() && Connection.send(Request);
-    if (Sent && statusOf(Connection.readHead()) == 200) {
-      Record.write("configuration 3 acknowledged by control VM " +
-                   std::to_string(Host));
-      return true;
+    // The first answer and two redirects.
+    for (int Hop = 0; Hop < 3 && Host > 0; ++Hop) {
+      connection Connection(
+          connectTo(Host, OperatorPort, {.TimeoutSeconds = 1}));
+      bool Sent = Connection.open() && Connection.send(Request);
+      std::string Head = Sent ? Connection.readHead() : "";
+      if (statusOf(Head) == 200) {
+        Record.write("configuration 3 acknowledged by control VM " +
+                     std::to_string(Host));
+        return true;
+      }
+      std::string Prefix = "http://" + Net + ".";
+      std::string To = headerOf(Head, "Location");
+      bool Redirects = statusOf(Head) == 307 && To.starts_with(Prefix);
+      Host = Redirects ? std::atoi(To.c_str() + Prefix.size()) : 0;
     }
-    sleepFor(0.1);
+    sleepFor(Pause);
+    Pause = std::min(2 * Pause, 1.0);
   }
   return false;
 }
@@ -546,204 +597,213 @@
          std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
-/// What clients saw.
-struct client_counts {
-  std::atomic<int> Sent = 0;
-  std::atomic<int> Answered = 0; ///< With status 200 and the whole body.
-  std::atomic<int> Refused = 0;  ///< With another status.
-  std::atomic<int> Unanswered = 0;
-  /// Requests from kept connections that an upstream had begun and whose
-  /// connection the gateway then closed with no answer, by gateway.
-  std::array<std::atomic<int>, Gateways> Lost = {};
+/// One try of a booking, which must not run twice, as its client saw it.
+struct booking_try {
+  std::string Id;
+  int Gateway = 0;
+  bool Kept = false; ///< The connection had given an answer before.
+  int Status = 0;    ///< 0: there was no whole answer.
+  /// The connection ended before any byte of an answer.
+  bool EndedWithNothing = false;
+  std::string Signature;
+  double RetryAfter = 0;
+  bool Closes = false;
+
+  /// The status says that the request has not run and never will.
+  bool saysNotRun() const {
+    return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+  }
 };
 
-/// A client that keeps its connection to one gateway and sends one request
-/// after the other, each of them once.
-void bookUntil(const std::atomic<bool> &Done, int Gateway, int Client,
-               upstream_pool &Pool, client_counts &Counts) {
-  constexpr int DeadlineMs = 3000;
-  int Number = 0;
-  while (!Done) {
-    connection Connection(connectTo(FirstGatewayHost + Gateway, CallerPort,
-                                    {.TimeoutSeconds = DeadlineMs / 1000.0}));
-    bool Kept = false;
-    while (!Done && Connection.open()) {
-      std::string Id = "c" + std::to_string(Gateway) + "x" +
-                       std::to_string(Client) + "x" + std::to_string(Number++);
-      ++Counts.Sent;
-      Record.write("sent      " + Id + " to edge-" + std::to_string(Gateway));
-      bool Sent = Connection.send(
-          requestOf("POST", Id, DeadlineMs, std::string(600, 'b')));
-      std::string Head = Sent ? Connection.readHead() : "";
-      size_t Length = lengthOf(Head);
-      bool Whole = !Head.empty() && Connection.readBody(Length) == Length;
-      if (!Whole) {
-        bool Began = Pool.runs(Id) > 0;
-        ++Counts.Unanswered;
-        Counts.Lost[size_t(Gateway)] += Kept && Began;
-        Record.write("no answer " + Id + (Kept ? ", kept connection" : "") +
-                     (Began ? ", an upstream had begun it" : ""));
+class try_log {
+public:
+  void add(booking_try Try) {
+    std::lock_guard Lock(Mutex);
+    Tries.push_back(std::move(Try));
+  }
+  /// All tries, once the clients have ended.
+  const std::vector<booking_try> &all() const { return Tries; }
+  int count(const std::function<bool(const booking_try &)> &Matches) const {
+    return int(std::count_if(Tries.begin(), Tries.end(), Matches));
+  }
+
+private:
+  std::mutex Mutex;
+  std::vector<booking_try> Tries;
+};
+
+constexpr double BookingSeconds = 3;
+constexpr std::string_view SecondTry = "r";
+
+void tryBooking(connection &Connection, double SecondsLeft, booking_try &Try) {
+  Record.write("sent      " + Try.Id + " to edge-" +
+               std::to_string(Try.Gateway));
+  bool Sent = Connection.send(requestOf("POST", Try.Id, int(1000 * SecondsLeft),
+                                        std::string(600, 'b')));
+  std::string Head = Sent ? Connection.readHead() : "";
+  Try.EndedWithNothing =
+      Head.empty() && !Connection.hasBytes() && !Connection.timedOut();
+  size_t Length = lengthOf(Head);
+  if (!Head.empty() && Connection.readBody(Length) == Length)
+    Try.Status = statusOf(Head);
+  Try.Signature = headerOf(Head, "X-Response-Seal");
+  Try.RetryAfter = std::atof(headerOf(Head, "Retry-After").c_str());
+  Try.Closes = headerOf(Head, "Connection") == "close";
+  if (Try.Status != 0)
+    Record.write("answered  " + Try.Id + " " + std::to_string(Try.Status) +
+                 (Try.Signature.empty() ? ", no signature" : ""));
+  else
+    Record.write("no answer " + Try.Id + (Try.Kept ? ", kept connection" : "") +
+                 (Try.EndedWithNothing ? ", closed" : ", given up"));
+}
+
+/// A client that keeps its connection to one gateway and sends one booking
+/// after the other. After an answer which says that a booking has not run it
+/// sends it once more, on a new connection, with an id of its own.
+void book(const std::atomic<bool> &Done, int Gateway, int Client,
+          try_log &Log) {
+  std::string Name =
+      "c" + std::to_string(Gateway) + "x" + std::to_string(Client) + "x";
+  std::unique_ptr<connection> Connection;
+  bool Kept = false;
+  for (int Number = 0; !Done; ++Number) {
+    double EndsAt = now() + BookingSeconds;
+    for (std::string_view Suffix : {std::string_view(), SecondTry}) {
+      if (!Connection) {
+        Connection = std::make_unique<connection>(
+            connectTo(FirstGatewayHost + Gateway, CallerPort,
+                      {.TimeoutSeconds = BookingSeconds}));
+        Kept = false;
+      }
+      if (!Connection->open()) {
+        Connection = nullptr;
+        sleepFor(0.2);
         break;
       }
-      ++(statusOf(Head) == 200 ? Counts.Answered : Counts.Refused);
-      Record.write("answered  " + Id + " " + std::to_string(statusOf(Head)));
-      Kept = true;
-      if (statusOf(Head) != 200)
-        sleepFor(0.3);
-      if (headerOf(Head, "Connection") == "close")
+      booking_try Try;
+      Try.Id = Name + std::to_string(Number);
+      Try.Id.append(Suffix);
+      Try.Gateway = Gateway;
+      Try.Kept = Kept;
+      tryBooking(*Connection, EndsAt - now(), Try);
+      Kept = Try.Status != 0 && !Try.Closes && !Try.saysNotRun();
+      if (!Kept)
+        Connection = nullptr;
+      bool Again = Try.saysNotRun();
+      double Pause = std::min(Try.RetryAfter, (EndsAt - now()) / 3);
+      Log.add(std::move(Try));
+      if (!Again)
         break;
+      sleepFor(std::max(0.0, Pause));
     }
-    sleepFor(0.2);
   }
 }
 
-int playForeignEntry(supervisor &Supervisor, platform_list &List,
-                     upstream_pool &Pool, bool Trouble) {
-  constexpr int ClientsPerGateway = 5;
-  client_counts Counts;
+/// Runs clients, beside them \p Events, and ends the clients.
+void runClients(int ClientsPerGateway, try_log &Log,
+                const std::function<void()> &Events) {
   std::atomic<bool> Done = false;
   std::vector<std::thread> Clients;
   for (int Gateway = 0; Gateway < Gateways; ++Gateway)
     for (int Client = 0; Client < ClientsPerGateway; ++Client)
-      Clients.emplace_back([&, Gateway, Client] {
-        bookUntil(Done, Gateway, Client, Pool, Counts);
-      });
-  sleepFor(4);
-  if (Trouble) {
-    Record.write("an entry of another writer is listed");
-    List.setForeignEntry(
-        R"({"id":"x-901","service":"batch-sorter","address":")" +
-        addressOf(FirstUpstreamHost + Upstreams, UpstreamPort) +
-        R"(","data_hall":"hall-laval","version":"v1","slots":1e999,)"
-        R"("state":"ready","cold_ms":0})");
-  }
-  sleepFor(12);
-  List.setForeignEntry("");
-  if (Trouble)
-    Record.write("the entry is gone");
-  sleepFor(6);
+      Clients.emplace_back(
+          [&, Gateway, Client] { book(Done, Gateway, Client, Log); });
+  Events();
   Done = true;
   for (std::thread &Client : Clients)
     Client.join();
-  int Lost = 0;
-  for (int Gateway = 0; Gateway < Gateways; ++Gateway) {
-    int Count = Counts.Lost[size_t(Gateway)];
-    Lost += Count;
-    Record.write("edge-" + std::to_string(Gateway) + ": " +
-                 std::to_string(Count) +
-                 " requests from kept connections begun by an upstream and "
-                 "then closed with no answer");
-  }
-  for (const auto &[Name, Ends] : Supervisor.ownEnds())
-    Record.write(Name + " ended by itself " + std::to_string(Ends) + " times");
-  Record.write("sent " + std::to_string(Counts.Sent) + ", answered " +
-               std::to_string(Counts.Answered) + ", refused " +
-               std::to_string(Counts.Refused) + ", not answered " +
-               std::to_string(Counts.Unanswered));
-  constexpr int AllowedLosses = 3;
-  bool LostTooMany = Lost > AllowedLosses;
-  Record.write(std::string("LOST: ") + (LostTooMany ? "broken, " : "held, ") +
-               std::to_string(Lost) + " lost, 3 allowed");
-  return LostTooMany ? Broken : Held;
 }
 
-/// What clients saw of a service whose answers are signed.
-struct answer_counts {
-  std::atomic<int> Sent = 0;
-  std::atomic<int> Good = 0;
-  std::atomic<int> Wrong = 0; ///< Successes without the upstream's signature.
-  std::atomic<int> FalseRefusals = 0; ///< 408, and an upstream ran it.
-  std::atomic<int> Doubled = 0;       ///< Bookings that ran for two attempts.
-  std::atomic<int> Other = 0;
-};
+void recordTotals(const try_log &Log) {
+  auto Has = [&](int Status) {
+    return std::to_string(Log.count(
+        [=](const booking_try &Try) { return Try.Status == Status; }));
+  };
+  Record.write("tries " + std::to_string(Log.all().size()) + ": answered 200 " +
+               Has(200) + ", 503 " + Has(503) + ", 408 " + Has(408) +
+               ", not answered " + Has(0));
+}
 
-/// One try of a booking. Returns whether its client may send it again.
-bool tryBooking(connection &Connection, const std::string &Id,
-                upstream_pool &Pool, answer_counts &Counts) {
-  ++Counts.Sent;
-  Record.write("sent      " + Id);
-  std::string Head;
-  if (Connection.send(requestOf("POST", Id, 3000, std::string(600, 'b'))))
-    Head = Connection.readHead();
-  size_t Length = lengthOf(Head);
-  bool Whole = !Head.empty() && Connection.readBody(Length) == Length;
-  int Status = Whole ? statusOf(Head) : 0;
-  std::string Signature = headerOf(Head, "X-Response-Seal");
-  Record.write("answered  " + Id + " " + std::to_string(Status) +
-               (Signature.empty() ? ", no signature" : ""));
-  if (Status == 200) {
-    ++(Signature == "3e1b." + Id ? Counts.Good : Counts.Wrong);
-    return false;
-  }
-  if (Status != 408) {
-    ++Counts.Other;
-    return false;
-  }
-  // An upstream that has the request begins it within this time.
-  sleepFor(0.3);
-  Counts.FalseRefusals += Pool.runs(Id) > 0;
-  return true;
+std::string verdict(const std::string &Rule, int Count, int Allowed,
+                    const std::string &What) {
+  return Rule + ": " + (Count > Allowed ? "broken, " : "held, ") +
+         std::to_string(Count) + " " + What + ", " + std::to_string(Allowed) +
+         " allowed";
 }
 
-/// A client that keeps its connection. After a 408, which says that the request
-/// has not run, it sends the booking once more, on a new connection.
-void bookSigned(const std::atomic<bool> &Done, int Gateway, int Client,
-                upstream_pool &Pool, answer_counts &Counts) {
-  std::string Name =
-      "c" + std::to_string(Gateway) + "x" + std::to_string(Client) + "x";
-  connect_options Options{.TimeoutSeconds = 3};
-  int Number = 0;
-  while (!Done) {
-    connection Connection(
-        connectTo(FirstGatewayHost + Gateway, CallerPort, Options));
-    bool Again = false;
-    std::string Id;
-    while (!Done && !Again && Connection.open()) {
-      Id = Name + std::to_string(Number++);
-      Again = tryBooking(Connection, Id, Pool, Counts);
+int playForeignEntry(supervisor &Supervisor, platform_list &List,
+                     upstream_pool &Pool, bool Trouble) {
+  try_log Log;
+  runClients(5, Log, [&] {
+    sleepFor(4);
+    if (Trouble) {
+      Record.write("an entry of another writer is listed");
+      List.setForeignEntry(
+          R"({"id":"x-901","service":"batch-sorter","address":")" +
+          addressOf(FirstUpstreamHost + Upstreams, UpstreamPort) +
+          R"(","data_hall":"hall-laval","version":"v1","slots":1e999,)"
+          R"("state":"ready","cold_ms":0})");
     }
-    if (!Again)
-      continue;
-    connection Second(
-        connectTo(FirstGatewayHost + Gateway, CallerPort, Options));
-    tryBooking(Second, Id + "r", Pool, Counts);
-    Counts.Doubled += Pool.runs(Id) > 0 && Pool.runs(Id + "r") > 0;
+    sleepFor(12);
+    List.setForeignEntry("");
+    if (Trouble)
+      Record.write("the entry is gone");
+    sleepFor(6);
+  });
+  recordTotals(Log);
+  // Handed to a replica from a kept connection, which then ended.
+  auto IsLost = [&](const booking_try &Try) {
+    return Try.Kept && Try.EndedWithNothing && Pool.runs(Try.Id) > 0;
+  };
+  for (int Gateway = 0; Gateway < Gateways; ++Gateway)
+    Record.write("edge-" + std::to_string(Gateway) + " lost " +
+                 std::to_string(Log.count([&](const booking_try &Try) {
+                   return Try.Gateway == Gateway && IsLost(Try);
+                 })));
+  int ThreeTimes = 0;
+  for (const auto &[Name, Ends] : Supervisor.ownEnds()) {
+    Record.write(Name + " ended by itself " + std::to_string(Ends) + " times");
+    ThreeTimes += Ends >= 3;
   }
+  Record.write("Fault, not judged: processes that ended by themselves three "
+               "times or more: " +
+               std::to_string(ThreeTimes));
+  constexpr int AllowedLosses = 3;
+  int Lost = Log.count(IsLost);
+  Record.write(verdict("LOST", Lost, AllowedLosses,
+                       "requests from kept connections handed to a replica "
+                       "and closed with no answer"));
+  return Lost > AllowedLosses ? Broken : Held;
 }
 
 int playStrayBytes(upstream_pool &Pool, bool Trouble) {
-  constexpr int ClientsPerGateway = 3;
-  answer_counts Counts;
-  std::atomic<bool> Done = false;
-  std::vector<std::thread> Clients;
-  for (int Gateway = 0; Gateway < Gateways; ++Gateway)
-    for (int Client = 0; Client < ClientsPerGateway; ++Client)
-      Clients.emplace_back([&, Gateway, Client] {
-        bookSigned(Done, Gateway, Client, Pool, Counts);
-      });
-  sleepFor(2);
-  Pool.setStrays(Trouble);
-  sleepFor(5);
-  Pool.setStrays(false);
-  sleepFor(2);
-  Done = true;
-  for (std::thread &Client : Clients)
-    Client.join();
-  bool IsBroken = Counts.Wrong > 0 || Counts.FalseRefusals > 0;
-  Record.write("stray messages " + std::to_string(Pool.strays()) + ", sent " +
-               std::to_string(Counts.Sent) + ", good " +
-               std::to_string(Counts.Good) + ", other " +
-               std::to_string(Counts.Other));
-  Record.write(std::string("MIXED: ") +
-               (Counts.Wrong > 0 ? "broken, " : "held, ") +
-               std::to_string(Counts.Wrong) +
-               " successes without the signature of a replica, 0 allowed");
-  Record.write(std::string("REFUSED: ") +
-               (Counts.FalseRefusals > 0 ? "broken, " : "held, ") +
-               std::to_string(Counts.FalseRefusals) +
-               " answered 408 and run, 0 allowed; bookings run twice: " +
-               std::to_string(Counts.Doubled));
-  return IsBroken ? Broken : Held;
+  try_log Log;
+  runClients(3, Log, [&] {
+    sleepFor(2);
+    Pool.setStrays(Trouble);
+    sleepFor(5);
+    Pool.setStrays(false);
+    sleepFor(2);
+  });
+  recordTotals(Log);
+  Record.write("stray messages " + std::to_string(Pool.strays()));
+  int Wrong = Log.count([](const booking_try &Try) {
+    return Try.Status == 200 && Try.Signature != "3e1b." + Try.Id;
+  });
+  int FalseRefusals = Log.count([&](const booking_try &Try) {
+    return Try.saysNotRun() && Pool.runs(Try.Id) > 0;
+  });
+  int Doubled = Log.count([&](const booking_try &Try) {
+    bool IsSecond = Try.Id.ends_with(SecondTry);
+    std::string First = Try.Id.substr(0, Try.Id.size() - SecondTry.size());
+    return IsSecond && Pool.runs(Try.Id) > 0 && Pool.runs(First) > 0;
+  });
+  Record.write("bookings run twice, not judged: " + std::to_string(Doubled));
+  Record.write(verdict("REFUSED, not judged", FalseRefusals, 0,
+                       "tries answered as not run that ran"));
+  Record.write(verdict("MIXED", Wrong, 0,
+                       "successes without the signature of a replica"));
+  return Wrong > 0 ? Broken : Held;
 }
 
 int playPlannedStop(supervisor &Supervisor, upstream_pool &Pool, bool Trouble) {
@@ -777,9 +837,9 @@
     Supervisor.signal("edge-0", SIGTERM);
   for (std::thread &Client : Clients)
     Client.join();
-  Record.write(std::string("LOST: ") + (CutShort > 0 ? "broken, " : "held, ") +
-               std::to_string(CutShort) + " of " + std::to_string(Callers) +
-               " answers cut short around a planned stop, 0 allowed");
+  Record.write(verdict("LOST", CutShort, 0,
+                       "of " + std::to_string(Callers) +
+                           " answers cut short around a planned stop"));
   return CutShort > 0 ? Broken : Held;
 }
 
