An unexpected exception ends the process with a log line

The text of an exception that ended a process was on standard error only, beside the structured log. A handler that goes on was weighed and left out: see docs/decisions/0026.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cstring>
 #include <curl/curl.h>
+#include <exception>
 #include <popt.h>
 
 namespace {
@@ -62,6 +63,22 @@
   return Arguments;
 }
 
+// An exception leaves state half changed, so the process ends and starts anew.
+[[noreturn]] void endOnException() {
+  std::string What = "none";
+  try {
+    if (std::exception_ptr Thrown = std::current_exception())
+      std::rethrow_exception(Thrown);
+  } catch (const std::exception &Error) {
+    What = Error.what();
+  } catch (...) {
+    What = "of a type that is not a std::exception";
+  }
+  logLine(log_level::Error, "process ends after an unexpected exception",
+          {{"exception", What}});
+  std::abort();
+}
+
 int fail(const absl::Status &Status) {
   std::fprintf(stderr, "olivevalved: %s\n",
                std::string(messageOf(Status)).c_str());
@@ -141,6 +158,7 @@
   // and is handled like any failed write.
   std::signal(SIGXFSZ, SIG_IGN);
   curl_global_init(CURL_GLOBAL_DEFAULT);
+  std::set_terminate(endOnException);
   startLog({Settings->Node, Settings->roles(), Settings->DataHall},
            Settings->LogLevel);
   struct ev_loop *Loop = ev_default_loop(0);
