Entry refuses stream options that are no object

A caller's chat request with "stream": true and "stream_options" of another type ended the entry: the library throws when a member is added to a value that is no object. The request is refused with 400; before, bad_input/in_stream_options_is_refused accepted all four bodies, and engineBody() then threw for each.

No functional change to valid input

--- a/entry/chat_request.cpp
+++ b/entry/chat_request.cpp
@@ -35,6 +35,9 @@
     return Bad("messages: must be an array with at least one message");
   if (B.contains("stream") && !B["stream"].is_boolean())
     return Bad("stream: must be true or false");
+  if (B.contains("stream_options") && !B["stream_options"].is_null() &&
+      !B["stream_options"].is_object())
+    return Bad("stream_options: must be an object");
   Request.Model = B["model"].get<std::string>();
   Request.Stream = B.value("stream", false);
   std::string Prompt = jsonText(B["messages"]);
--- a/tests/unit/input_test.cpp
+++ b/tests/unit/input_test.cpp
@@ -110,6 +110,23 @@
              "{\"account\":\"\xEF\xBF\xBD\xEF\xBF\xBD\"}");
 }
 
+// Guards against options of another type, which ended an entry that added to
+// them.
+BOOST_AUTO_TEST_CASE(in_stream_options_is_refused) {
+  auto Body = [](const std::string &Options) {
+    return R"({"model":"m","messages":[{}],"stream":true,"stream_options":)" +
+           Options + "}";
+  };
+  for (const char *Options : {"1", "\"x\"", "[]", "true"})
+    BOOST_TEST(!parseChatRequest(Body(Options)).ok(), Options);
+  for (const char *Options : {"{}", "null", "{\"a\":1}"}) {
+    auto Request = parseChatRequest(Body(Options));
+    BOOST_REQUIRE(Request.ok());
+    BOOST_TEST(engineBody(*Request, "m-1").find("\"include_usage\":true") !=
+               std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(does_not_crash_a_parser) {
   google::protobuf::SetLogHandler(nullptr);
   std::mt19937_64 Random(42);
@@ -149,6 +166,8 @@
             : 0;
     auto Request = parseChatRequest(mutate(Chat, Random));
     Accepted += Request.ok() ? 1 : 0;
+    if (Request.ok())
+      engineBody(*Request, "m-1");
     Accepted += readRouting(mutate(Routing, Random)).ok() ? 1 : 0;
     for (transfer_end End : {transfer_end::Framed, transfer_end::Closed})
       Accepted +=
