Deadlines beyond a whole number are taken as 30 years

X-Deadline-Ms: 1e300 is a finite double; its conversion to a whole number of milliseconds in the request head is undefined and gave a negative deadline in the test. Gateways bound it by the route's time-out before they send, so no upstream has seen it.

No functional change to other input

--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -163,6 +163,23 @@
   }
 }
 
+// Guards against a negative deadline in the request head, which a conversion
+// beyond the range of whole numbers gave.
+BOOST_AUTO_TEST_CASE(with_an_absurdly_long_deadline_ask_for_a_long_one) {
+  for (const char *Deadline : {"1e300", "1e19", "99999999999999999999999"}) {
+    std::string Long = Post;
+    Long.replace(Long.find("25000"), 5, Deadline);
+    platform::caller_facts Facts = platform::readCaller(headOf(Long));
+    BOOST_REQUIRE(Facts.DeadlineSeconds.has_value());
+    std::string Text = platform::writeRequestHead(
+        headOf(Post),
+        {.Instance = "i-1", .DeadlineSeconds = *Facts.DeadlineSeconds}, 5);
+    BOOST_TEST(Text.find("X-Deadline-Ms: 1000000000000\r\n") !=
+                   std::string::npos,
+               Text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(of_callers_and_connections_do_not_reach_an_upstream) {
   std::string Text = platform::writeRequestHead(headOf(Post),
                                                 {.Instance = "i-1",
