--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -71,7 +71,8 @@
              [this](const std::string &Peer, const wire::envelope &Message) {
                receive(Peer, Message);
              }),
-      Lender(Options.Retries), Upstreams(Loop, Options.UpstreamListAddress),
+      Rollouts(Options.Exposure), Lender(Options.Retries),
+      Upstreams(Loop, Options.UpstreamListAddress),
       NoticeTimer(Loop, [this] { sendAllNotices(); }),
       Timer(Loop, [this] { tick(); }) {
   Upstreams.OnChange = [this] { scheduleNotices(); };
@@ -348,21 +349,59 @@
   proposeQuarantineChanges(Now);
   Gateways.forgetSilent(Now);
   logEvacuationsInForce();
-  for (wire::rollout_step &Step :
-       Rollouts.steps(Log->state().rollouts(), Gateways, Now, wallSeconds())) {
-    logLine(log_level::Warning,
-            "moving the roll-out of a service to another stage",
-            {{"service", Step.service()},
-             {"version", Step.target_version()},
-             {"from", wire::rollout_stage_Name(Step.from())},
-             {"to", wire::rollout_stage_Name(Step.to())},
-             {"reason", Step.reason()}});
+  for (rollout_judgement &Judgement :
+       Rollouts.judge(Log->state().rollouts(), Gateways, Now, wallSeconds())) {
+    reportRollout(Judgement);
+    if (!Judgement.isDue())
+      continue;
     wire::command Command;
-    *Command.mutable_rollout_step() = std::move(Step);
+    *Command.mutable_rollout_step() = std::move(Judgement.Step);
     Log->propose(std::move(Command), [](const apply_result *) {});
   }
 }
 
+// Shows what the next verdict will rest on, and what a verdict rests on.
+void control_task::reportRollout(const rollout_judgement &Judgement) {
+  const wire::rollout_step &Step = Judgement.Step;
+  const rollout_decision &Decision = Judgement.Decision;
+  const version_tally &New = Judgement.Facts.New;
+  const version_tally &Old = Judgement.Facts.Old;
+  Metrics.gauge("rollout_new_judged", double(New.Judged));
+  Metrics.gauge("rollout_new_bad", double(New.Bad));
+  Metrics.gauge("rollout_old_judged", double(Old.Judged));
+  Metrics.gauge("rollout_old_bad", double(Old.Bad));
+  Metrics.gauge("rollout_evidence", Decision.Evidence);
+  if (!Judgement.isDue())
+    return;
+  auto MeanSeconds = [](const version_tally &Tally) {
+    return Tally.Answers ? Tally.Seconds / double(Tally.Answers) : 0;
+  };
+  logLine(log_level::Warning,
+          "moving the roll-out of a service to another stage",
+          {{"service", Step.service()},
+           {"version", Step.target_version()},
+           {"from", wire::rollout_stage_Name(Step.from())},
+           {"to", wire::rollout_stage_Name(Step.to())},
+           {"reason", Step.reason()},
+           {"elapsed_s", Judgement.Facts.ElapsedSeconds},
+           {"duration_s", Judgement.Facts.DurationSeconds},
+           {"new_sent", int64_t(New.Sent)},
+           {"new_responses", int64_t(New.Answers)},
+           {"new_failures", int64_t(New.Failures)},
+           {"new_first_byte_s", MeanSeconds(New)},
+           {"new_judged", int64_t(New.Judged)},
+           {"new_bad", int64_t(New.Bad)},
+           {"new_upstreams", int64_t(Judgement.Facts.NewByUpstream.size())},
+           {"old_sent", int64_t(Old.Sent)},
+           {"old_responses", int64_t(Old.Answers)},
+           {"old_failures", int64_t(Old.Failures)},
+           {"old_first_byte_s", MeanSeconds(Old)},
+           {"old_judged", int64_t(Old.Judged)},
+           {"old_bad", int64_t(Old.Bad)},
+           {"evidence", Decision.Evidence},
+           {"evidence_of_others", Decision.EvidenceOfOthers}});
+}
+
 // Proposes one placement step at a time, each computed from the state at that
 // moment. If the leader fails midway, its successor needs nothing from it.
 void control_task::proposePlacement(double Now) {
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -40,6 +40,7 @@
   /// Of the retries of all gateways. Where the gateways have another bound, the
   /// stricter one holds for what is lent.
   retry_window_bounds Retries;
+  exposure_bound Exposure; ///< Of roll-outs of services.
   replicated_log_options Log;
 };
 
@@ -103,6 +104,7 @@
   void publishGroupMetrics(double Now);
   void guardVersions(double Now);
   void driveRollouts(double Now);
+  void reportRollout(const rollout_judgement &Judgement);
   void proposePlacement(double Now);
   bool isLastOfItsModel(const version_name &Name) const;
   void setVersionState(const guard_report &Report, version_state State);
--- a/control/gateway_table.cpp
+++ b/control/gateway_table.cpp
@@ -47,10 +47,13 @@
   for (const wire::hall_requests &Hall : Watch.evacuated())
     Gateway.OpenRequestsByHall[Hall.data_hall()] = Hall.open();
   for (const wire::version_tally &Tally : Watch.tallies())
-    Tallies[{Tally.service(), Tally.version()}][Watch.incarnation()] = {
-        .Answers = Tally.answers(),
-        .Failures = Tally.failures(),
-        .Seconds = Tally.seconds()};
+    Tallies[{Tally.service(), Tally.version()}][{
+        Watch.incarnation(), Tally.upstream()}] = {.Sent = Tally.sent(),
+                                                   .Answers = Tally.answers(),
+                                                   .Failures = Tally.failures(),
+                                                   .Seconds = Tally.seconds(),
+                                                   .Judged = Tally.judged(),
+                                                   .Bad = Tally.bad()};
 }
 
 // Without this a restarted gateway would be counted twice, and the other
@@ -151,6 +154,18 @@
   return Sum;
 }
 
+std::map<uint64_t, version_tally>
+gateway_table::answersByUpstream(std::string_view Service,
+                                 std::string_view Version) const {
+  std::map<uint64_t, version_tally> Sums;
+  for (const auto &[Key, ByGateway] : Tallies)
+    if (Key.first == Service && Key.second == Version)
+      for (const auto &[Reporter, Tally] : ByGateway)
+        if (Reporter.Upstream != 0)
+          Sums[Reporter.Upstream] += Tally;
+  return Sums;
+}
+
 version_tally gateway_table::answersOfOthers(std::string_view Service,
                                              std::string_view Version) const {
   version_tally Sum;
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -86,6 +86,9 @@
   /// their starts.
   version_tally answersOf(std::string_view Service,
                           std::string_view Version) const;
+  /// The same by upstream, for those of which gateways report it.
+  std::map<uint64_t, version_tally>
+  answersByUpstream(std::string_view Service, std::string_view Version) const;
   /// The same, summed over all other versions of the service.
   version_tally answersOfOthers(std::string_view Service,
                                 std::string_view Version) const;
@@ -105,7 +108,12 @@
   using version_key = std::pair<std::string, std::string>;
   /// By version and gateway start. Each start of a gateway counts from zero and
   /// reports running totals.
-  std::map<version_key, std::map<uint64_t, version_tally>> Tallies;
+  struct tally_source {
+    uint64_t Gateway = 0;  ///< Its incarnation.
+    uint64_t Upstream = 0; ///< Its key; 0: several together.
+    auto operator<=>(const tally_source &) const = default;
+  };
+  std::map<version_key, std::map<tally_source, version_tally>> Tallies;
 };
 
 } // namespace olivevalve
--- a/control/rollout_driver.cpp
+++ b/control/rollout_driver.cpp
@@ -12,8 +12,13 @@
 // roll-out.
 constexpr double MaxFreshOrderSeconds = 1;
 
-wire::rollout_stage stageAfter(rollout_verdict Verdict) {
+wire::rollout_stage stageAfter(rollout_verdict Verdict,
+                               wire::rollout_stage Present) {
   switch (Verdict) {
+  case rollout_verdict::Stay:
+    return Present;
+  case rollout_verdict::Hold:
+    return wire::HOLD;
   case rollout_verdict::Shift:
     return wire::SHIFT;
   case rollout_verdict::Complete:
@@ -23,6 +28,26 @@
   }
 }
 
+rollout_phase phaseOf(wire::rollout_stage Stage) {
+  switch (Stage) {
+  case wire::CANARY:
+    return rollout_phase::Canary;
+  case wire::HOLD:
+    return rollout_phase::Hold;
+  default:
+    return rollout_phase::Shift;
+  }
+}
+
+std::vector<version_tally> byUpstream(const gateway_table &Gateways,
+                                      const std::string &Service,
+                                      const std::string &Version) {
+  std::vector<version_tally> Tallies;
+  for (const auto &[Key, Tally] : Gateways.answersByUpstream(Service, Version))
+    Tallies.push_back(Tally);
+  return Tallies;
+}
+
 } // namespace
 
 rollout_driver::baseline &
@@ -47,34 +72,35 @@
   return Baseline;
 }
 
-std::vector<wire::rollout_step>
-rollout_driver::steps(const rollout_store &Rollouts,
+std::vector<rollout_judgement>
+rollout_driver::judge(const rollout_store &Rollouts,
                       const gateway_table &Gateways, double Now, double Wall) {
-  std::vector<wire::rollout_step> Steps;
+  std::vector<rollout_judgement> Judgements;
   for (const auto &[Service, Rollout] : Rollouts.all()) {
     if (!isInProgress(Rollout.stage()))
       continue;
     const std::string &Target = Rollout.target_version();
     baseline &Baseline = baselineOf(Rollout, Gateways, Now, Wall);
-    bool Canary = Rollout.stage() == wire::CANARY;
-    rollout_decision Judgement = judgeRollout(
-        {.Phase = Canary ? rollout_phase::Canary : rollout_phase::Shift,
-         .ElapsedSeconds = Now - Baseline.BegunAt,
-         .DurationSeconds = Rollout.duration_seconds(),
-         .New = Gateways.answersOf(Service, Target) - Baseline.NewAtStart,
-         .Old =
-             Gateways.answersOfOthers(Service, Target) - Baseline.OldAtStart});
-    if (Judgement.Verdict == rollout_verdict::Stay)
-      continue;
-    wire::rollout_step Step;
+    rollout_judgement Judgement{
+        .Facts = {.Phase = phaseOf(Rollout.stage()),
+                  .ElapsedSeconds = Now - Baseline.BegunAt,
+                  .DurationSeconds = Rollout.duration_seconds(),
+                  .Exposure = Exposure,
+                  .New =
+                      Gateways.answersOf(Service, Target) - Baseline.NewAtStart,
+                  .Old = Gateways.answersOfOthers(Service, Target) -
+                         Baseline.OldAtStart,
+                  .NewByUpstream = byUpstream(Gateways, Service, Target)}};
+    Judgement.Decision = judgeRollout(Judgement.Facts);
+    wire::rollout_step &Step = Judgement.Step;
     Step.set_service(Service);
     Step.set_target_version(Target);
     Step.set_from(Rollout.stage());
-    Step.set_to(stageAfter(Judgement.Verdict));
-    Step.set_reason(std::string(Judgement.Reason));
-    Steps.push_back(std::move(Step));
+    Step.set_to(stageAfter(Judgement.Decision.Verdict, Rollout.stage()));
+    Step.set_reason(std::string(Judgement.Decision.Reason));
+    Judgements.push_back(std::move(Judgement));
   }
-  return Steps;
+  return Judgements;
 }
 
 } // namespace olivevalve
--- a/control/rollout_driver.h
+++ b/control/rollout_driver.h
@@ -18,13 +18,24 @@
 
 namespace olivevalve {
 
+/// A roll-out in progress: what is known of it, and what follows.
+struct rollout_judgement {
+  rollout_input Facts;
+  rollout_decision Decision;
+  wire::rollout_step Step; ///< To the present stage if none is due.
+
+  bool isDue() const { return Decision.Verdict != rollout_verdict::Stay; }
+};
+
 class rollout_driver {
 public:
-  /// The steps that are due. \p Now is the steady clock; \p Wall is the wall
-  /// clock, by which orders are timestamped.
-  std::vector<wire::rollout_step> steps(const rollout_store &Rollouts,
-                                        const gateway_table &Gateways,
-                                        double Now, double Wall);
+  explicit rollout_driver(exposure_bound Exposure = {}) : Exposure(Exposure) {}
+
+  /// Judges the roll-outs in progress. \p Now is the steady clock; \p Wall is
+  /// the wall clock, by which orders are timestamped.
+  std::vector<rollout_judgement> judge(const rollout_store &Rollouts,
+                                       const gateway_table &Gateways,
+                                       double Now, double Wall);
 
 private:
   /// State at the order of a roll-out.
@@ -37,6 +48,7 @@
   baseline &baselineOf(const wire::rollout &Rollout,
                        const gateway_table &Gateways, double Now, double Wall);
 
+  exposure_bound Exposure;
   std::map<std::string, baseline> Baselines; ///< By service.
 };
 
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -187,6 +187,8 @@
   Reader.object("duties", [&](object_reader &Duties) {
     Control.Duties = readDuties(Duties);
   });
+  Reader.number("exposure_share", Control.Exposure.Share, {0, 1});
+  Reader.number("exposure_slack", Control.Exposure.Slack, {0, 1e6});
   Reader.number("retry_slack", Control.Retries.Slack, {0, 1e6});
   Reader.number("retry_window_seconds", Control.Retries.WindowSeconds,
                 {1, 600});
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -407,7 +407,9 @@
   Sent.Priority = priority();
   Sent.SendPriority = Facts.Model.has_value();
   SentAt = LastReceivedAt = Now;
-  AnswerIsEvents = AnswerCounted = Survived = false;
+  AnswerIsEvents = AnswerCounted = Judged = Survived = false;
+  Timing.begin(streaming(), Now);
+  State.Versions.countSent(Service, Upstream->Listed.Version);
   Framing = body_framing::None;
   UnfinishedEventBytes = 0;
   std::string Bytes = platform::writeRequestHead(Head, Sent, Body.size());
@@ -432,7 +434,7 @@
   // The session may continue at another gateway, which must have this pin when
   // a roll-out begins.
   uint64_t SessionHash = sessionHash(Service, Facts);
-  if (software_versions::isCanary(SessionHash) &&
+  if (software_versions::isCanary(SessionHash, canaryShareOf(State, Service)) &&
       Version != State.Versions.target(Service))
     State.Pins.pinToStable(SessionHash, Now);
 }
@@ -543,6 +545,7 @@
 void forwarding::leaveUpstream() {
   if (!Upstream)
     return;
+  countPace();
   if (Connection && !Facts.Model)
     countRun(SentAt);
   if (Connection)
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -78,6 +78,8 @@
   /// Called after this process was suspended: restarts the timer, which may not
   /// have counted the time of the suspension.
   void resumedAfterPause();
+  /// Counts the response in progress for its software version if it is late.
+  void countIfOverdue();
   /// Responds with an error without making an attempt.
   void refuse(error_kind Kind, std::string_view Why) { giveUp(Kind, Why); }
   /// Ends the request at once because the process is about to stop; the
@@ -154,6 +156,8 @@
   void finish();
   void complete(std::string_view Outcome, int Status);
   void countAnswer(bool Failed);
+  uint64_t paceClass() const;
+  void countPace();
   void countRun(double BeganAt);
   void touchSession();
   bool streaming() const {
@@ -237,6 +241,8 @@
   bool Survived = false;
   /// When the first event of the response was received; 0: none yet.
   double FirstEventAt = 0;
+  /// The same, seconds from when its request was sent; -1: none yet.
+  double FirstEventSeconds = -1;
   /// When the current response last received bytes, or the request was sent.
   double LastReceivedAt = 0;
   bool MayHaveRun = false; ///< An attempt has run at an upstream, or may have.
@@ -249,6 +255,9 @@
   bool FellBack = false;
   /// The current response was counted for its software version.
   bool AnswerCounted = false;
+  /// The same, as failed or by its pace.
+  bool Judged = false;
+  response_timing Timing; ///< Of the current attempt.
   /// The request was counted as usage: once, when the first upstream began to
   /// run it.
   bool RunCounted = false;
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -240,6 +240,7 @@
     HeadSent = true;
     settle();
     FirstEventAt = LastReceivedAt;
+    FirstEventSeconds = FirstEventAt - SentAt;
     Fallback.reset();
     Caller->begin(Answer.Status, Answer.Reason, Answer.Lines);
     if (!std::exchange(AnswerCounted, true))
@@ -247,6 +248,7 @@
     State.Metrics->record(measure::TimeToFirstToken, Route->Name,
                           LastReceivedAt - ArrivedAt);
   }
+  Timing.receive(Bytes.size(), LastReceivedAt);
   EventBytes += Bytes.size();
   if (FirstEventBytes == 0)
     FirstEventBytes = EventBytes;
@@ -283,6 +285,8 @@
   }
   bool Failed = Answer.Status >= 500;
   countAnswer(Failed);
+  if (Answer.Status < 300)
+    Timing.receiveWhole(steadySeconds());
   MayHaveRun = true;
   if (Answer.Status < 300)
     recordCompletion();
@@ -380,10 +384,49 @@
     return;
   double Now = steadySeconds();
   State.Versions.count(Service, Upstream->Listed.Version, Failed, Now - SentAt);
+  if (Failed && !std::exchange(Judged, true))
+    State.Versions.countFailure(Upstream->Listed, Upstream->Key);
   Upstream->Answers.add(1, Failed, Now);
   State.Peers->reportResponse(*Upstream, Failed);
 }
 
+uint64_t forwarding::paceClass() const {
+  return checksum(modelAt(*Route, Facts, modelIndex()), checksum(Route->Name));
+}
+
+// An upstream that warms up is slow whatever its version is.
+void forwarding::countPace() {
+  double Now = steadySeconds();
+  if (!Route || Upstream->cold(Now) || std::exchange(Judged, true))
+    return;
+  // A response that is given up is only known to have taken at least this long.
+  auto Seconds =
+      Connection ? Timing.leastSecondsPerUnit(Now) : Timing.secondsPerUnit();
+  if (!Seconds)
+    return;
+  auto Pace = State.UsualPaces.ratio(paceClass(), *Seconds);
+  if (Connection) {
+    if (Pace && software_versions::isLate(*Pace))
+      State.Versions.countPace(Upstream->Listed, Upstream->Key, *Pace);
+    return;
+  }
+  if (Pace)
+    State.Versions.countPace(Upstream->Listed, Upstream->Key, *Pace);
+  if (Upstream->Listed.Version == State.Upstreams.stableVersion(Service))
+    State.UsualPaces.record(paceClass(), *Seconds);
+}
+
+void forwarding::countIfOverdue() {
+  double Now = steadySeconds();
+  if (!Connection || !Upstream || Judged || Upstream->cold(Now))
+    return;
+  auto Seconds = Timing.leastSecondsPerUnit(Now);
+  auto Pace = Seconds ? State.UsualPaces.ratio(paceClass(), *Seconds)
+                      : std::optional<double>();
+  if (Pace && software_versions::isLate(*Pace))
+    State.Versions.countOverdue(Upstream->Listed, Upstream->Key);
+}
+
 // If no upstream takes requests now: a time after the first of them does again.
 header_field forwarding::retryAfterLine() {
   if (RetryAfterSeconds > 0)
@@ -471,7 +514,7 @@
        {"blocks", blockIds(Facts)},
        {"expected_first_s", ExpectedSeconds},
        {"expected_wait_s", WaitSeconds},
-       {"first_event_s", FirstEventAt > 0 ? FirstEventAt - SentAt : -1},
+       {"first_event_s", FirstEventSeconds},
        {"confidence", Confidence},
        {"attempts", int64_t(Attempts)},
        {"arrivals", int64_t(SendCount)},
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include "catalog/routing.h"
 #include "duty/usage_meter.h"
 #include "gateway/peer_work.h"
+#include "gateway/response_times.h"
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
 #include "gateway/upstream_table.h"
@@ -49,6 +50,8 @@
   crash_watch *Crashes = nullptr;
   peer_work *Peers = nullptr; ///< Work reported by the other gateways.
   software_versions Versions;
+  /// Paces of the stable versions' responses.
+  usual_paces UsualPaces;
   session_pins Pins;
   usage_meter Usage{0, 0, 0}; ///< Replaced if the settings ask for usage.
   /// Number of gateways that share the upstreams, this one included; 0 until
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -132,6 +132,8 @@
     Message.set_news_address(Peers.address());
     Message.set_upstreams_revision(Listed.revision());
     Message.set_upstreams_age(steadySeconds() - ListReadAt);
+    for (const auto &[Raw, Request] : Requests)
+      Raw->countIfOverdue();
     State.Versions.fillTallies(Message);
     for (const auto &[Hall, Open] : State.Upstreams.openInEvacuated()) {
       wire::hall_requests *Entry = Message.add_evacuated();
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -42,6 +42,18 @@
   reopening Held;
 };
 
+/// Leaves the upstreams that a canary's requests go to: the first in the order
+/// of their keys, so that all gateways use the same. Those that were tried are
+/// replaced by the next.
+void keepCanaryUpstreams(const selection_request &Request,
+                         std::vector<std::shared_ptr<upstream>> &Upstreams) {
+  std::erase_if(Upstreams, [&](const auto &Each) {
+    return Request.Tried.contains(Each->Listed.Id);
+  });
+  if (Upstreams.size() > CanaryUpstreams)
+    Upstreams.resize(CanaryUpstreams);
+}
+
 candidates candidatesFor(gateway_state &State, const routing_table &Routing,
                          const selection_request &Request,
                          const session_pin *Pin) {
@@ -51,8 +63,8 @@
   std::string Pinned = Pin ? Pin->Version : std::string();
   if (!Pin && State.Pins.isPinnedToStable(SessionHash, Request.Now))
     Pinned = Stable;
-  const std::string &Version =
-      State.Versions.versionFor(Service, Stable, Pinned, SessionHash);
+  const std::string &Version = State.Versions.versionFor(
+      Service, Stable, Pinned, SessionHash, canaryShareOf(State, Service));
   std::string_view Reverted = State.Versions.revertedVersion(Service);
   candidates Found;
   for (const auto &Each : State.Upstreams.ofService(Service)) {
@@ -72,6 +84,8 @@
     if (Preferred)
       Found.Held.add(Permit);
   }
+  if (State.Versions.isCanaryVersion(Service, Version))
+    keepCanaryUpstreams(Request, Found.Preferred);
   // A request that is newly assigned to the version being rolled out goes to
   // the stable version rather than wait, never the other way round.
   if (Pinned.empty() && Version != Stable)
@@ -206,6 +220,15 @@
                   checksum(Service));
 }
 
+double canaryShareOf(const gateway_state &State, const std::string &Service) {
+  const std::string &Target = State.Versions.target(Service);
+  const auto &All = State.Upstreams.ofService(Service);
+  return canaryShare(
+      size_t(std::count_if(All.begin(), All.end(), [&](const auto &Each) {
+        return Each->Listed.Version != Target;
+      })));
+}
+
 std::string_view modelAt(const route_spec &Route,
                          const platform::caller_facts &Facts,
                          size_t ModelIndex) {
--- a/gateway/selection.h
+++ b/gateway/selection.h
@@ -47,6 +47,10 @@
 uint64_t sessionHash(const std::string &Service,
                      const platform::caller_facts &Facts);
 
+/// Share of the new sessions of \p Service that a canary gets, by the upstreams
+/// that the service has beside the version that is being rolled out.
+double canaryShareOf(const gateway_state &State, const std::string &Service);
+
 /// Name of the model at \p ModelIndex, or of the model that the caller named if
 /// the index is past the end; empty if the request is for no model.
 std::string_view modelAt(const route_spec &Route,
--- a/gateway/software_versions.cpp
+++ b/gateway/software_versions.cpp
@@ -2,12 +2,16 @@
 
 #include "gateway/software_versions.h"
 #include "gateway/upstream_table.h"
+#include "ledger/rollouts.h"
 
 namespace olivevalve {
 
 namespace {
 
 constexpr uint64_t HashBuckets = 1'000'000;
+// A response that takes this many times as long as usual is late. Paces at the
+// same load are within a factor of 2 of the usual one for nine in ten.
+constexpr double LatePace = 2.5;
 
 } // namespace
 
@@ -26,7 +30,8 @@
 const std::string &software_versions::versionFor(const std::string &Service,
                                                  const std::string &Stable,
                                                  const std::string &Pinned,
-                                                 uint64_t SessionHash) const {
+                                                 uint64_t SessionHash,
+                                                 double Share) const {
   auto It = Rollouts.find(Service);
   if (It == Rollouts.end())
     return Stable;
@@ -36,7 +41,9 @@
   case wire::CANARY:
     if (!Pinned.empty())
       return Pinned == Target ? Target : Stable;
-    return isCanary(SessionHash) ? Target : Stable;
+    return isCanary(SessionHash, Share) ? Target : Stable;
+  case wire::HOLD:
+    return Pinned == Target ? Target : Stable;
   case wire::SHIFT:
   case wire::COMPLETED:
     return Target;
@@ -45,16 +52,14 @@
   }
 }
 
-bool software_versions::isCanary(uint64_t SessionHash) {
-  return double(SessionHash % HashBuckets) < CanaryShare * double(HashBuckets);
+bool software_versions::isCanary(uint64_t SessionHash, double Share) {
+  return double(SessionHash % HashBuckets) < Share * double(HashBuckets);
 }
 
 const std::string &software_versions::target(const std::string &Service) const {
   static const std::string None;
   auto It = Rollouts.find(Service);
-  bool InProgress =
-      It != Rollouts.end() &&
-      (It->second.stage() == wire::CANARY || It->second.stage() == wire::SHIFT);
+  bool InProgress = It != Rollouts.end() && isInProgress(It->second.stage());
   return InProgress ? It->second.target_version() : None;
 }
 
@@ -66,24 +71,74 @@
                   : std::string_view();
 }
 
+bool software_versions::isCanaryVersion(const std::string &Service,
+                                        const std::string &Version) const {
+  auto It = Rollouts.find(Service);
+  return It != Rollouts.end() && It->second.target_version() == Version &&
+         (It->second.stage() == wire::CANARY ||
+          It->second.stage() == wire::HOLD);
+}
+
+software_versions::tally_key
+software_versions::keyOf(const platform::listed_upstream &Upstream,
+                         uint64_t Key) const {
+  bool ByUpstream = isCanaryVersion(Upstream.Service, Upstream.Version);
+  return {Upstream.Service, Upstream.Version, ByUpstream ? Key : 0};
+}
+
+void software_versions::countSent(const std::string &Service,
+                                  const std::string &Version) {
+  ++Tallies[{Service, Version, 0}].Sent;
+}
+
 void software_versions::count(const std::string &Service,
                               const std::string &Version, bool Failed,
                               double Seconds) {
-  version_tally &Tally = Tallies[{Service, Version}];
+  version_tally &Tally = Tallies[{Service, Version, 0}];
   ++Tally.Answers;
   Tally.Failures += Failed;
   Tally.Seconds += Seconds;
 }
 
-void software_versions::fillTallies(wire::watch &Watch) const {
+void software_versions::countFailure(const platform::listed_upstream &Upstream,
+                                     uint64_t Key) {
+  version_tally &Tally = Tallies[keyOf(Upstream, Key)];
+  ++Tally.Judged;
+  ++Tally.Bad;
+}
+
+void software_versions::countPace(const platform::listed_upstream &Upstream,
+                                  uint64_t Key, double Pace) {
+  version_tally &Tally = Tallies[keyOf(Upstream, Key)];
+  ++Tally.Judged;
+  Tally.Bad += isLate(Pace);
+}
+
+void software_versions::countOverdue(const platform::listed_upstream &Upstream,
+                                     uint64_t Key) {
+  ++Overdue[keyOf(Upstream, Key)];
+}
+
+bool software_versions::isLate(double Pace) { return Pace > LatePace; }
+
+void software_versions::fillTallies(wire::watch &Watch) {
+  for (auto &[Key, Late] : Overdue)
+    Tallies.try_emplace(Key);
   for (const auto &[Key, Tally] : Tallies) {
+    auto Late = Overdue.find(Key);
+    uint64_t LateCount = Late == Overdue.end() ? 0 : Late->second;
     wire::version_tally *Out = Watch.add_tallies();
-    Out->set_service(Key.first);
-    Out->set_version(Key.second);
+    Out->set_service(std::get<0>(Key));
+    Out->set_version(std::get<1>(Key));
+    Out->set_upstream(std::get<2>(Key));
+    Out->set_sent(Tally.Sent);
     Out->set_answers(Tally.Answers);
     Out->set_failures(Tally.Failures);
     Out->set_seconds(Tally.Seconds);
+    Out->set_judged(Tally.Judged + LateCount);
+    Out->set_bad(Tally.Bad + LateCount);
   }
+  Overdue.clear();
 }
 
 } // namespace olivevalve
--- a/ledger/rollouts.h
+++ b/ledger/rollouts.h
@@ -18,7 +18,7 @@
 
 /// True until a roll-out has completed or was reverted.
 constexpr bool isInProgress(wire::rollout_stage Stage) {
-  return Stage == wire::CANARY || Stage == wire::SHIFT;
+  return Stage == wire::CANARY || Stage == wire::HOLD || Stage == wire::SHIFT;
 }
 
 /// The newest roll-out of each service.
--- a/pace/usual_time.cpp
+++ b/pace/usual_time.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// The mean follows a change of the work, such as longer prompts, within some
-// hundred observations.
-constexpr double MinStep = 0.01;
 // A single time that is off by more than a factor of some 4 comes from a queue
 // or a pause, not from the upstream's speed.
 constexpr double MaxResidual = 1.4;
--- a/pace/usual_time.h
+++ b/pace/usual_time.h
@@ -17,11 +17,14 @@
 class usual_time {
 public:
   /// \p LongerWeight: of a time above the mean, relative to one below it.
-  explicit usual_time(double LongerWeight = 1) : LongerWeight(LongerWeight) {}
+  /// \p MinStep: the least share of the mean that a new observation makes up.
+  explicit usual_time(double LongerWeight = 1, double MinStep = 0.01)
+      : LongerWeight(LongerWeight), MinStep(MinStep) {}
 
   void record(double LogTime);
   /// False before the first observation.
   bool known() const { return Observations > 0; }
+  uint32_t observations() const { return Observations; }
   double logMean() const { return Mean; }
   /// The inverse of the variance of one observation: what it tells about the
   /// pace of an upstream.
@@ -31,6 +34,7 @@
 
 private:
   double LongerWeight;
+  double MinStep;
   double Mean = 0;
   double Variance = 0;
   uint32_t Observations = 0;
--- a/policy/service_guard.cpp
+++ b/policy/service_guard.cpp
@@ -1,7 +1,9 @@
 //===- service_guard.cpp - Roll-out decisions for services ----------------===//
 
 #include "policy/service_guard.h"
+#include "policy/guard.h"
 #include <algorithm>
+#include <cmath>
 
 namespace olivevalve {
 
@@ -9,9 +11,8 @@
 
 // The new version gets all new traffic only in this last share of the time,
 // bounded in seconds: a version that starts to fail late must not have received
-// much more than a tenth of the requests by the deadline. Requests that are in
-// progress at the old version when the shift begins have until its end to
-// finish.
+// more than the bound allows by the deadline. Requests that are in progress at
+// the old version when the shift begins have until its end to finish.
 constexpr double ShiftShare = 0.08;
 constexpr double MaxShiftSeconds = 2.0;
 // Time between completion and the deadline, in which the change is committed
@@ -30,6 +31,14 @@
 constexpr double SlowFactor = 2.5;
 constexpr double SlowMarginSeconds = 0.05;
 
+// With few upstreams, the new version still gets the smaller part.
+constexpr double MaxCanaryShare = 0.4;
+// Part of the service's requests that reach the new version while a hold takes
+// effect: reports and orders take about half a second.
+constexpr double HoldMargin = 0.02;
+// Rates are not known any sooner.
+constexpr double MinRateSeconds = 1;
+
 double share(uint64_t Part, uint64_t Whole) {
   return Whole ? double(Part) / double(Whole) : 0;
 }
@@ -48,12 +57,55 @@
          SlowFactor * Old.Seconds / double(Old.Answers) + SlowMarginSeconds;
 }
 
+// The share of bad responses that the version before had, and what is allowed
+// beyond it: chance, and prompts that are not cached yet.
+constexpr double Tolerance = 0.05;
+// Stands in for responses of the version before while there are none.
+constexpr double PriorBad = 1;
+constexpr double PriorJudged = 10;
+constexpr double MaxUsualShare = 0.7;
+// Evidence, see score_test, on which a version is reverted at once: at most one
+// good version in 200 is. Of those with bad responses, one with a half is
+// reverted within 40 responses, and two in three with a quarter within 80.
+constexpr double RevertEvidence = 200;
+// The same without the upstream that speaks most against the version, which may
+// be at fault itself.
+constexpr double RevertEvidenceOfOthers = 3;
+// Evidence on which a version is not given all requests. With 80 responses,
+// nine in ten versions with a quarter of bad ones are found so.
+constexpr double ShiftEvidence = 10;
+
+double evidenceAgainst(const version_tally &New, const version_tally &Old) {
+  double Usual =
+      (double(Old.Bad) + PriorBad) / (double(Old.Judged) + PriorJudged);
+  double Reference = 1 - std::min(MaxUsualShare, Usual + Tolerance);
+  score_test Test;
+  for (uint64_t I = 0; I < New.Judged; ++I)
+    Test.add(I < New.Bad ? 0 : 1, Reference);
+  return Test.evidence();
+}
+
+/// The responses of the new version without those of the upstream that speaks
+/// most against it.
+version_tally withoutWorstUpstream(const rollout_input &Input) {
+  version_tally Worst;
+  for (const version_tally &Each : Input.NewByUpstream)
+    if (evidenceAgainst(Each, Input.Old) > evidenceAgainst(Worst, Input.Old))
+      Worst = Each;
+  return Input.New - Worst;
+}
+
 double marginSeconds(double Duration) {
   return std::min(MaxMarginSeconds, Duration * MarginShare);
 }
 
 } // namespace
 
+double canaryShare(size_t Old) {
+  return std::min(MaxCanaryShare,
+                  double(CanaryUpstreams) / double(CanaryUpstreams + Old));
+}
+
 double completeAfterSeconds(double DurationSeconds) {
   return DurationSeconds - marginSeconds(DurationSeconds);
 }
@@ -63,25 +115,49 @@
          std::min(MaxShiftSeconds, DurationSeconds * ShiftShare);
 }
 
+double canaryBudget(const rollout_input &Input) {
+  double Duration = Input.DurationSeconds;
+  double Requests = double(Input.New.Sent + Input.Old.Sent) /
+                    std::max(MinRateSeconds, Input.ElapsedSeconds) * Duration;
+  double Shift =
+      (completeAfterSeconds(Duration) - shiftAfterSeconds(Duration)) / Duration;
+  return Input.Exposure.Slack +
+         Requests * (Input.Exposure.Share - Shift - HoldMargin);
+}
+
 rollout_decision judgeRollout(const rollout_input &Input) {
+  rollout_decision Decision;
+  Decision.Evidence = evidenceAgainst(Input.New, Input.Old);
+  Decision.EvidenceOfOthers =
+      evidenceAgainst(withoutWorstUpstream(Input), Input.Old);
+  auto Decide = [&](rollout_verdict Verdict, std::string_view Reason) {
+    Decision.Verdict = Verdict;
+    Decision.Reason = Reason;
+    return Decision;
+  };
+  using enum rollout_verdict;
   if (hasHigherErrorRate(Input.New, Input.Old))
-    return {rollout_verdict::Revert, "fails more than the version before"};
+    return Decide(Revert, "fails more than the version before");
   if (isSlower(Input.New, Input.Old))
-    return {rollout_verdict::Revert, "is slower than the version before"};
-  bool IsCanary = Input.Phase == rollout_phase::Canary;
-  bool HasAnswers = Input.New.Answers > 0;
-  if (Input.ElapsedSeconds >= completeAfterSeconds(Input.DurationSeconds) &&
-      !IsCanary)
-    return HasAnswers ? rollout_decision{rollout_verdict::Complete, "is sound"}
-                      : rollout_decision{rollout_verdict::Revert,
-                                         "has given no answer"};
-  if (Input.ElapsedSeconds >= shiftAfterSeconds(Input.DurationSeconds) &&
-      IsCanary)
-    return HasAnswers
-               ? rollout_decision{rollout_verdict::Shift, "is sound so far"}
-               : rollout_decision{rollout_verdict::Revert,
-                                  "has given no answer"};
-  return {};
+    return Decide(Revert, "is slower than the version before");
+  if (Decision.Evidence >= RevertEvidence &&
+      Decision.EvidenceOfOthers >= RevertEvidenceOfOthers)
+    return Decide(Revert, "has more bad responses than the version before");
+  bool IsShifted = Input.Phase == rollout_phase::Shift;
+  double Due = IsShifted ? completeAfterSeconds(Input.DurationSeconds)
+                         : shiftAfterSeconds(Input.DurationSeconds);
+  if (Input.ElapsedSeconds < Due)
+    return Input.Phase == rollout_phase::Canary &&
+                   double(Input.New.Sent) >= canaryBudget(Input)
+               ? Decide(Hold, "has had its share of the requests for now")
+               : Decision;
+  if (Input.New.Answers == 0)
+    return Decide(Revert, "has given no answer");
+  if (Decision.Evidence >= ShiftEvidence)
+    return Decide(Revert,
+                  "may have more bad responses than the version before");
+  return IsShifted ? Decide(Complete, "is sound")
+                   : Decide(Shift, "is sound so far");
 }
 
 } // namespace olivevalve
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double EventGapSeconds = 0.005;
+// Of a slow run.
+constexpr double SlowFactor = 8;
 // Small, so that even short lists have several pages.
 constexpr size_t EntriesOfPage = 2;
 constexpr std::string_view EventStreamType = "text/event-stream";
@@ -235,6 +237,8 @@
   std::string Last = headerOf(LastHead, "Last-Event-Id");
   Connection.NextEvent = Last.empty() ? 1 : std::atoi(Last.c_str()) + 1;
   Connection.LastEvent = numberOf(Target, "events", 5);
+  bool Slow = IsSlow && Runs.size() % 2 == 0;
+  Connection.GapSeconds = EventGapSeconds * (Slow ? SlowFactor : 1);
   int Break = numberOf(Target, "break", -1);
   Connection.Crashes = queryOf(Target, "do") == "crash";
   if (hasSharedBlock(LastHead, CrashingBlock)) {
@@ -313,7 +317,7 @@
     Connection.Stream.write(
         Connection.Framing == body_framing::Chunks ? chunk(Part) : Part);
   if (!Cut)
-    return Connection.Later.startOnce(EventGapSeconds);
+    return Connection.Later.startOnce(Connection.GapSeconds);
   if (Connection.Exits)
     return exit();
   return Connection.Proper ? endStream(Connection) : kill(Connection);
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -109,7 +109,9 @@
   bool CrashesBeforeHead = false;
   /// Confidence reported with each response, from 0 to 1.
   double Confidence = 0.9;
-  bool Fails = false;   ///< Responds to each request with status 500.
+  bool Fails = false; ///< Responds to each request with status 500.
+  /// The events of every second run come eight times as slowly.
+  bool IsSlow = false;
   bool Refuses = false; ///< Refuses each request as not run.
   int RefusalStatus = 503;
   std::string RetryAfter; ///< Retry-After of refusals; empty: no such header.
@@ -133,6 +135,7 @@
     int NextEvent = 0;
     int LastEvent = -1; ///< -1: no stream in progress.
     int BreakAfter = -1;
+    double GapSeconds = 0; ///< Between two events.
     body_framing Framing = body_framing::Chunks;
     std::string PlainBody; ///< Sent in place of events.
     int CutAfter = -1;     ///< Body bytes.
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -715,4 +715,45 @@
     }
 }
 
+// Guards against a slow version that is completed because the responses that
+// take long have not ended, and their first events come in time.
+BOOST_AUTO_TEST_CASE(revert_a_version_whose_events_come_slowly) {
+  for (bool Good : {true, false})
+    BOOST_TEST_CONTEXT((Good ? "healthy version" : "slow version")) {
+      served_world World;
+      for (const char *Id : {"i-3", "i-4"}) {
+        World.addReplica({.Id = Id, .Version = "v2"});
+        World.Replicas[Id]->IsSlow = !Good;
+      }
+      std::vector<std::shared_ptr<client_response>> Sent;
+      auto SendSome = [&] {
+        for (int I = 0; I < 2; ++I)
+          Sent.push_back(World.beginRequest("/stream/x?events=12"));
+        World.run(0.05);
+      };
+      for (int I = 0; I < 20; ++I)
+        SendSome();
+      BOOST_REQUIRE_EQUAL(
+          World
+              .operatorCall(
+                  "POST", "/v1/rollouts",
+                  R"({"service":"plain","target_version":"v2","duration_s":8})")
+              .Status,
+          200);
+      json Read;
+      World.until("the roll-out has finished", [&] {
+        SendSome();
+        Read = json::parse(
+            World.operatorCall("GET", "/v1/rollouts/plain", "").Body);
+        return Read.value("state", "") != "running";
+      });
+      BOOST_TEST(Read.value("state", "") == (Good ? "completed" : "reverted"),
+                 Read.dump());
+      int New = World.Replicas["i-3"]->runs() + World.Replicas["i-4"]->runs();
+      BOOST_TEST(New > 0);
+      if (!Good)
+        BOOST_TEST(New < int(Sent.size()) * 15 / 100 + 30);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -113,19 +113,70 @@
   Order.set_duration_seconds(20);
   BOOST_TEST(Store.begin(Order, 1000).ok());
   rollout_driver Driver;
-  BOOST_TEST(Driver.steps(Store, Gateways, 50, 1000).empty());
+  BOOST_TEST(!Driver.judge(Store, Gateways, 50, 1000)[0].isDue());
   Gateways.recordWatch("a", watchOf(1, 200, 91, "v1"), 51);
   Gateways.recordWatch("b", watchOf(2, 20, 10, "v2"), 51);
-  auto Steps = Driver.steps(Store, Gateways, 52, 1002);
-  BOOST_REQUIRE(Steps.size() == 1U);
-  BOOST_TEST(Steps[0].to() == wire::REVERTED);
+  auto Judged = Driver.judge(Store, Gateways, 52, 1002);
+  BOOST_REQUIRE(Judged.size() == 1U);
+  BOOST_TEST(Judged[0].isDue());
+  BOOST_TEST(Judged[0].Step.to() == wire::REVERTED);
   // A new leader derives the progress of the roll-out from the order's time.
   rollout_driver Next;
   Gateways.recordWatch("b", watchOf(2, 40, 0, "v2"), 500);
-  BOOST_TEST(Next.steps(Store, Gateways, 500, 1005).empty());
-  Steps = Next.steps(Store, Gateways, 515, 1020);
-  BOOST_REQUIRE(Steps.size() == 1U);
-  BOOST_TEST(Steps[0].to() == wire::SHIFT);
+  BOOST_TEST(!Next.judge(Store, Gateways, 500, 1005)[0].isDue());
+  Judged = Next.judge(Store, Gateways, 515, 1020);
+  BOOST_REQUIRE(Judged.size() == 1U);
+  BOOST_TEST(Judged[0].isDue());
+  BOOST_TEST(Judged[0].Step.to() == wire::SHIFT);
+}
+
+BOOST_AUTO_TEST_CASE(a_roll_out_is_held_once_its_requests_are_used_up) {
+  gateway_table Gateways;
+  rollout_store Store;
+  wire::rollout Order;
+  Order.set_service("llm");
+  Order.set_target_version("v2");
+  Order.set_duration_seconds(20);
+  BOOST_TEST(Store.begin(Order, 1000).ok());
+  rollout_driver Driver({.Share = 0.15, .Slack = 10});
+  auto JudgedAt = [&](double Seconds, uint64_t Old, uint64_t New) {
+    wire::watch Watch = watchOf(1, Old, 0, "v1");
+    Watch.mutable_tallies(0)->set_sent(Old);
+    *Watch.add_tallies() = watchOf(1, New, 0, "v2").tallies(0);
+    Watch.mutable_tallies(1)->set_sent(New);
+    Gateways.recordWatch("a", Watch, 50 + Seconds);
+    return Driver.judge(Store, Gateways, 50 + Seconds, 1000 + Seconds)[0];
+  };
+  BOOST_TEST(!JudgedAt(0, 0, 0).isDue());
+  BOOST_TEST(!JudgedAt(5, 500, 50).isDue());
+  rollout_judgement Judged = JudgedAt(8, 800, 150);
+  BOOST_TEST(Judged.isDue());
+  BOOST_TEST(Judged.Step.to() == wire::HOLD);
+  Store.step(Judged.Step);
+  BOOST_TEST(!JudgedAt(9, 900, 155).isDue());
+  BOOST_TEST(JudgedAt(17, 1700, 160).Step.to() == wire::SHIFT);
+}
+
+BOOST_AUTO_TEST_CASE(responses_of_a_canary_are_known_by_upstream) {
+  gateway_table Gateways;
+  for (uint64_t Gateway : {1, 2}) {
+    wire::watch Watch = watchOf(Gateway, 9, 0, "v2");
+    for (uint64_t Upstream : {7, 8}) {
+      *Watch.add_tallies() = Watch.tallies(0);
+      wire::version_tally *Tally = Watch.mutable_tallies(int(Upstream) - 6);
+      Tally->set_answers(0);
+      Tally->set_upstream(Upstream);
+      Tally->set_judged(4);
+      Tally->set_bad(Upstream - 6);
+    }
+    Gateways.recordWatch("g" + std::to_string(Gateway), Watch, 0);
+  }
+  auto ByUpstream = Gateways.answersByUpstream("llm", "v2");
+  BOOST_REQUIRE(ByUpstream.size() == 2U);
+  BOOST_TEST(ByUpstream[7].Bad == 2U);
+  BOOST_TEST(ByUpstream[8].Bad == 4U);
+  BOOST_TEST(Gateways.answersOf("llm", "v2").Judged == 16U);
+  BOOST_TEST(Gateways.answersOf("llm", "v2").Answers == 18U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -2,6 +2,7 @@
 
 #include "boost/test/unit_test.hpp"
 #include "gateway/peer_work.h"
+#include "gateway/response_times.h"
 #include "gateway/selection.h"
 #include "gateway/session_pins.h"
 #include "gateway/software_versions.h"
@@ -319,6 +320,48 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(times_of_responses)
+
+BOOST_AUTO_TEST_CASE(leave_out_the_time_to_the_first_event) {
+  response_timing Timing;
+  Timing.begin(true, 10);
+  BOOST_TEST(!Timing.leastSecondsPerUnit(20).has_value());
+  Timing.receive(50, 20);
+  BOOST_TEST(!Timing.secondsPerUnit().has_value());
+  BOOST_TEST_CONTEXT("the next event has not come yet") {
+    BOOST_TEST(*Timing.leastSecondsPerUnit(25) == 0.1);
+  }
+  Timing.receive(100, 22);
+  BOOST_TEST(*Timing.secondsPerUnit() == 0.02);
+}
+
+BOOST_AUTO_TEST_CASE(of_plain_responses_are_those_of_the_whole) {
+  response_timing Timing;
+  Timing.begin(false, 10);
+  Timing.receive(50, 11);
+  BOOST_TEST(!Timing.secondsPerUnit().has_value());
+  BOOST_TEST(*Timing.leastSecondsPerUnit(12) == 2);
+  Timing.receiveWhole(13);
+  BOOST_TEST(*Timing.secondsPerUnit() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(are_compared_within_a_class_once_it_is_known) {
+  usual_paces Paces;
+  for (int I = 0; I < 7; ++I)
+    Paces.record(1, 0.5);
+  BOOST_TEST(!Paces.ratio(1, 1).has_value());
+  Paces.record(1, 0.5);
+  BOOST_TEST(*Paces.ratio(1, 1) == 2, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(!Paces.ratio(2, 1).has_value());
+  BOOST_TEST_CONTEXT("what is usual follows a burst") {
+    for (int I = 0; I < 60; ++I)
+      Paces.record(1, 1.5);
+    BOOST_TEST(*Paces.ratio(1, 1.5) < 1.2);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(versions_during_a_rollout)
 
 BOOST_AUTO_TEST_CASE(of_a_session_is_kept_during_a_canary) {
@@ -329,9 +372,9 @@
   BOOST_TEST(Upstreams.stableVersion("llm") == "v1");
   int Tried = 0;
   for (uint64_t Draw = 0; Draw < 1'000'000; Draw += 997) {
-    BOOST_TEST(Versions.versionFor("llm", "v1", "v1", Draw) == "v1");
-    BOOST_TEST(Versions.versionFor("llm", "v1", "v2", Draw) == "v2");
-    Tried += Versions.versionFor("llm", "v1", "", Draw) == "v2";
+    BOOST_TEST(Versions.versionFor("llm", "v1", "v1", Draw, 0.06) == "v1");
+    BOOST_TEST(Versions.versionFor("llm", "v1", "v2", Draw, 0.06) == "v2");
+    Tried += Versions.versionFor("llm", "v1", "", Draw, 0.06) == "v2";
   }
   BOOST_TEST(Tried > 40);
   BOOST_TEST(Tried < 80);
@@ -342,15 +385,52 @@
   Upstreams.update({listed("i-1"), listed("i-2", "v2")}, 0);
   software_versions Versions;
   Versions.apply(noticeOf(wire::SHIFT), Upstreams);
-  BOOST_TEST(Versions.versionFor("llm", "v1", "v1", 1) == "v2");
+  BOOST_TEST(Versions.versionFor("llm", "v1", "v1", 1, 0.06) == "v2");
   Versions.apply(noticeOf(wire::COMPLETED), Upstreams);
   BOOST_TEST(Upstreams.stableVersion("llm") == "v2");
   Versions.apply(noticeOf(wire::REVERTED), Upstreams);
   BOOST_TEST(Upstreams.stableVersion("llm") == "v1");
-  BOOST_TEST(Versions.versionFor("llm", "v1", "v2", 1) == "v1");
+  BOOST_TEST(Versions.versionFor("llm", "v1", "v2", 1, 0.06) == "v1");
   BOOST_TEST(Versions.revertedVersion("llm") == "v2");
 }
 
+BOOST_AUTO_TEST_CASE(of_a_session_is_kept_during_a_hold_and_no_other_begins) {
+  upstream_table Upstreams;
+  Upstreams.update({listed("i-1"), listed("i-2", "v2")}, 0);
+  software_versions Versions;
+  Versions.apply(noticeOf(wire::HOLD), Upstreams);
+  BOOST_TEST(Versions.target("llm") == "v2");
+  for (uint64_t Draw = 0; Draw < 1'000'000; Draw += 997) {
+    BOOST_TEST(Versions.versionFor("llm", "v1", "", Draw, 0.06) == "v1");
+    BOOST_TEST(Versions.versionFor("llm", "v1", "v2", Draw, 0.06) == "v2");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(are_judged_by_upstream_with_late_responses_in_progress) {
+  upstream_table Upstreams;
+  platform::listed_upstream New = listed("i-2", "v2");
+  Upstreams.update({listed("i-1"), New}, 0);
+  software_versions Versions;
+  Versions.apply(noticeOf(wire::CANARY), Upstreams);
+  Versions.countPace(listed("i-1"), 7, 9);
+  Versions.countPace(New, 8, 1.5);
+  Versions.countFailure(New, 8);
+  Versions.countOverdue(New, 8);
+  auto Reported = [&](uint64_t Upstream) {
+    wire::watch Watch;
+    Versions.fillTallies(Watch);
+    for (const wire::version_tally &Tally : Watch.tallies())
+      if (Tally.upstream() == Upstream)
+        return std::pair<uint64_t, uint64_t>(Tally.judged(), Tally.bad());
+    return std::pair<uint64_t, uint64_t>(0, 0);
+  };
+  BOOST_TEST((Reported(8) == std::pair<uint64_t, uint64_t>(3, 2)));
+  BOOST_TEST_CONTEXT("one that is no longer in progress is not counted again")
+  BOOST_TEST((Reported(8) == std::pair<uint64_t, uint64_t>(2, 1)));
+  BOOST_TEST((Reported(0) == std::pair<uint64_t, uint64_t>(1, 1)));
+  BOOST_TEST((Reported(7) == std::pair<uint64_t, uint64_t>(0, 0)));
+}
+
 BOOST_AUTO_TEST_CASE(tallies_are_reported_per_version) {
   software_versions Versions;
   Versions.count("llm", "v1", false, 0.5);
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -7,6 +7,7 @@
 #include "ledger/state_machine.h"
 #include "policy/service_guard.h"
 #include "tests/unit/fixtures.h"
+#include <random>
 
 using namespace olivevalve;
 
@@ -185,6 +186,115 @@
 
 BOOST_AUTO_TEST_SUITE(service_rollout_guard)
 
+namespace {
+
+version_tally tallyOf(uint64_t Answers, uint64_t Failures, double Seconds) {
+  return {.Answers = Answers, .Failures = Failures, .Seconds = Seconds};
+}
+
+/// A roll-out that must be done within 20 s.
+rollout_input at(rollout_phase Phase, double Elapsed, version_tally New,
+                 version_tally Old) {
+  return {.Phase = Phase,
+          .ElapsedSeconds = Elapsed,
+          .DurationSeconds = 20,
+          .New = New,
+          .Old = Old};
+}
+
+/// A canary on two upstreams, one response after the other.
+class simulated_canary {
+public:
+  explicit simulated_canary(uint64_t Seed) : Random(Seed) {
+    Input = at(rollout_phase::Canary, 5, {},
+               {.Answers = 300, .Judged = 300, .Bad = 9});
+    Input.NewByUpstream.resize(2);
+  }
+
+  /// The next response of either upstream is bad with these probabilities.
+  /// Returns the verdict on all of them.
+  rollout_verdict respond(double First, double Second) {
+    size_t At = Random() % 2;
+    double Share = At == 0 ? First : Second;
+    bool Bad = std::uniform_real_distribution<double>(0, 1)(Random) < Share;
+    for (version_tally *Tally : {&Input.New, &Input.NewByUpstream[At]}) {
+      ++Tally->Answers;
+      ++Tally->Judged;
+      Tally->Bad += Bad;
+    }
+    return judgeRollout(Input).Verdict;
+  }
+
+  rollout_input Input;
+
+private:
+  std::mt19937_64 Random;
+};
+
+} // namespace
+
+// Guards against verdicts without stated error rates. The evidence is looked at
+// after each response.
+BOOST_AUTO_TEST_CASE(errs_as_rarely_as_it_states) {
+  constexpr int Canaries = 1000;
+  constexpr int Responses = 80;
+  struct rate_case {
+    const char *What;
+    double First, Second;         ///< Shares of bad responses.
+    int MinReverted, MaxReverted; ///< At once.
+    int Within;                   ///< Responses.
+    int MinFound;                 ///< Reverted at once or at the shift.
+  };
+  const rate_case Cases[] = {
+      {"as good as the version before", 0.03, 0.03, 0, 5, Responses, 0},
+      {"within the tolerance", 0.08, 0.08, 0, 5, Responses, 0},
+      {"half are bad", 0.5, 0.5, 990, Canaries, 40, 990},
+      {"a quarter is bad", 0.25, 0.25, 667, Canaries, Responses, 900},
+      {"one upstream is at fault", 0.5, 0.03, 0, 20, Responses, 0},
+  };
+  for (const rate_case &Case : Cases)
+    BOOST_TEST_CONTEXT(Case.What) {
+      int Reverted = 0;
+      int Found = 0;
+      for (uint64_t Seed = 0; Seed < Canaries; ++Seed) {
+        simulated_canary Canary(Seed);
+        rollout_verdict Verdict = rollout_verdict::Stay;
+        for (int I = 0; I < Case.Within && Verdict == rollout_verdict::Stay;
+             ++I)
+          Verdict = Canary.respond(Case.First, Case.Second);
+        Reverted += Verdict == rollout_verdict::Revert;
+        Canary.Input.ElapsedSeconds = shiftAfterSeconds(20) + 0.01;
+        Found += judgeRollout(Canary.Input).Verdict == rollout_verdict::Revert;
+      }
+      BOOST_TEST(Found >= Case.MinFound);
+      BOOST_TEST(Reverted >= Case.MinReverted);
+      BOOST_TEST(Reverted <= Case.MaxReverted);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(does_not_shift_to_a_version_that_is_likely_bad) {
+  double Late = shiftAfterSeconds(20) + 0.01;
+  version_tally Old{.Answers = 300, .Judged = 300, .Bad = 9};
+  version_tally New{.Answers = 30, .Judged = 30, .Bad = 9};
+  for (rollout_phase Phase : {rollout_phase::Canary, rollout_phase::Hold})
+    BOOST_TEST(int(judgeRollout(at(Phase, Late, New, Old)).Verdict) ==
+               int(rollout_verdict::Revert));
+  New.Bad = 1;
+  BOOST_TEST(
+      int(judgeRollout(at(rollout_phase::Hold, Late, New, Old)).Verdict) ==
+      int(rollout_verdict::Shift));
+}
+
+BOOST_AUTO_TEST_CASE(gives_the_canary_the_load_of_an_old_upstream) {
+  for (size_t Old : {4, 9, 18, 58, 860}) {
+    double Share = canaryShare(Old);
+    BOOST_TEST(Share / CanaryUpstreams == (1 - Share) / double(Old),
+               boost::test_tools::tolerance(1e-9));
+  }
+  BOOST_TEST(canaryShare(1) <= 0.4);
+  BOOST_TEST(canaryShare(0) <= 0.4);
+}
+
 BOOST_AUTO_TEST_CASE(advances_by_time_and_reverts_on_bad_answers) {
   struct guard_case {
     const char *What;
@@ -197,30 +307,22 @@
   double Late = shiftAfterSeconds(20) + 0.01;
   double End = completeAfterSeconds(20) + 0.01;
   const guard_case Cases[] = {
-      {"canary without excess failures",
-       {Canary, 5, 20, Healthy, Old},
+      {"canary without excess failures", at(Canary, 5, Healthy, Old),
        rollout_verdict::Stay},
-      {"no excess failures until the shift",
-       {Canary, Late, 20, Healthy, Old},
+      {"no excess failures until the shift", at(Canary, Late, Healthy, Old),
        rollout_verdict::Shift},
-      {"no answers at all",
-       {Canary, Late, 20, {}, Old},
-       rollout_verdict::Revert},
-      {"shifted without excess failures",
-       {Shift, End, 20, Healthy, Old},
+      {"no answers at all", at(Canary, Late, {}, Old), rollout_verdict::Revert},
+      {"shifted without excess failures", at(Shift, End, Healthy, Old),
        rollout_verdict::Complete},
-      {"a few failures are normal",
-       {Canary, 5, 20, {10, 1, 1}, Old},
+      {"a few failures are normal", at(Canary, 5, tallyOf(10, 1, 1), Old),
        rollout_verdict::Stay},
-      {"half fail", {Canary, 5, 20, {10, 5, 1}, Old}, rollout_verdict::Revert},
-      {"half fail after the shift",
-       {Shift, Late, 20, {100, 50, 10}, Old},
+      {"half fail", at(Canary, 5, tallyOf(10, 5, 1), Old),
        rollout_verdict::Revert},
-      {"eight times slower",
-       {Canary, 5, 20, {12, 0, 9.6}, Old},
+      {"half fail after the shift", at(Shift, Late, tallyOf(100, 50, 10), Old),
        rollout_verdict::Revert},
-      {"1.5 times slower",
-       {Canary, 5, 20, {40, 2, 6}, Old},
+      {"eight times slower", at(Canary, 5, tallyOf(12, 0, 9.6), Old),
+       rollout_verdict::Revert},
+      {"1.5 times slower", at(Canary, 5, tallyOf(40, 2, 6), Old),
        rollout_verdict::Stay},
   };
   for (const guard_case &Case : Cases)
@@ -232,12 +334,27 @@
 // only after the shift, when it receives all of them. The bound is its share of
 // the requests until the deadline.
 BOOST_AUTO_TEST_CASE(bounds_the_share_of_a_version_that_turns_bad_late) {
-  for (double Duration : {12.0, 16.0, 24.0, 60.0}) {
-    double Shifted =
-        (completeAfterSeconds(Duration) - shiftAfterSeconds(Duration)) /
-        Duration;
-    BOOST_TEST(CanaryShare + Shifted < 0.15);
-  }
+  constexpr double HoldSeconds = 0.3;
+  for (double Duration : {12.0, 16.0, 24.0, 60.0})
+    for (double Rate : {5.0, 90.0, 5000.0})
+      for (double Slack : {0.0, 30.0}) {
+        double Elapsed = Duration / 2;
+        rollout_input Input{.ElapsedSeconds = Elapsed,
+                            .DurationSeconds = Duration,
+                            .Exposure = {.Share = 0.15, .Slack = Slack}};
+        Input.Old.Sent = uint64_t(Rate * Elapsed);
+        double Requests = double(Input.Old.Sent) / Elapsed * Duration;
+        double Shifted =
+            (completeAfterSeconds(Duration) - shiftAfterSeconds(Duration)) *
+            Rate;
+        double UntilHeld = canaryShare(9) * HoldSeconds * Rate;
+        BOOST_TEST(canaryBudget(Input) + UntilHeld + Shifted <
+                   0.15 * Requests + Slack + 1);
+        Input.New.Sent = uint64_t(canaryBudget(Input)) + 1;
+        Input.Old.Sent -= Input.New.Sent;
+        BOOST_TEST(int(judgeRollout(Input).Verdict) ==
+                   int(rollout_verdict::Hold));
+      }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
