Roll-outs: responses in progress that are not late count too

Those in progress now count from their second event on, late or not, and are counted anew in each message.

Ruled out: lateness relative to the version's own usual pace; a gateway sees some five responses of a class in a canary.

--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -78,8 +78,8 @@
   /// Called after this process was suspended: restarts the timer, which may not
   /// have counted the time of the suspension.
   void resumedAfterPause();
-  /// Counts the response in progress for its software version if it is late.
-  void countIfOverdue();
+  /// Counts the response in progress for its software version.
+  void countInProgress();
   /// Responds with an error without making an attempt.
   void refuse(error_kind Kind, std::string_view Why) { giveUp(Kind, Why); }
   /// Ends the request at once because the process is about to stop; the
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -416,15 +416,18 @@
     State.UsualPaces.record(paceClass(), *Seconds);
 }
 
-void forwarding::countIfOverdue() {
+void forwarding::countInProgress() {
   double Now = steadySeconds();
   if (!Connection || !Upstream || Judged || Upstream->cold(Now))
     return;
   auto Seconds = Timing.leastSecondsPerUnit(Now);
   auto Pace = Seconds ? State.UsualPaces.ratio(paceClass(), *Seconds)
                       : std::optional<double>();
-  if (Pace && software_versions::isLate(*Pace))
-    State.Versions.countOverdue(Upstream->Listed, Upstream->Key);
+  if (!Pace)
+    return;
+  bool Late = software_versions::isLate(*Pace);
+  if (Late || Timing.secondsPerUnit())
+    State.Versions.countInProgress(Upstream->Listed, Upstream->Key, Late);
 }
 
 // If no upstream takes requests now: a time after the first of them does again.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -133,7 +133,7 @@
     Message.set_upstreams_revision(Listed.revision());
     Message.set_upstreams_age(steadySeconds() - ListReadAt);
     for (const auto &[Raw, Request] : Requests)
-      Raw->countIfOverdue();
+      Raw->countInProgress();
     State.Versions.fillTallies(Message);
     for (const auto &[Hall, Open] : State.Upstreams.openInEvacuated()) {
       wire::hall_requests *Entry = Message.add_evacuated();
--- a/gateway/software_versions.cpp
+++ b/gateway/software_versions.cpp
@@ -114,19 +114,22 @@
   Tally.Bad += isLate(Pace);
 }
 
-void software_versions::countOverdue(const platform::listed_upstream &Upstream,
-                                     uint64_t Key) {
-  ++Overdue[keyOf(Upstream, Key)];
+void software_versions::countInProgress(
+    const platform::listed_upstream &Upstream, uint64_t Key, bool Late) {
+  version_tally &Tally = InProgress[keyOf(Upstream, Key)];
+  ++Tally.Judged;
+  Tally.Bad += Late;
 }
 
 bool software_versions::isLate(double Pace) { return Pace > LatePace; }
 
 void software_versions::fillTallies(wire::watch &Watch) {
-  for (auto &[Key, Late] : Overdue)
+  for (const auto &[Key, Open] : InProgress)
     Tallies.try_emplace(Key);
-  for (const auto &[Key, Tally] : Tallies) {
-    auto Late = Overdue.find(Key);
-    uint64_t LateCount = Late == Overdue.end() ? 0 : Late->second;
+  for (const auto &[Key, Ended] : Tallies) {
+    version_tally Tally = Ended;
+    if (auto Open = InProgress.find(Key); Open != InProgress.end())
+      Tally += Open->second;
     wire::version_tally *Out = Watch.add_tallies();
     Out->set_service(std::get<0>(Key));
     Out->set_version(std::get<1>(Key));
@@ -135,10 +138,10 @@
     Out->set_answers(Tally.Answers);
     Out->set_failures(Tally.Failures);
     Out->set_seconds(Tally.Seconds);
-    Out->set_judged(Tally.Judged + LateCount);
-    Out->set_bad(Tally.Bad + LateCount);
+    Out->set_judged(Tally.Judged);
+    Out->set_bad(Tally.Bad);
   }
-  Overdue.clear();
+  InProgress.clear();
 }
 
 } // namespace olivevalve
--- a/gateway/software_versions.h
+++ b/gateway/software_versions.h
@@ -57,9 +57,11 @@
   void countFailure(const platform::listed_upstream &Upstream, uint64_t Key);
   void countPace(const platform::listed_upstream &Upstream, uint64_t Key,
                  double Pace);
-  /// The same for one in progress that is late already. It counts in the next
-  /// message only.
-  void countOverdue(const platform::listed_upstream &Upstream, uint64_t Key);
+  /// The same for one in progress, \p Late already or not. It counts in the
+  /// next message only. Without those that are not late, the first responses
+  /// that count would be late ones, as the others count when they end.
+  void countInProgress(const platform::listed_upstream &Upstream, uint64_t Key,
+                       bool Late);
   /// True if a response with this pace is much slower than usual.
   static bool isLate(double Pace);
   /// Adds the counts to a message for control.
@@ -73,8 +75,8 @@
 
   std::map<std::string, wire::rollout> Rollouts; ///< By service.
   std::map<tally_key, version_tally> Tallies;
-  /// Late responses in progress.
-  std::map<tally_key, uint64_t> Overdue;
+  /// Responses in progress, of which only Judged and Bad are counted.
+  std::map<tally_key, version_tally> InProgress;
 };
 
 } // namespace olivevalve
--- a/policy/service_guard.h
+++ b/policy/service_guard.h
@@ -21,8 +21,8 @@
   uint64_t Answers = 0;
   uint64_t Failures = 0;
   double Seconds = 0; ///< Sum of the times to first byte.
-  /// Responses that failed or whose pace was compared with the usual one. Those
-  /// in progress that are late already are included.
+  /// Responses that failed or whose pace was compared with the usual one, also
+  /// those in progress.
   uint64_t Judged = 0;
   uint64_t Bad = 0; ///< Of these, failed or took much longer than usual.
 
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -406,7 +406,7 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(are_judged_by_upstream_with_late_responses_in_progress) {
+BOOST_AUTO_TEST_CASE(are_judged_by_upstream_with_responses_in_progress) {
   upstream_table Upstreams;
   platform::listed_upstream New = listed("i-2", "v2");
   Upstreams.update({listed("i-1"), New}, 0);
@@ -415,7 +415,8 @@
   Versions.countPace(listed("i-1"), 7, 9);
   Versions.countPace(New, 8, 1.5);
   Versions.countFailure(New, 8);
-  Versions.countOverdue(New, 8);
+  Versions.countInProgress(New, 8, true);
+  Versions.countInProgress(New, 8, false);
   auto Reported = [&](uint64_t Upstream) {
     wire::watch Watch;
     Versions.fillTallies(Watch);
@@ -424,7 +425,7 @@
         return std::pair<uint64_t, uint64_t>(Tally.judged(), Tally.bad());
     return std::pair<uint64_t, uint64_t>(0, 0);
   };
-  BOOST_TEST((Reported(8) == std::pair<uint64_t, uint64_t>(3, 2)));
+  BOOST_TEST((Reported(8) == std::pair<uint64_t, uint64_t>(4, 2)));
   BOOST_TEST_CONTEXT("one that is no longer in progress is not counted again")
   BOOST_TEST((Reported(8) == std::pair<uint64_t, uint64_t>(2, 1)));
   BOOST_TEST((Reported(0) == std::pair<uint64_t, uint64_t>(1, 1)));
