Gateways tell each other the sessions of a canary

In the canary the hash of the session says where it belongs; in a hold only the gateway that has served it knows.

Gateways report these sessions as they report those that a canary must not take over, and control passes both on.

--- a/control/gateway_notices.cpp
+++ b/control/gateway_notices.cpp
@@ -159,6 +159,9 @@
   if (Notice.staying_size() > 0)
     Metrics.count("notice_bytes", "staying sessions",
                   sizeof(uint64_t) * size_t(Notice.staying_size()));
+  if (Notice.canary_sessions_size() > 0)
+    Metrics.count("notice_bytes", "canary sessions",
+                  sizeof(uint64_t) * size_t(Notice.canary_sessions_size()));
   size_t Addresses = 0;
   for (const std::string &Address : Notice.news_addresses())
     Addresses += Address.size();
@@ -210,7 +213,7 @@
   if (Loans)
     Notice->mutable_retries()->Swap(Loans);
   Duties->fillStatus(Gateway.Incarnation, steadySeconds(), *Notice);
-  Gateways.fillStaying(Peer, steadySeconds(), *Notice);
+  Gateways.fillSessions(Peer, steadySeconds(), *Notice);
   countNoticeBytes(*Notice);
   Server.send(Peer, Message);
 }
--- a/control/gateway_table.cpp
+++ b/control/gateway_table.cpp
@@ -25,7 +25,9 @@
 void gateway_table::recordWatch(const std::string &Peer,
                                 const wire::watch &Watch, double Now) {
   for (uint64_t Key : Watch.staying())
-    Staying.push_back({Now, Key});
+    Sessions.push_back({.ReportedAt = Now, .Key = Key});
+  for (uint64_t Key : Watch.canary_sessions())
+    Sessions.push_back({.ReportedAt = Now, .Key = Key, .IsCanary = true});
   if (!Gateways.contains(Peer))
     removeEarlierStart(Watch.node());
   gateway_record &Gateway = Gateways[Peer];
@@ -43,7 +45,7 @@
              .UpstreamsFetchedAt = Now - Watch.upstreams_age(),
              .FullListSentAt = Gateway.FullListSentAt,
              .GatewaysRevision = Watch.gateways_revision(),
-             .StayingSentAt = Gateway.StayingSentAt};
+             .SessionsSentAt = Gateway.SessionsSentAt};
   for (const wire::hall_requests &Hall : Watch.evacuated())
     Gateway.OpenRequestsByHall[Hall.data_hall()] = Hall.open();
   for (const wire::version_tally &Tally : Watch.tallies())
@@ -85,16 +87,19 @@
     Gateway.FullListSentAt = Now;
 }
 
-void gateway_table::fillStaying(const std::string &Peer, double Now,
-                                wire::notice &Notice) {
+void gateway_table::fillSessions(const std::string &Peer, double Now,
+                                 wire::notice &Notice) {
   gateway_record &Gateway = Gateways[Peer];
   auto First = std::partition_point(
-      Staying.begin(), Staying.end(), [&](const staying_session &Each) {
-        return Each.ReportedAt <= Gateway.StayingSentAt;
+      Sessions.begin(), Sessions.end(), [&](const reported_session &Each) {
+        return Each.ReportedAt <= Gateway.SessionsSentAt;
       });
-  for (auto It = First; It != Staying.end(); ++It)
-    Notice.add_staying(It->Key);
-  Gateway.StayingSentAt = Now;
+  for (auto It = First; It != Sessions.end(); ++It)
+    if (It->IsCanary)
+      Notice.add_canary_sessions(It->Key);
+    else
+      Notice.add_staying(It->Key);
+  Gateway.SessionsSentAt = Now;
 }
 
 void gateway_table::fillAddresses(const std::string &Peer,
@@ -115,9 +120,9 @@
 }
 
 void gateway_table::forgetSilent(double Now) {
-  while (!Staying.empty() &&
-         Staying.front().ReportedAt + GatewayTimeoutSeconds < Now)
-    Staying.pop_front();
+  while (!Sessions.empty() &&
+         Sessions.front().ReportedAt + GatewayTimeoutSeconds < Now)
+    Sessions.pop_front();
   std::erase_if(Gateways, [&](const auto &Each) {
     return Each.second.LastSeen + GatewayTimeoutSeconds < Now;
   });
--- a/control/gateway_table.h
+++ b/control/gateway_table.h
@@ -44,9 +44,8 @@
   double FullListSentAt = 0;
   /// Names the set of gateways' addresses that it holds.
   uint64_t GatewaysRevision = 0;
-  /// The staying sessions reported up to this time have been sent to it. They
-  /// are the sessions that a canary must not take over.
-  double StayingSentAt = 0;
+  /// The sessions reported up to this time have been sent to it.
+  double SessionsSentAt = 0;
 };
 
 class gateway_table {
@@ -63,14 +62,14 @@
   void beginLeadership(double Now);
   /// Number of gateways; none while some may not have polled this VM yet.
   std::optional<uint32_t> count(double Now) const;
-  /// Removes gateways that have not polled for a long time, and staying
-  /// sessions reported long ago. Tallies are kept.
+  /// Removes gateways that have not polled for a long time, and sessions
+  /// reported long ago. Tallies are kept.
   void forgetSilent(double Now);
   /// The gateway with link name \p Peer, or null.
   const gateway_record *find(const std::string &Peer) const;
-  /// Adds the staying sessions that gateways have reported since \p Peer was
-  /// last sent any.
-  void fillStaying(const std::string &Peer, double Now, wire::notice &Notice);
+  /// Adds the sessions that gateways have reported as staying on their version
+  /// since \p Peer was last sent any.
+  void fillSessions(const std::string &Peer, double Now, wire::notice &Notice);
   /// Adds the addresses at which gateways receive each other's load updates, if
   /// \p Peer holds a different set. Always sets their revision.
   void fillAddresses(const std::string &Peer, wire::notice &Notice) const;
@@ -99,12 +98,13 @@
   std::map<std::string, gateway_record> Gateways;
   /// By then all gateways have polled this VM.
   double CountValidFrom = 0;
-  struct staying_session {
+  struct reported_session {
     double ReportedAt = 0;
     uint64_t Key = 0;
+    bool IsCanary = false; ///< On the version that is being rolled out.
   };
-  /// Sessions that a canary must not take over; oldest first.
-  std::deque<staying_session> Staying;
+  /// Sessions that stay on their version; oldest first.
+  std::deque<reported_session> Sessions;
   using version_key = std::pair<std::string, std::string>;
   /// By version and gateway start. Each start of a gateway counts from zero and
   /// reports running totals.
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -434,9 +434,10 @@
   // The session may continue at another gateway, which must have this pin when
   // a roll-out begins.
   uint64_t SessionHash = sessionHash(Service, Facts);
-  if (software_versions::isCanary(SessionHash, canaryShareOf(State, Service)) &&
-      Version != State.Versions.target(Service))
-    State.Pins.pinToStable(SessionHash, Now);
+  if (!software_versions::isCanary(SessionHash, canaryShareOf(State, Service)))
+    return;
+  bool OnTarget = Version == State.Versions.target(Service);
+  (OnTarget ? State.Pins.canary() : State.Pins.stable()).pin(SessionHash, Now);
 }
 
 // Seconds of silence after which the upstream is presumed dead.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -140,8 +140,10 @@
       Entry->set_data_hall(Hall);
       Entry->set_open(Open);
     }
-    for (uint64_t Key : State.Pins.takeUnreportedPins())
+    for (uint64_t Key : State.Pins.stable().takeUnreported())
       Message.add_staying(Key);
+    for (uint64_t Key : State.Pins.canary().takeUnreported())
+      Message.add_canary_sessions(Key);
     Reports.fill(*Message.mutable_crashes(), Message.sent_at());
     fillRetryAsk(*Message.mutable_retries());
     if (State.Usage.enabled())
@@ -182,8 +184,11 @@
       logLine(log_level::Info, "no new requests go to an evacuated data hall",
               {{"data_hall", Hall}, {"open_requests", int64_t(Open)}});
   };
-  Watch.OnStaying = [this](uint64_t Key) {
-    State.Pins.applyStablePin(Key, steadySeconds());
+  Watch.OnSessions = [this](const wire::notice &Notice) {
+    for (uint64_t Key : Notice.staying())
+      State.Pins.stable().apply(Key, steadySeconds());
+    for (uint64_t Key : Notice.canary_sessions())
+      State.Pins.canary().apply(Key, steadySeconds());
   };
   Watch.OnPeerAddresses = [this](const std::vector<std::string> &Addresses) {
     Peers.setGateways(Addresses);
--- a/gateway/selection.cpp
+++ b/gateway/selection.cpp
@@ -63,6 +63,8 @@
   std::string Pinned = Pin ? Pin->Version : std::string();
   if (!Pin && State.Pins.isPinnedToStable(SessionHash, Request.Now))
     Pinned = Stable;
+  else if (!Pin && State.Pins.isPinnedToCanary(SessionHash, Request.Now))
+    Pinned = State.Versions.target(Service);
   const std::string &Version = State.Versions.versionFor(
       Service, Stable, Pinned, SessionHash, canaryShareOf(State, Service));
   std::string_view Reverted = State.Versions.revertedVersion(Service);
--- a/gateway/session_pins.h
+++ b/gateway/session_pins.h
@@ -17,6 +17,37 @@
   double TouchedAt = 0;
 };
 
+/// Hashes of sessions that all gateways hold on one version. A gateway reports
+/// each of its own once.
+class shared_pins {
+public:
+  /// Holds or renews the session with this hash; it is to be reported.
+  void pin(uint64_t Key, double Now) {
+    if (PinnedAt.insert_or_assign(Key, Now).second)
+      Unreported.push_back(Key);
+  }
+  /// The same, on the report of another gateway.
+  void apply(uint64_t Key, double Now) { PinnedAt.insert_or_assign(Key, Now); }
+  /// True if the session was pinned within the last \p Lifetime seconds.
+  bool has(uint64_t Key, double Now, double Lifetime) const {
+    auto It = PinnedAt.find(Key);
+    return It != PinnedAt.end() && Now < It->second + Lifetime;
+  }
+  /// Returns the hashes that were not reported yet, once each.
+  std::vector<uint64_t> takeUnreported() {
+    return std::exchange(Unreported, {});
+  }
+  void forgetOld(double Now, double Lifetime) {
+    std::erase_if(PinnedAt, [&](const auto &Each) {
+      return Now > Each.second + Lifetime;
+    });
+  }
+
+private:
+  std::unordered_map<uint64_t, double> PinnedAt;
+  std::vector<uint64_t> Unreported;
+};
+
 /// Sessions of this gateway by service and session id. A pin expires some time
 /// after the last request of its session.
 class session_pins {
@@ -36,30 +67,21 @@
              session_pin Pin) {
     Pins[keyOf(Service, Session)] = std::move(Pin);
   }
-  /// Pins the session with this hash to the stable version, so that no canary
-  /// takes it over. The pin is to be reported to the other gateways.
-  void pinToStable(uint64_t Key, double Now) {
-    if (StableSessions.insert_or_assign(Key, Now).second)
-      Unreported.push_back(Key);
-  }
-  /// The same, on the report of another gateway.
-  void applyStablePin(uint64_t Key, double Now) {
-    StableSessions.insert_or_assign(Key, Now);
-  }
-  /// True if the session with this hash is pinned to the stable version.
+  /// Sessions of the stable version that no canary may take over.
+  shared_pins &stable() { return Stable; }
+  /// Sessions of the version that is being rolled out, which stay there while
+  /// it gets no new ones.
+  shared_pins &canary() { return Canary; }
   bool isPinnedToStable(uint64_t Key, double Now) const {
-    auto It = StableSessions.find(Key);
-    return It != StableSessions.end() && Now < It->second + Lifetime;
+    return Stable.has(Key, Now, Lifetime);
   }
-  /// Returns the hashes that were not reported yet, once each.
-  std::vector<uint64_t> takeUnreportedPins() {
-    return std::exchange(Unreported, {});
+  bool isPinnedToCanary(uint64_t Key, double Now) const {
+    return Canary.has(Key, Now, Lifetime);
   }
   /// Drops expired pins.
   void forgetOld(double Now) {
-    std::erase_if(StableSessions, [&](const auto &Each) {
-      return Now > Each.second + Lifetime;
-    });
+    Stable.forgetOld(Now, Lifetime);
+    Canary.forgetOld(Now, Lifetime);
     std::erase_if(Pins, [&](const auto &Pin) {
       return Now > Pin.second.TouchedAt + Lifetime;
     });
@@ -74,9 +96,8 @@
   }
 
   std::unordered_map<std::string, session_pin> Pins;
-  /// When each session hash was last reported as served by the stable version.
-  std::unordered_map<uint64_t, double> StableSessions;
-  std::vector<uint64_t> Unreported;
+  shared_pins Stable;
+  shared_pins Canary;
   double Lifetime = 10;
 };
 
--- a/lease/control_watch.cpp
+++ b/lease/control_watch.cpp
@@ -258,8 +258,7 @@
     OnEvacuations(Evacuated);
   if (OnQuarantine)
     OnQuarantine(Notice);
-  for (uint64_t Key : Notice.staying())
-    OnStaying(Key);
+  OnSessions(Notice);
   if (Notice.gateways() > 0 && Notice.gateways() != Gateways) {
     Gateways = Notice.gateways();
     OnGateways(Gateways);
--- a/lease/control_watch.h
+++ b/lease/control_watch.h
@@ -40,9 +40,9 @@
   std::function<void(const std::shared_ptr<routing_table> &)> OnRouting;
   /// Called with a notice that has newer roll-outs.
   std::function<void(const wire::notice &)> OnRollouts;
-  /// Called for each session that another gateway has reported as staying: a
-  /// canary must not take it over.
-  std::function<void(uint64_t Key)> OnStaying;
+  /// Called with every notice; it may list sessions that gateways have reported
+  /// as staying on their version.
+  std::function<void(const wire::notice &)> OnSessions;
   /// Called with every notice; it may list the quarantined requests.
   std::function<void(const wire::notice &)> OnQuarantine;
   /// Called when the evacuated data halls have changed.
--- a/tests/measure_routing.cpp
+++ b/tests/measure_routing.cpp
@@ -35,7 +35,7 @@
                                 .Seeds = Seeds});
       Watch->OnRouting = [](const auto &...) {};
       Watch->OnRollouts = [](const wire::notice &) {};
-      Watch->OnStaying = [](uint64_t) {};
+      Watch->OnSessions = [](const wire::notice &) {};
       Watch->OnGateways = [](uint32_t) {};
       Watch->OnPeerAddresses = [](const std::vector<std::string> &) {};
       Watches.push_back(std::move(Watch));
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -89,11 +89,13 @@
   gateway_table Table;
   wire::watch Watch = watchOf(1, 0, 0, "v1");
   Watch.add_staying(7);
+  Watch.add_canary_sessions(8);
   Table.recordWatch("a", Watch, 1);
   Table.recordWatch("b", watchOf(2, 0, 0, "v1"), 1);
   auto Sent = [&](const char *Peer, double Now) {
     wire::notice Notice;
-    Table.fillStaying(Peer, Now, Notice);
+    Table.fillSessions(Peer, Now, Notice);
+    BOOST_TEST(Notice.canary_sessions_size() == Notice.staying_size());
     return Notice.staying_size();
   };
   BOOST_TEST(Sent("b", 1.1) == 1);
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -462,15 +462,23 @@
 BOOST_AUTO_TEST_CASE(stable_pins_are_reported_once_and_expire) {
   session_pins Pins;
   Pins.setLifetime(10);
-  Pins.pinToStable(7, 0);
-  Pins.pinToStable(7, 1);
-  Pins.applyStablePin(8, 1);
-  BOOST_TEST(Pins.takeUnreportedPins().size() == 1U);
-  BOOST_TEST(Pins.takeUnreportedPins().empty());
+  Pins.stable().pin(7, 0);
+  Pins.stable().pin(7, 1);
+  Pins.stable().apply(8, 1);
+  BOOST_TEST(Pins.stable().takeUnreported().size() == 1U);
+  BOOST_TEST(Pins.stable().takeUnreported().empty());
   BOOST_TEST(Pins.isPinnedToStable(7, 10.5));
   BOOST_TEST(Pins.isPinnedToStable(8, 10.5));
   BOOST_TEST(!Pins.isPinnedToStable(7, 12));
   BOOST_TEST(!Pins.isPinnedToStable(9, 1));
+  BOOST_TEST_CONTEXT("those of a canary are apart") {
+    Pins.canary().pin(9, 1);
+    BOOST_TEST(Pins.isPinnedToCanary(9, 2));
+    BOOST_TEST(!Pins.isPinnedToStable(9, 2));
+    BOOST_TEST(!Pins.isPinnedToCanary(7, 2));
+    Pins.forgetOld(30);
+    BOOST_TEST(!Pins.isPinnedToCanary(9, 2));
+  }
 }
 
 // Guards against a flood of calls when control's leader is lost: with 386
