--- a/completion/olivevalvectl.bash
+++ b/completion/olivevalvectl.bash
@@ -1,7 +1,7 @@
 # Bash completion for olivevalvectl: source this file.
 _olivevalvectl() {
   local word=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD - 1]}
-  local commands="apply diff check get set delete version versions drain undrain status nodes bills watch remove-member quarantine release halls evacuate restore duties key link-keys"
+  local commands="apply diff check get set delete version versions rollout drain undrain status nodes bills watch remove-member quarantine release halls evacuate restore duties key link-keys"
   local options="--control --key-file --output --file --change-id --timeout --count --help"
   case $previous in
     -f | --file | -k | --key-file) COMPREPLY=($(compgen -f -- "$word")) ;;
--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -382,7 +382,7 @@
            {"version", Step.target_version()},
            {"from", wire::rollout_stage_Name(Step.from())},
            {"to", wire::rollout_stage_Name(Step.to())},
-           {"reason", Step.reason()},
+           {"reason", Decision.Reason},
            {"elapsed_s", Judgement.Facts.ElapsedSeconds},
            {"duration_s", Judgement.Facts.DurationSeconds},
            {"new_sent", int64_t(New.Sent)},
--- a/control/rollout_driver.cpp
+++ b/control/rollout_driver.cpp
@@ -1,6 +1,7 @@
 //===- rollout_driver.cpp - Advances roll-outs of services ----------------===//
 
 #include "control/rollout_driver.h"
+#include "absl/strings/str_cat.h"
 #include <algorithm>
 
 namespace olivevalve {
@@ -28,6 +29,17 @@
   }
 }
 
+// What operators read of the last step, also after a change of the leader.
+std::string reasonOf(const rollout_judgement &Judgement) {
+  const version_tally &New = Judgement.Facts.New;
+  const version_tally &Old = Judgement.Facts.Old;
+  return absl::StrCat(std::string(Judgement.Decision.Reason), ": ", New.Bad,
+                      " of ", New.Judged, " responses bad, ", Old.Bad, " of ",
+                      Old.Judged, " at the version before; ", New.Failures,
+                      " of ", New.Answers, " failed, ", Old.Failures, " of ",
+                      Old.Answers);
+}
+
 rollout_phase phaseOf(wire::rollout_stage Stage) {
   switch (Stage) {
   case wire::CANARY:
@@ -97,7 +109,7 @@
     Step.set_target_version(Target);
     Step.set_from(Rollout.stage());
     Step.set_to(stageAfter(Judgement.Decision.Verdict, Rollout.stage()));
-    Step.set_reason(std::string(Judgement.Decision.Reason));
+    Step.set_reason(reasonOf(Judgement));
     Judgements.push_back(std::move(Judgement));
   }
   return Judgements;
--- a/ctl/commands.cpp
+++ b/ctl/commands.cpp
@@ -163,6 +163,22 @@
                     {"PROCESSES", "processes"}});
 }
 
+absl::Status rollout(const command_options &Options) {
+  if (Options.Arguments.size() != 1)
+    return usage("rollout SERVICE");
+  auto Answer = operator_client(Options.Client)
+                    .get("/v1/rollouts/" + Options.Arguments[0]);
+  if (!Answer.ok())
+    return Answer.status();
+  if (Options.Json)
+    printJson(*Answer);
+  else
+    print(formatTable(json::array({*Answer}), {{"VERSION", "target_version"},
+                                               {"STATE", "state"},
+                                               {"REASON", "reason"}}));
+  return absl::OkStatus();
+}
+
 absl::Status duties(const command_options &Options) {
   return printList(Options, "/v1/duties", "duties",
                    {{"DUTY", "duty"},
@@ -583,6 +599,9 @@
        "Roll out, pause, resume, activate or withdraw a version", version},
       {"versions", "", "Show versions with their ratings and roll-out state",
        versions},
+      {"rollout", "SERVICE",
+       "Show the roll-out of a service's software and what was last decided",
+       rollout},
       {"drain", "UPSTREAM|ENTRY",
        "Send no new requests to an upstream, or make an entry report not ready",
        drain},
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -400,19 +400,16 @@
   if (!Route || Upstream->cold(Now) || std::exchange(Judged, true))
     return;
   // A response that is given up is only known to have taken at least this long.
+  bool GivenUp = Connection != nullptr;
   auto Seconds =
-      Connection ? Timing.leastSecondsPerUnit(Now) : Timing.secondsPerUnit();
+      GivenUp ? Timing.leastSecondsPerUnit(Now) : Timing.secondsPerUnit();
   if (!Seconds)
     return;
   auto Pace = State.UsualPaces.ratio(paceClass(), *Seconds);
-  if (Connection) {
-    if (Pace && software_versions::isLate(*Pace))
-      State.Versions.countPace(Upstream->Listed, Upstream->Key, *Pace);
-    return;
-  }
-  if (Pace)
+  if (Pace && (!GivenUp || software_versions::isLate(*Pace)))
     State.Versions.countPace(Upstream->Listed, Upstream->Key, *Pace);
-  if (Upstream->Listed.Version == State.Upstreams.stableVersion(Service))
+  if (!GivenUp &&
+      Upstream->Listed.Version == State.Upstreams.stableVersion(Service))
     State.UsualPaces.record(paceClass(), *Seconds);
 }
 
--- a/gateway/response_times.cpp
+++ b/gateway/response_times.cpp
@@ -12,6 +12,9 @@
 constexpr double MinStep = 0.05;
 // With fewer responses of a class, what is usual is not known.
 constexpr uint32_t MinResponses = 8;
+// Routes and models come and go; what was learned of them is dropped from time
+// to time, all together.
+constexpr size_t MaxClasses = 10'000;
 // Events that arrive together take no time; their pace is that of the clock.
 constexpr double MinSecondsPerUnit = 1e-6;
 
@@ -53,6 +56,8 @@
 }
 
 void usual_paces::record(uint64_t Class, double SecondsPerUnit) {
+  if (ByClass.size() >= MaxClasses && !ByClass.contains(Class))
+    ByClass.clear();
   auto [It, New] = ByClass.try_emplace(Class, 1, MinStep);
   It->second.record(std::log(std::max(SecondsPerUnit, MinSecondsPerUnit)));
 }
--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -699,6 +699,13 @@
         return State != "running";
       });
       BOOST_TEST(State == (Good ? "completed" : "reverted"));
+      std::string Control;
+      for (auto &Node : World.Seeded)
+        Control +=
+            (Control.empty() ? "" : ",") + World.operatorAddressOf(*Node);
+      std::string Shown = World.ctl({"-c", Control, "rollout", "plain"}).Text;
+      BOOST_TEST(Shown.find(State) != std::string::npos, Shown);
+      BOOST_TEST(Shown.find(" responses bad, ") != std::string::npos, Shown);
       int New = World.Replicas["i-3"]->runs() + World.Replicas["i-4"]->runs();
       BOOST_TEST(New > 0);
       if (!Good)
