Roll-outs: responses by upstream count from the order on

A version that was reverted and is ordered again was compared without an upstream of its last roll-out: that one spoke most against the version, and taking its responses off those since the order left none of the others. A bad version was then reverted at the shift only.

Found by reading. a_version_that_is_ordered_again_is_judged_anew failed before (evidence of the others 1 in place of over 3, no verdict) and passes.

--- a/control/rollout_driver.cpp
+++ b/control/rollout_driver.cpp
@@ -51,12 +51,15 @@
   }
 }
 
-std::vector<version_tally> byUpstream(const gateway_table &Gateways,
-                                      const std::string &Service,
-                                      const std::string &Version) {
+// Those since the start of the roll-out.
+std::vector<version_tally>
+since(const std::map<uint64_t, version_tally> &Start,
+      const std::map<uint64_t, version_tally> &Present) {
   std::vector<version_tally> Tallies;
-  for (const auto &[Key, Tally] : Gateways.answersByUpstream(Service, Version))
-    Tallies.push_back(Tally);
+  for (const auto &[Upstream, Tally] : Present) {
+    auto It = Start.find(Upstream);
+    Tallies.push_back(It == Start.end() ? Tally : Tally - It->second);
+  }
   return Tallies;
 }
 
@@ -81,6 +84,8 @@
               .NewAtStart = Elapsed < MaxFreshOrderSeconds
                                 ? Gateways.answersOf(Service, Target)
                                 : version_tally()};
+  if (Elapsed < MaxFreshOrderSeconds)
+    Baseline.NewByUpstreamAtStart = Gateways.answersByUpstream(Service, Target);
   return Baseline;
 }
 
@@ -102,7 +107,9 @@
                       Gateways.answersOf(Service, Target) - Baseline.NewAtStart,
                   .Old = Gateways.answersOfOthers(Service, Target) -
                          Baseline.OldAtStart,
-                  .NewByUpstream = byUpstream(Gateways, Service, Target)}};
+                  .NewByUpstream =
+                      since(Baseline.NewByUpstreamAtStart,
+                            Gateways.answersByUpstream(Service, Target))}};
     Judgement.Decision = judgeRollout(Judgement.Facts);
     wire::rollout_step &Step = Judgement.Step;
     Step.set_service(Service);
--- a/control/rollout_driver.h
+++ b/control/rollout_driver.h
@@ -44,6 +44,8 @@
     double BegunAt = 0;       ///< The same moment by the steady clock.
     version_tally OldAtStart; ///< Answers of all other versions until then.
     version_tally NewAtStart; ///< Answers of the new version until then.
+    /// The same by upstream: a version may be rolled out again.
+    std::map<uint64_t, version_tally> NewByUpstreamAtStart;
   };
   baseline &baselineOf(const wire::rollout &Rollout,
                        const gateway_table &Gateways, double Now, double Wall);
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -159,6 +159,38 @@
   BOOST_TEST(JudgedAt(17, 1700, 160).Step.to() == wire::SHIFT);
 }
 
+// Guards against an upstream of the last roll-out taken for this one's worst.
+BOOST_AUTO_TEST_CASE(a_version_that_is_ordered_again_is_judged_anew) {
+  gateway_table Gateways;
+  wire::watch Watch = watchOf(1, 100, 0, "v1");
+  Watch.mutable_tallies(0)->set_judged(100);
+  auto AddUpstream = [&](uint64_t Key, uint64_t Judged, uint64_t Bad) {
+    wire::version_tally *Tally = Watch.add_tallies();
+    Tally->set_service("llm");
+    Tally->set_version("v2");
+    Tally->set_upstream(Key);
+    Tally->set_judged(Judged);
+    Tally->set_bad(Bad);
+  };
+  AddUpstream(7, 40, 38);
+  Gateways.recordWatch("a", Watch, 50);
+  rollout_store Store;
+  wire::rollout Order;
+  Order.set_service("llm");
+  Order.set_target_version("v2");
+  Order.set_duration_seconds(20);
+  BOOST_TEST(Store.begin(Order, 1000).ok());
+  rollout_driver Driver;
+  BOOST_TEST(!Driver.judge(Store, Gateways, 50, 1000)[0].isDue());
+  AddUpstream(8, 8, 6);
+  AddUpstream(9, 8, 6);
+  Gateways.recordWatch("a", Watch, 55);
+  rollout_judgement Judged = Driver.judge(Store, Gateways, 55, 1005)[0];
+  BOOST_TEST(Judged.Facts.New.Judged == 16U);
+  BOOST_TEST(Judged.Decision.EvidenceOfOthers > 3);
+  BOOST_TEST(Judged.Step.to() == wire::REVERTED);
+}
+
 BOOST_AUTO_TEST_CASE(responses_of_a_canary_are_known_by_upstream) {
   gateway_table Gateways;
   for (uint64_t Gateway : {1, 2}) {
