Tallies by upstream are reported during a canary only

Each roll-out left its canary's upstreams in every later message of each gateway to control, twice a second. An entry has 28 bytes (37 for a version), measured with typical counts.

Gateways add them up when the canary and its hold are over, and control takes a message for all tallies of its gateway, so that what was added up counts once.

Found by reading. are_reported_by_upstream_only_while_a_canary_needs_it failed before: there was more than one entry.

--- a/control/gateway_table.cpp
+++ b/control/gateway_table.cpp
@@ -3,6 +3,7 @@
 #include "control/gateway_table.h"
 #include "base/digest.h"
 #include <algorithm>
+#include <cstdint>
 #include <set>
 
 namespace olivevalve {
@@ -48,6 +49,11 @@
              .SessionsSentAt = Gateway.SessionsSentAt};
   for (const wire::hall_requests &Hall : Watch.evacuated())
     Gateway.OpenRequestsByHall[Hall.data_hall()] = Hall.open();
+  // The message has all tallies of the gateway: those that it has added up are
+  // not in it any more.
+  for (auto &[Version, BySource] : Tallies)
+    BySource.erase(BySource.lower_bound({Watch.incarnation(), 0}),
+                   BySource.upper_bound({Watch.incarnation(), UINT64_MAX}));
   for (const wire::version_tally &Tally : Watch.tallies())
     Tallies[{Tally.service(), Tally.version()}][{
         Watch.incarnation(), Tally.upstream()}] = {.Sent = Tally.sent(),
--- a/control/rollout_driver.cpp
+++ b/control/rollout_driver.cpp
@@ -58,7 +58,9 @@
   std::vector<version_tally> Tallies;
   for (const auto &[Upstream, Tally] : Present) {
     auto It = Start.find(Upstream);
-    Tallies.push_back(It == Start.end() ? Tally : Tally - It->second);
+    version_tally Since = It == Start.end() ? Tally : Tally - It->second;
+    if (Since.Judged > 0)
+      Tallies.push_back(Since);
   }
   return Tallies;
 }
--- a/gateway/software_versions.cpp
+++ b/gateway/software_versions.cpp
@@ -3,6 +3,7 @@
 #include "gateway/software_versions.h"
 #include "gateway/upstream_table.h"
 #include "ledger/rollouts.h"
+#include <cstdint>
 
 namespace olivevalve {
 
@@ -24,9 +25,25 @@
     else
       Upstreams.replaceStableVersion(Rollout.service(),
                                      Rollout.target_version());
+    if (!isCanaryVersion(Rollout.service(), Rollout.target_version()))
+      addUpUpstreams(Rollout.service(), Rollout.target_version());
   }
 }
 
+// Without this, each roll-out would make the messages to control longer.
+void software_versions::addUpUpstreams(const std::string &Service,
+                                       const std::string &Version) {
+  auto Begin = Tallies.upper_bound({Service, Version, 0});
+  auto End = Tallies.upper_bound({Service, Version, UINT64_MAX});
+  version_tally Sum;
+  for (auto It = Begin; It != End; ++It)
+    Sum += It->second;
+  if (Begin == End)
+    return;
+  Tallies.erase(Begin, End);
+  Tallies[{Service, Version, 0}] += Sum;
+}
+
 const std::string &software_versions::versionFor(const std::string &Service,
                                                  const std::string &Stable,
                                                  const std::string &Pinned,
--- a/gateway/software_versions.h
+++ b/gateway/software_versions.h
@@ -72,6 +72,7 @@
   using tally_key = std::tuple<std::string, std::string, uint64_t>;
   tally_key keyOf(const platform::listed_upstream &Upstream,
                   uint64_t Key) const;
+  void addUpUpstreams(const std::string &Service, const std::string &Version);
 
   std::map<std::string, wire::rollout> Rollouts; ///< By service.
   std::map<tally_key, version_tally> Tallies;
--- a/tests/unit/control_test.cpp
+++ b/tests/unit/control_test.cpp
@@ -159,6 +159,17 @@
   BOOST_TEST(JudgedAt(17, 1700, 160).Step.to() == wire::SHIFT);
 }
 
+BOOST_AUTO_TEST_CASE(a_gateway_reports_all_of_its_tallies_each_time) {
+  gateway_table Gateways;
+  wire::watch Watch = watchOf(1, 9, 0, "v2");
+  Watch.mutable_tallies(0)->set_upstream(7);
+  Gateways.recordWatch("a", Watch, 0);
+  Gateways.recordWatch("b", watchOf(2, 5, 0, "v2"), 0);
+  Gateways.recordWatch("a", watchOf(1, 10, 0, "v2"), 1);
+  BOOST_TEST(Gateways.answersOf("llm", "v2").Answers == 15U);
+  BOOST_TEST(Gateways.answersByUpstream("llm", "v2").empty());
+}
+
 // Guards against an upstream of the last roll-out taken for this one's worst.
 BOOST_AUTO_TEST_CASE(a_version_that_is_ordered_again_is_judged_anew) {
   gateway_table Gateways;
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -432,6 +432,25 @@
   BOOST_TEST((Reported(7) == std::pair<uint64_t, uint64_t>(0, 0)));
 }
 
+// Guards against watch messages that grow with each roll-out of the past.
+BOOST_AUTO_TEST_CASE(are_reported_by_upstream_only_while_a_canary_needs_it) {
+  upstream_table Upstreams;
+  Upstreams.update({listed("i-1"), listed("i-2", "v2")}, 0);
+  software_versions Versions;
+  Versions.apply(noticeOf(wire::CANARY), Upstreams);
+  for (uint64_t Key = 1; Key <= 5; ++Key)
+    Versions.countPace(listed("i-2", "v2"), Key, 9);
+  for (wire::rollout_stage Stage : {wire::SHIFT, wire::REVERTED}) {
+    Versions.apply(noticeOf(Stage), Upstreams);
+    wire::watch Watch;
+    Versions.fillTallies(Watch);
+    BOOST_REQUIRE(Watch.tallies_size() == 1);
+    BOOST_TEST(Watch.tallies(0).upstream() == 0U);
+    BOOST_TEST(Watch.tallies(0).judged() == 5U);
+    BOOST_TEST(Watch.tallies(0).bad() == 5U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(tallies_are_reported_per_version) {
   software_versions Versions;
   Versions.count("llm", "v1", false, 0.5);
