A page of the list beyond 16 MiB is refused

Pages were read into memory whatever their length. A page of 17 MiB was applied by control and gateways; a gateway has 110 MB on the smallest deployment. The page counts as one that could not be fetched, so that the last list holds.

--- a/tests/system/list_test.cpp
+++ b/tests/system/list_test.cpp
@@ -61,8 +61,7 @@
     BOOST_TEST(World.served());
 }
 
-// Guards against one entry of another writer that ends every process that reads
-// the list.
+// Guards against a list entry that ends every process that reads it.
 BOOST_AUTO_TEST_CASE(with_a_number_beyond_a_double_do_not_end_a_process) {
   listed_world World;
   World.List->Garbage = "{\"id\":\"i-0\",\"slots\":1e999},";
@@ -111,6 +110,41 @@
   BOOST_TEST(World.operatorCall("GET", "/v1/routing", "").Body == Read);
 }
 
+// Guards against a list that fills the memory of every process that reads it.
+BOOST_AUTO_TEST_CASE(of_an_endless_page_are_not_read) {
+  listed_world World;
+  World.List->Garbage = "\"" + std::string(17 << 20, 'x') + "\",";
+  World.until("the page is refused", [&] {
+    for (auto &Node : World.Seeded)
+      if (Node->Process->logText().find("is larger than 16 MiB") !=
+          std::string::npos)
+        return true;
+    return false;
+  });
+  BOOST_TEST(World.served());
+  World.List->Garbage.clear();
+  World.List->remove("i-1");
+  World.until("the next list is applied",
+              [&] { return World.hasLogged("\"left\":1"); });
+}
+
+// Guards against ending olivevalvectl on fields of another type.
+BOOST_AUTO_TEST_CASE(and_answers_of_something_else_do_not_end_the_client) {
+  world World;
+  for (const char *Body : {R"({"leads":"yes"})", R"({"leads":true,"error":7})",
+                           R"({"leads":true,"error":{"code":7}})"}) {
+    http_server Other(
+        World.Loop, {}, [&](const std::shared_ptr<http_exchange> &Exchange) {
+          bool IsStatus = Exchange->path() == "/v1/status";
+          Exchange->reply(IsStatus ? 200 : 400, "application/json", Body);
+        });
+    BOOST_REQUIRE(Other.bind("127.0.0.1:0"));
+    ctl_result Shown = World.ctl({"-c", Other.address(), "nodes"});
+    BOOST_TEST(Shown.ExitCode > 0, Body);
+    BOOST_TEST(Shown.Text.starts_with("olivevalvectl: "), Shown.Text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(with_a_new_start_time_are_new_upstreams) {
   listed_world World;
   json Entry = World.List->entryOf("i-1");
