olivevalvectl reports answers with fields of other types

An answer such as {"leads":"yes"} ended it with SIGABRT, and so did a FIELD that is no path. Nothing is half changed in a client that ends anyway, so one handler around the command gives a clear error.

--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -13,6 +13,17 @@
 
 constexpr int ExitUsage = 2;
 
+// Control may answer with fields of another type, or something else may answer.
+absl::Status run(const command_entry &Command, const command_options &Options) {
+  try {
+    return Command.Run(Options);
+  } catch (const json::exception &Error) {
+    return makeError(error_kind::BadRequest,
+                     std::string(Command.Name) +
+                         ": unexpected value: " + Error.what());
+  }
+}
+
 void printHelp() {
   std::printf("usage: olivevalvectl [OPTIONS] COMMAND [ARGUMENTS]\n\n");
   for (const command_entry &Entry : commandTable())
@@ -150,7 +161,7 @@
     return ExitUsage;
   }
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  absl::Status Status = Command->Run(Line.Options);
+  absl::Status Status = run(*Command, Line.Options);
   if (!Status.ok())
     std::fprintf(stderr, "olivevalvectl: %s\n",
                  std::string(messageOf(Status)).c_str());
