--- a/tests/system/gateway_test.cpp
+++ b/tests/system/gateway_test.cpp
@@ -722,8 +722,7 @@
     }
 }
 
-// Guards against a slow version that is completed because the responses that
-// take long have not ended, and their first events come in time.
+// Guards against completing a version whose slow responses have not ended yet.
 BOOST_AUTO_TEST_CASE(revert_a_version_whose_events_come_slowly) {
   for (bool Good : {true, false})
     BOOST_TEST_CONTEXT((Good ? "healthy version" : "slow version")) {
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -163,8 +163,7 @@
   }
 }
 
-// Guards against a negative deadline in the request head, which a conversion
-// beyond the range of whole numbers gave.
+// Guards against a negative deadline from a conversion out of range.
 BOOST_AUTO_TEST_CASE(with_an_absurdly_long_deadline_ask_for_a_long_one) {
   for (const char *Deadline : {"1e300", "1e19", "99999999999999999999999"}) {
     std::string Long = Post;
@@ -464,7 +463,7 @@
     }
 }
 
-// Guards against losing the list, or the process, to one number without range.
+// Guards against losing the list or the process to one number out of range.
 BOOST_AUTO_TEST_CASE(keeps_valid_entries_beside_a_number_beyond_a_double) {
   json Entry = validEntry("foreign");
   std::string Foreign = Entry.dump();
@@ -489,8 +488,7 @@
                "cut after " << Cut);
 }
 
-// Guards against a search whose time grows with the square of the page: each
-// of these pages of 2 MB would take hours.
+// Guards against a search whose time grows with the square of the page.
 BOOST_AUTO_TEST_CASE(is_searched_in_linear_time_for_valid_entries) {
   constexpr size_t Bytes = 2 << 20;
   for (const char *Pattern :
--- a/tests/unit/input_test.cpp
+++ b/tests/unit/input_test.cpp
@@ -23,7 +23,7 @@
 // every parser. The seeds are fixed, so that each run is the same.
 BOOST_AUTO_TEST_SUITE(bad_input)
 
-// Text that has a meaning of its own in JSON or in a header.
+// Text with a special meaning in JSON or in a header.
 constexpr std::array<std::string_view, 12> Fragments = {
     "1e999",   "-1e999", "1e-999",   "{\"a\":",
     "[[[[",    "\"",     "/*\"*/",   "//\"\n",
@@ -59,8 +59,7 @@
   return Rounds ? std::atoi(Rounds) : 20000;
 }
 
-// Guards against a number that the JSON library rejects by an exception of its
-// own kind, which ended the process.
+// Guards against ending the process on a number that the library rejects.
 BOOST_AUTO_TEST_CASE(beyond_the_range_of_a_number_names_the_field) {
   for (const char *Number : {"1e999", "-1e999", "1e309"}) {
     auto Value = parseJson(
@@ -78,7 +77,7 @@
   BOOST_TEST(parseJson("[1e-999, 1e308]", "request").ok());
 }
 
-// Guards against nesting that a comment hides from the check of the depth.
+// Guards against nesting that a comment hides from the depth check.
 BOOST_AUTO_TEST_CASE(nested_too_deeply_is_refused_whatever_comments_it_has) {
   for (const char *Comment : {"", "/*\"*/", "// \"\n"})
     for (const char *Bracket : {"[", "{\"a\":"}) {
@@ -110,8 +109,7 @@
              "{\"account\":\"\xEF\xBF\xBD\xEF\xBF\xBD\"}");
 }
 
-// Guards against options of another type, which ended an entry that added to
-// them.
+// Guards against ending an entry that adds a member to a non-object.
 BOOST_AUTO_TEST_CASE(in_stream_options_is_refused) {
   auto Body = [](const std::string &Options) {
     return R"({"model":"m","messages":[{}],"stream":true,"stream_options":)" +
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -233,8 +233,7 @@
 
 } // namespace
 
-// Guards against verdicts without stated error rates. The evidence is looked at
-// after each response.
+// Guards against error rates beyond those that the evidence stands for.
 BOOST_AUTO_TEST_CASE(errs_as_rarely_as_it_states) {
   constexpr int Canaries = 1000;
   constexpr int Responses = 80;
