--- a/review/stand-ins-2/fleet.cpp
+++ b/review/stand-ins-2/fleet.cpp
@@ -373,18 +373,25 @@
   }
 }
 
-fleet::~fleet() {
+void fleet::stop() {
   for (const auto &[Name, Id] : Processes) {
     kill(Id, SIGCONT);
     kill(Id, SIGKILL);
     waitpid(Id, nullptr, 0);
   }
+  Processes.clear();
   std::error_code Ignored;
   const char *Keep = std::getenv("KEEP");
   if (!Keep)
     std::filesystem::remove_all(Folder, Ignored);
 }
 
+void fleet::leave(int Code) {
+  stop();
+  std::fflush(nullptr);
+  std::_Exit(Code);
+}
+
 std::string fleet::portText(int Offset) const {
   return ":" + std::to_string(Port + Offset);
 }
--- a/review/stand-ins-2/fleet.h
+++ b/review/stand-ins-2/fleet.h
@@ -130,7 +130,7 @@
 public:
   /// \p Base: the first three bytes of the loopback addresses.
   fleet(std::string Base, size_t CoreMachines);
-  ~fleet();
+  ~fleet() { stop(); }
   fleet(const fleet &) = delete;
   fleet &operator=(const fleet &) = delete;
 
@@ -169,8 +169,12 @@
   bool untilReady(size_t Number, double Seconds) const;
   /// Waits until all core machines are voters of one group.
   bool untilWhole(double Seconds) const;
+  /// Ends all processes, removes the temporary folder and exits with \p Code at
+  /// once, as threads of the stand-ins may still be at work.
+  [[noreturn]] void leave(int Code);
 
 private:
+  void stop();
   void launch(const std::string &Name, const std::string &Settings, int LogTo);
   void signal(const std::string &Name, int Signal);
   std::string portText(int Offset) const;
