--- a/review/5/check.cpp
+++ b/review/6/check.cpp
@@ -44,7 +44,7 @@
 
 int main(int Count, char **Values) {
   record Record(Count > 1 ? Values[1] : "record.txt");
-  fleet Fleet("127.84.5", CoreMachines);
+  fleet Fleet("127.84.16", CoreMachines);
   for (size_t I = 1; I <= CoreMachines; ++I)
     Fleet.startControl(I, true);
   int Pipe[2];
--- a/review/stand-ins-2/fleet.cpp
+++ b/review/stand-ins-2/fleet.cpp
@@ -266,32 +266,61 @@
   return It == Lines.end() ? "" : It->second;
 }
 
-answer call(const std::string &Address, const call_options &Options) {
+namespace {
+
+answer exchange(int Socket, const call_options &Options, double Until) {
   answer Answer;
-  double Begun = now();
-  double Until = Begun + Options.TimeoutSeconds;
-  int ReceiveBytes = Options.ReadBytesPerSecond > 0 ? 64 << 10 : 0;
-  int Socket = connectTo(Address, Options.TimeoutSeconds, ReceiveBytes);
-  if (Socket < 0)
-    return Answer;
   std::string Text =
       headOf(Options.Method + " " + Options.Path + " HTTP/1.1", Options.Lines);
   if (!Options.Body.empty() || Options.Method == "POST")
     Text += "Content-Length: " + std::to_string(Options.Body.size()) + "\r\n";
   Text += "\r\n" + Options.Body;
-  if (sendAll(Socket, Text, Until)) {
-    message_reader Reader(Socket, Until, Options.ReadBytesPerSecond);
-    std::string First;
-    if (Reader.head(First, Answer.Lines)) {
-      Answer.Status = int(std::strtol(First.c_str() + 9, nullptr, 10));
-      Answer.Whole = Reader.body(Answer.Lines, true, Answer.Body);
-    }
+  if (!sendAll(Socket, Text, Until))
+    return Answer;
+  message_reader Reader(Socket, Until, Options.ReadBytesPerSecond);
+  std::string First;
+  if (Reader.head(First, Answer.Lines)) {
+    Answer.Status = int(std::strtol(First.c_str() + 9, nullptr, 10));
+    Answer.Whole = Reader.body(Answer.Lines, true, Answer.Body);
   }
+  return Answer;
+}
+
+} // namespace
+
+answer call(const std::string &Address, const call_options &Options) {
+  double Begun = now();
+  int ReceiveBytes = Options.ReadBytesPerSecond > 0 ? 64 << 10 : 0;
+  int Socket = connectTo(Address, Options.TimeoutSeconds, ReceiveBytes);
+  if (Socket < 0)
+    return {};
+  answer Answer = exchange(Socket, Options, Begun + Options.TimeoutSeconds);
   close(Socket);
   Answer.Seconds = now() - Begun;
   return Answer;
 }
 
+kept_connection::~kept_connection() {
+  if (Socket >= 0)
+    close(Socket);
+}
+
+answer kept_connection::call(const std::string &Address,
+                             const call_options &Options) {
+  double Begun = now();
+  if (Socket < 0)
+    Socket = connectTo(Address, Options.TimeoutSeconds, 0);
+  if (Socket < 0)
+    return {};
+  answer Answer = exchange(Socket, Options, Begun + Options.TimeoutSeconds);
+  if (!Answer.Whole || lower(valueOf(Answer.Lines, "connection")) == "close") {
+    close(Socket);
+    Socket = -1;
+  }
+  Answer.Seconds = now() - Begun;
+  return Answer;
+}
+
 void responder::write(std::string_view Bytes) {
   sendAll(Socket, Bytes, now() + 60);
 }
@@ -424,6 +453,13 @@
   return Base + ".200" + portText(ListPort);
 }
 
+size_t fleet::machineAt(const std::string &Location) const {
+  for (size_t I = 1; I <= CoreMachines; ++I)
+    if (Location.starts_with("http://" + controlPlane(I) + "/"))
+      return I;
+  return 0;
+}
+
 void fleet::launch(const std::string &Name, const std::string &Settings,
                    int LogTo) {
   std::string Path = Folder + "/" + Name + ".json";
--- a/review/stand-ins-2/fleet.h
+++ b/review/stand-ins-2/fleet.h
@@ -77,6 +77,19 @@
 /// Sends one request on a new connection and reads its answer.
 answer call(const std::string &Address, const call_options &Options);
 
+/// A connection that is kept for several requests, one at a time.
+class kept_connection {
+public:
+  kept_connection() = default;
+  ~kept_connection();
+  kept_connection(const kept_connection &) = delete;
+  kept_connection &operator=(const kept_connection &) = delete;
+  answer call(const std::string &Address, const call_options &Options);
+
+private:
+  int Socket = -1;
+};
+
 struct request {
   std::string Method;
   std::string Path;
@@ -142,6 +155,8 @@
   std::string frontend(size_t Number) const;
   std::string readiness(size_t Number) const;
   std::string listAddress() const;
+  /// The core machine that a Location names; 0: none.
+  size_t machineAt(const std::string &Location) const;
 
   /// \p First: the whole system starts for the first time.
   void startControl(size_t Number, bool First);
