--- a/review/5/check.cpp
+++ b/review/5/check.cpp
@@ -22,10 +22,10 @@
 constexpr double PlaySeconds = 95;
 constexpr double DownSeconds = 0.15;
 // Between two tries of the operator, growing.
-constexpr double FirstWait = 0.0002;
-constexpr double LongestWait = 0.001;
+constexpr double FirstWait = 0.0001;
+constexpr double LongestWait = 0.0005;
 // Between two reads of a machine that refers to another one.
-constexpr double ReadWait = 0.0002;
+constexpr double ReadWait = 0.0001;
 // Without a disruption the operator sends as many changes a second.
 constexpr double QuietSeconds = 1.2;
 
@@ -164,9 +164,9 @@
   }
   pause(4.5); // catchUpS after the start
   Record.line("five core machines are up");
-  // An operator that reads the configuration at each machine.
-  for (size_t I = 1; I <= CoreMachines; ++I)
-    std::thread([&Fleet, I] {
+  // Two operators that read the configuration at each machine.
+  for (size_t Reader = 0; Reader < 2 * CoreMachines; ++Reader)
+    std::thread([&Fleet, I = 1 + Reader % CoreMachines] {
       kept_connection Connection;
       for (;;) {
         int Status =
