--- a/review/6/check.cpp
+++ b/review/6/check.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <csignal>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -32,6 +33,7 @@
 pid_t startCollector(int Pipe) {
   pid_t Id = fork();
   if (Id == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     char Buffer[4096];
     while (read(Pipe, Buffer, sizeof(Buffer)) > 0) {
     }
--- a/review/stand-ins-2/fleet.cpp
+++ b/review/stand-ins-2/fleet.cpp
@@ -14,6 +14,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -468,6 +469,8 @@
   std::string Boot = "OLIVEVALVE_BOOT=" + Path;
   pid_t Id = fork();
   if (Id == 0) {
+    // If the script ends in any other way, its processes end with it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int Out = LogTo >= 0
                   ? LogTo
                   : open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
