A new leader leads only once it has applied what is committed

Cause: the leader lease holds as soon as the first entry of the term is committed, while entries are applied before the next wait of the event loop. What is handled in between sees the state of the former follower. Change: replicated_log::hasLeaderLease() also asks for the state to have applied the first entry of the term. Orders, reads, grants, notices, the drivers of roll-outs and duties all ask there.

--- a/consensus/raft_core.h
+++ b/consensus/raft_core.h
@@ -178,9 +178,13 @@
   /// The newest member list in the log, committed or not.
   const wire::member_list &members() const { return Members; }
   /// True while no other VM can have become leader and an entry of this
-  /// leader's term is committed. The state machine then includes every command
-  /// that was acknowledged to its sender.
+  /// leader's term is committed. A state machine that has applied
+  /// termStartIndex() then includes every command that was acknowledged to its
+  /// sender.
   bool hasLeaderLease(double Now) const;
+  /// As leader: index of the first entry of its term. All entries committed by
+  /// earlier leaders precede it.
+  uint64_t termStartIndex() const { return TermStartIndex; }
   /// When this VM last became leader.
   double leaderSince() const { return LeaderSince; }
   /// Seconds since this leader's last contact with member \p Id; 0 if it has no
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -111,7 +111,7 @@
   void stopScopes(const guard_report &Report);
   void changeVersion(const guard_report &Report, std::string_view Change,
                      const std::function<void(json &)> &Edit);
-  bool leads(double Now) const { return Log->core().hasLeaderLease(Now); }
+  bool leads(double Now) const { return Log->hasLeaderLease(Now); }
 
   struct ev_loop *Loop;
   metrics &Metrics;
--- a/control/duty_driver.cpp
+++ b/control/duty_driver.cpp
@@ -32,8 +32,7 @@
 }
 
 leadership duty_driver::leadershipAt(double Now) const {
-  return {.HasLease = Log.core().hasLeaderLease(Now),
-          .Term = Log.core().term()};
+  return {.HasLease = Log.hasLeaderLease(Now), .Term = Log.core().term()};
 }
 
 void duty_driver::recordWatch(const wire::watch &Watch, double Now) {
--- a/control/replicated_log.h
+++ b/control/replicated_log.h
@@ -67,6 +67,14 @@
   /// VM is not the leader.
   bool propose(wire::command Command, result_handler Handler);
   const state_machine &state() const { return State; }
+  /// True while this VM is the only leader and state() includes every command
+  /// that was acknowledged to its sender. Entries are committed when a message
+  /// is handled and applied before the next wait of the event loop; between the
+  /// two, a new leader still has the state of its time as a follower.
+  bool hasLeaderLease(double Now) const {
+    return Core->hasLeaderLease(Now) &&
+           State.appliedIndex() >= Core->termStartIndex();
+  }
   const raft_core &core() const { return *Core; }
   const raft_storage &storage() const { return *Storage; }
   /// Starts the removal of a member. Returns false if this VM is not the
--- a/control/routing_api.cpp
+++ b/control/routing_api.cpp
@@ -71,7 +71,7 @@
   bool IsRestoration = Path.starts_with(RestorePath);
   if (!IsRouting && !IsRollout && !IsEvacuation && !IsRestoration)
     return false;
-  if (!Log.core().hasLeaderLease(steadySeconds()))
+  if (!Log.hasLeaderLease(steadySeconds()))
     redirectToLeader(Exchange);
   else if (IsRouting && Method == "POST")
     replaceRouting(Exchange);
--- a/tests/unit/full_disk_test.cpp
+++ b/tests/unit/full_disk_test.cpp
@@ -113,7 +113,7 @@
   lone_control_vm(const lone_control_vm &) = delete;
   lone_control_vm &operator=(const lone_control_vm &) = delete;
 
-  bool leads() const { return Log->core().hasLeaderLease(steadySeconds()); }
+  bool leads() const { return Log->hasLeaderLease(steadySeconds()); }
   uint64_t applied() const { return Log->state().appliedIndex(); }
   template <typename Condition> void until(const Condition &Holds) {
     double End = steadySeconds() + 20;
