A routing change says what it holds

Cause: the leader noted a change as its newest before it was applied, and left out its document when it came again. A version without a document was taken for an empty document. Change: a change states whether it is a document, a patch or a resend, and a resend that cannot be true is refused, by members with the former program too. A proposal is noted once it is in the log, and forgotten when it was refused. A state without its document is answered with 503.

--- a/control/routing_api.cpp
+++ b/control/routing_api.cpp
@@ -111,11 +111,14 @@
          "no control VM is known to be the leader; retry");
 }
 
-void routing_api::propose(const exchange &Exchange, wire::command Command) {
+bool routing_api::propose(const exchange &Exchange, wire::command Command,
+                          const std::function<void(bool Applied)> &OnDone) {
   std::weak_ptr<http_exchange> Weak = Exchange;
   double Since = steadySeconds();
   bool Leads = Log.propose(
-      std::move(Command), [Weak, Since](const apply_result *Result) {
+      std::move(Command), [Weak, Since, OnDone](const apply_result *Result) {
+        if (OnDone)
+          OnDone(Result && Result->Status.ok());
         auto Exchange = Weak.lock();
         if (!Exchange)
           return;
@@ -136,6 +139,7 @@
   if (!Leads)
     refuse(*Exchange, error_kind::NotLeader,
            "this control VM is not the leader");
+  return Leads;
 }
 
 void routing_api::replaceRouting(const exchange &Exchange) {
@@ -149,11 +153,25 @@
   logLine(log_level::Info, "routing configuration proposed",
           {{"version", int64_t(Config->Version)},
            {"held", int64_t(Log.state().routing().version())}});
+  const proposal Base = newestProposal();
+  uint64_t Version = Config->Version;
+  const std::string &Document = Exchange->body();
   wire::command Command;
-  *Command.mutable_routing() = makeChangeTo(Config->Version, Exchange->body());
-  ParsedDocument = Exchange->body();
+  // The document of a version that is not newer is left out.
+  *Command.mutable_routing() =
+      Version <= Base.Version
+          ? makeRoutingResend(Base.Version, Version)
+          : makeRoutingChange(Base.Version, Base.Document, Version, Document);
+  ParsedDocument = Document;
   ParsedConfig = *std::move(Config);
-  propose(Exchange, std::move(Command));
+  bool Proposed = propose(Exchange, std::move(Command), [this](bool Applied) {
+    // What has not been applied must not be the base of further changes.
+    if (!Applied)
+      LastProposal = {};
+  });
+  if (Proposed && Version > Base.Version)
+    LastProposal = {
+        .Term = Log.core().term(), .Version = Version, .Document = Document};
 }
 
 std::optional<routing_config>
@@ -164,29 +182,18 @@
   return std::exchange(ParsedConfig, std::nullopt);
 }
 
-// Encodes the new document as a difference from the last one in the log, which
-// need not be committed yet: earlier entries are applied first at every VM, or
-// neither is. So a change of one route adds only that route to the log and to
-// the traffic between control VMs.
-wire::routing_change routing_api::makeChangeTo(uint64_t Version,
-                                               const std::string &Document) {
+// The newest document in the log. It need not be committed yet: earlier entries
+// are applied first at every VM, or neither is. Encoding a change as a
+// difference from it adds only that change to the log and to the traffic
+// between control VMs.
+routing_api::proposal routing_api::newestProposal() const {
   const routing_store &Routing = Log.state().routing();
-  bool HasNewerProposal = LastProposal.Term == Log.core().term() &&
-                          LastProposal.Version > Routing.version();
-  uint64_t BaseVersion =
-      HasNewerProposal ? LastProposal.Version : Routing.version();
-  wire::routing_change Change;
-  Change.set_version(Version);
-  // A version that is not newer will be ignored, so its document is left out.
-  if (Version <= BaseVersion)
-    return Change;
-  Change = makeRoutingChange(BaseVersion,
-                             HasNewerProposal ? LastProposal.Document
-                                              : Routing.document(),
-                             Version, Document);
-  LastProposal = {
-      .Term = Log.core().term(), .Version = Version, .Document = Document};
-  return Change;
+  uint64_t Term = Log.core().term();
+  if (LastProposal.Term == Term && LastProposal.Version > Routing.version())
+    return LastProposal;
+  return {.Term = Term,
+          .Version = Routing.version(),
+          .Document = Routing.document()};
 }
 
 void routing_api::getRouting(const exchange &Exchange) {
@@ -194,6 +201,11 @@
   if (Routing.version() == 0)
     return refuse(*Exchange, error_kind::NoQuorum,
                   "no routing configuration has been set yet");
+  if (Routing.isLost())
+    return refuse(*Exchange, error_kind::NoQuorum,
+                  "the document of routing version " +
+                      std::to_string(Routing.version()) +
+                      " was lost; send one with a higher version");
   Exchange->reply(200, Json, Routing.document());
 }
 
--- a/control/routing_api.h
+++ b/control/routing_api.h
@@ -14,6 +14,7 @@
 #include "catalog/routing.h"
 #include "control/replicated_log.h"
 #include "net/http_server.h"
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,20 +42,24 @@
   void getRollout(const exchange &Exchange, const std::string &Service);
   void setEvacuation(const exchange &Exchange, std::string_view DataHall,
                      bool Restore);
-  void propose(const exchange &Exchange, wire::command Command);
+  /// Replies with the result of the command. False: this VM is not the leader,
+  /// and \p OnDone is not called. \p OnDone: called with whether the command
+  /// was applied, which is false also if that is not known.
+  bool propose(const exchange &Exchange, wire::command Command,
+               const std::function<void(bool Applied)> &OnDone = {});
 
-  /// The newest document that this VM has proposed as the leader of a term. The
-  /// next change is encoded as a difference from it.
+  /// A document that this VM has proposed as the leader of a term, or that is
+  /// in force.
   struct proposal {
     uint64_t Term = 0;
     uint64_t Version = 0;
     std::string Document;
   };
 
-  wire::routing_change makeChangeTo(uint64_t Version,
-                                    const std::string &Document);
+  proposal newestProposal() const;
 
   replicated_log &Log;
+  /// The newest of this VM's own documents that may still be applied.
   proposal LastProposal;
   std::string ParsedDocument; ///< The document that ParsedConfig was read from.
   std::optional<routing_config> ParsedConfig;
--- a/ledger/routing_store.h
+++ b/ledger/routing_store.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/status.h"
 #include "wire/wire.pb.h"
+#include <optional>
 #include <string>
 
 namespace olivevalve {
@@ -23,9 +24,13 @@
   const std::string &document() const { return Current.document(); }
 
   /// Replaces the document by a newer version; an older or equal version is
-  /// ignored. NoQuorum: the change is a patch of a document other than the
-  /// current one; nothing is changed.
+  /// ignored. NoQuorum: the change is newer but does not give the document, or
+  /// is a patch of another one; nothing is changed.
   absl::Status apply(const wire::routing_change &Change);
+  /// True if the document of the version was lost. Control VMs that do not
+  /// state the content of a change replace it by an empty one if they take a
+  /// resent version for a newer one.
+  bool isLost() const { return version() != 0 && document().empty(); }
 
   void save(wire::state_image &Image) const {
     *Image.mutable_routing() = Current;
@@ -33,6 +38,11 @@
   void load(const wire::state_image &Image) { Current = Image.routing(); }
 
 private:
+  /// The document that \p Change sets; none: it cannot be obtained.
+  std::optional<std::string>
+  documentOf(const wire::routing_change &Change) const;
+  std::optional<std::string> patched(const wire::routing_change &Change) const;
+
   wire::routing_change Current; ///< Always holds the complete document.
 };
 
@@ -44,6 +54,12 @@
                                        uint64_t Version,
                                        const std::string &Document);
 
+/// The log command for a \p Version that is not newer than \p BaseVersion, the
+/// newest one in the log. It changes nothing, and fails if \p BaseVersion was
+/// not applied. Control VMs that do not know ROUTING_RESEND take it for a patch
+/// that does not fit, with the same result.
+wire::routing_change makeRoutingResend(uint64_t BaseVersion, uint64_t Version);
+
 } // namespace olivevalve
 
 #endif // OLIVEVALVE_LEDGER_ROUTING_STORE_H
--- a/tests/unit/new_leader_test.cpp
+++ b/tests/unit/new_leader_test.cpp
@@ -221,4 +221,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a refused change that is left out when it is sent again.
+BOOST_AUTO_TEST_CASE(apply_a_change_that_they_refused_before) {
+  survivor Vm;
+  Vm.elect();
+  Vm.commit();
+  Vm.turn();
+  // Another change that precedes it in the log.
+  auto Overtake = [&] {
+    wire::command Other;
+    *Other.mutable_routing() = makeRoutingChange(0, "", 5, documentOf(5));
+    Vm.Log->propose(Other, [](const apply_result *) {});
+  };
+  BOOST_TEST(Vm.call("POST", documentOf(6), Overtake).Status == 503);
+  BOOST_TEST(Vm.call("POST", documentOf(6)).Status == 200);
+  BOOST_TEST(Vm.call("GET", "").Body == documentOf(6));
+}
+
+BOOST_AUTO_TEST_CASE(acknowledge_versions_that_are_not_newer) {
+  survivor Vm;
+  Vm.elect();
+  Vm.commit();
+  Vm.turn();
+  for (uint64_t Version : {4, 4, 3, 2, 1})
+    BOOST_TEST(Vm.call("POST", documentOf(Version)).Status == 200);
+  BOOST_TEST(Vm.call("GET", "").Body == documentOf(4));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/routing_changes_test.cpp
+++ b/tests/unit/routing_changes_test.cpp
@@ -455,4 +455,49 @@
   BOOST_TEST(Store.version() == 3U);
 }
 
+BOOST_AUTO_TEST_SUITE(without_a_document)
+
+// Guards against a resent version that replaces the document by nothing.
+BOOST_AUTO_TEST_CASE(never_replace_the_document) {
+  routing_store Store;
+  BOOST_TEST(Store.apply(makeRoutingChange(0, "", 2, "{}")).ok());
+  wire::routing_change Empty;
+  Empty.set_version(3);
+  Empty.set_content(wire::ROUTING_DOCUMENT);
+  for (const wire::routing_change &Change : {makeRoutingResend(3, 3), Empty}) {
+    BOOST_TEST(!Store.apply(Change).ok());
+    BOOST_TEST(Store.version() == 2U);
+    BOOST_TEST(Store.document() == "{}");
+  }
+  BOOST_TEST_CONTEXT("a version that is not newer is acknowledged")
+  BOOST_TEST(Store.apply(makeRoutingResend(2, 2)).ok());
+}
+
+BOOST_AUTO_TEST_CASE(have_the_same_result_where_resends_are_not_known) {
+  for (uint64_t Base : {2, 3, 4}) {
+    routing_store Store;
+    BOOST_TEST(Store.apply(makeRoutingChange(0, "", 2, "{}")).ok());
+    wire::routing_change Change = makeRoutingResend(Base, Base);
+    Change.clear_content();
+    BOOST_TEST(Store.apply(Change).ok() == (Base <= 2));
+    BOOST_TEST(Store.document() == "{}");
+  }
+}
+
+// Guards against members of one group that reach different states.
+BOOST_AUTO_TEST_CASE(keep_their_effect_if_they_are_in_the_log_already) {
+  routing_store Store;
+  BOOST_TEST(Store.apply(makeRoutingChange(0, "", 2, "{}")).ok());
+  BOOST_TEST(!Store.isLost());
+  wire::routing_change Unstated;
+  Unstated.set_version(3);
+  BOOST_TEST(Store.apply(Unstated).ok());
+  BOOST_TEST(Store.version() == 3U);
+  BOOST_TEST(Store.isLost());
+  BOOST_TEST(Store.apply(makeRoutingChange(3, "", 4, "{}")).ok());
+  BOOST_TEST(!Store.isLost());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
