Documents that are not UTF-8 are refused

Callers saw: a configuration with a byte that is not UTF-8 in a comment was acknowledged with 200 and never in force. Cause: the parser checks strings only, and control's log is protobuf, which reads back no string that is not UTF-8. An unreadable command counted as applied. Change: parseJson() refuses such documents with their line; an unreadable command is an error. Evidence: refuse_a_document_that_is_not_utf_8 failed before (200, 400 wanted).

--- a/base/json_text.cpp
+++ b/base/json_text.cpp
@@ -212,9 +212,48 @@
   int MaxDepth;
 };
 
+// Length of the UTF-8 sequence that Text begins with; 0: it begins with none.
+size_t utf8Length(std::string_view Text) {
+  auto At = [Text](size_t I) {
+    return I < Text.size() ? uint8_t(Text[I]) : uint8_t(0);
+  };
+  uint8_t First = At(0);
+  if (First < 0x80)
+    return 1;
+  size_t Length = First < 0xC2 ? 0 : First < 0xE0 ? 2 : First < 0xF0 ? 3 : 4;
+  // The second byte excludes overlong forms, surrogates and large numbers.
+  uint8_t Least = First == 0xE0 ? 0xA0 : First == 0xF0 ? 0x90 : 0x80;
+  uint8_t Most = First == 0xED ? 0x9F : First == 0xF4 ? 0x8F : 0xBF;
+  if (Length == 0 || First > 0xF4 || At(1) < Least || At(1) > Most)
+    return 0;
+  for (size_t I = 2; I < Length; ++I)
+    if (At(I) < 0x80 || At(I) > 0xBF)
+      return 0;
+  return Length;
+}
+
+// Position of the first byte that is not UTF-8; npos: there is none.
+size_t findInvalidUtf8(std::string_view Text) {
+  for (size_t I = 0; I < Text.size();) {
+    size_t Length = utf8Length(Text.substr(I));
+    if (Length == 0)
+      return I;
+    I += Length;
+  }
+  return std::string_view::npos;
+}
+
 } // namespace
 
 absl::StatusOr<json> parseJson(std::string_view Text, std::string_view Source) {
+  // The parser checks strings only. A comment matters as well: a document that
+  // is not UTF-8 cannot be read back from a protobuf message.
+  if (size_t At = findInvalidUtf8(Text); At != std::string_view::npos) {
+    auto Line = 1 + std::count(Text.begin(), Text.begin() + long(At), '\n');
+    return makeError(error_kind::BadRequest,
+                     absl::StrCat(std::string(Source), ": line ", Line,
+                                  ": not valid UTF-8"));
+  }
   document_builder Builder(Text);
   bool Valid = json::sax_parse(Text, &Builder, json::input_format_t::json,
                                /*strict=*/true, /*ignore_comments=*/true);
--- a/base/json_text.h
+++ b/base/json_text.h
@@ -22,8 +22,9 @@
 constexpr int MaxJsonDepth = 64;
 
 /// Parses one document, in which comments are allowed. The error BadRequest
-/// names \p Source, the line, the field and the cause. Documents nested deeper
-/// than MaxJsonDepth and numbers beyond the range of a double are rejected.
+/// names \p Source, the line, the field and the cause. Documents that are not
+/// UTF-8, also in a comment, documents nested deeper than MaxJsonDepth and
+/// numbers beyond the range of a double are rejected.
 absl::StatusOr<json> parseJson(std::string_view Text, std::string_view Source);
 
 /// Like parseJson(), but returns null instead of an error.
--- a/ledger/state_machine.cpp
+++ b/ledger/state_machine.cpp
@@ -35,10 +35,15 @@
 apply_result state_machine::apply(uint64_t Index, const std::string &Data) {
   AppliedIndex = Index;
   wire::command Command;
-  if (Data.empty() || !Command.ParseFromString(Data))
-    return {};
-  WallSeconds = std::max(WallSeconds, Command.wall_seconds());
   apply_result Result;
+  if (Data.empty())
+    return Result;
+  if (!Command.ParseFromString(Data)) {
+    Result.Status =
+        makeError(error_kind::BadRequest, "the command cannot be read back");
+    return Result;
+  }
+  WallSeconds = std::max(WallSeconds, Command.wall_seconds());
   switch (Command.body_case()) {
   case wire::command::kChange:
     return applyChange(Index, Command.change());
--- a/ledger/state_machine.h
+++ b/ledger/state_machine.h
@@ -41,7 +41,8 @@
 class state_machine {
 public:
   /// Applies \p Data, a serialised wire::command, committed at \p Index. Empty
-  /// or unreadable data changes nothing but appliedIndex().
+  /// or unreadable data changes nothing but appliedIndex(); the latter is a
+  /// BadRequest.
   apply_result apply(uint64_t Index, const std::string &Data);
 
   uint64_t appliedIndex() const { return AppliedIndex; }
--- a/tests/unit/new_leader_test.cpp
+++ b/tests/unit/new_leader_test.cpp
@@ -238,6 +238,19 @@
   BOOST_TEST(Vm.call("GET", "").Body == documentOf(6));
 }
 
+// Guards against an acknowledged change that no VM can read from the log.
+BOOST_AUTO_TEST_CASE(refuse_a_document_that_is_not_utf_8) {
+  survivor Vm;
+  Vm.elect();
+  Vm.commit();
+  Vm.turn();
+  http_answer Refused = Vm.call("POST", documentOf(3) + "//\xff\n");
+  BOOST_TEST(Refused.Status == 400);
+  BOOST_TEST(Refused.Body.find("UTF-8") != std::string::npos);
+  BOOST_TEST(Vm.call("POST", documentOf(4)).Status == 200);
+  BOOST_TEST(Vm.call("GET", "").Body == documentOf(4));
+}
+
 BOOST_AUTO_TEST_CASE(acknowledge_versions_that_are_not_newer) {
   survivor Vm;
   Vm.elect();
