The log never holds up the event loop

Cause: each line was written to a blocking standard output on the loop. A stop waits 0.2 s at most for the last lines.

--- a/base/log.h
+++ b/base/log.h
@@ -1,7 +1,9 @@
 //===- log.h - Structured logging -------------------------------*- C++ -*-===//
 //
-// Writes one JSON object per line to standard output through Boost.Log. The log
-// level can be changed at run time. Callers must not pass secrets.
+// Writes one JSON object per line to standard output through Boost.Log, without
+// ever waiting for its reader: lines that it does not read in time are dropped
+// and counted. The log level can be changed at run time. Callers must not pass
+// secrets.
 //
 //===----------------------------------------------------------------------===//
 
@@ -34,6 +36,16 @@
 
 /// Starts logging. Must be called once, at the start of the process.
 void startLog(const log_identity &Identity, log_level Level);
+/// Waits until all lines are written, for \p Seconds at most.
+void flushLog(double Seconds);
+
+/// What the log holds in memory and has lost.
+struct log_state {
+  uint64_t DroppedLines = 0;
+  size_t HeldBytes = 0;
+};
+log_state logState();
+
 void setLogLevel(log_level Level);
 
 /// True if lines of \p Level are written. Lets callers skip building expensive
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -17,6 +17,9 @@
 
 // A changed settings file is reloaded within this time, even without SIGHUP.
 constexpr double SettingsPollSeconds = 2;
+// The last lines of the log may take this long to be written. Short beside the
+// time between the end of a drain and the platform's SIGKILL.
+constexpr double LogFlushSeconds = 0.2;
 
 struct arguments {
   std::string Settings;
@@ -76,6 +79,7 @@
   }
   logLine(log_level::Error, "process ends after an unexpected exception",
           {{"exception", What}});
+  flushLog(LogFlushSeconds);
   std::abort();
 }
 
@@ -165,8 +169,10 @@
   int Code = 0;
   {
     node Node(Loop, *Settings, *std::move(Keys));
-    if (absl::Status Status = Node.start(); !Status.ok())
+    if (absl::Status Status = Node.start(); !Status.ok()) {
+      flushLog(LogFlushSeconds);
       return fail(Status);
+    }
     settings_watch Watch(Loop, Node, Arguments.Settings);
     ev_signal Term{};
     ev_signal Int{};
@@ -179,5 +185,6 @@
     Code = Node.exitCode();
   }
   curl_global_cleanup();
+  flushLog(LogFlushSeconds);
   return Code;
 }
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -98,7 +98,7 @@
     return Exchange->reply(ready() ? 200 : 503, "text/plain",
                            ready() ? "ready\n" : "not ready\n");
   if (Path == "/metrics")
-    updateTrafficMetrics();
+    updateProcessMetrics();
   if (Path == "/metrics")
     return Exchange->reply(200, "text/plain; version=0.0.4",
                            Metrics.prometheusText());
@@ -114,7 +114,7 @@
                   "known: /healthz /readyz /metrics, PUT /log-level\n");
 }
 
-void node::updateTrafficMetrics() {
+void node::updateProcessMetrics() {
   for (size_t Kind = 0; Kind < link_traffic::Kinds; ++Kind) {
     const message_traffic &Traffic = Context.traffic().ByKind[Kind];
     if (Traffic.SentMessages + Traffic.ReceivedMessages == 0)
@@ -126,12 +126,15 @@
     Metrics.setCount("link_received_bytes", Name, Traffic.ReceivedBytes);
   }
   Metrics.setCount("link_malformed", "", Context.traffic().Malformed);
+  log_state Log = logState();
+  Metrics.setCount("log_lines_dropped", "", Log.DroppedLines);
+  Metrics.gauge("log_held_bytes", double(Log.HeldBytes));
 }
 
 // Logs every byte counter that is not zero, so that the log alone shows which
 // kinds of message account for the traffic of a link.
 void node::logTraffic() {
-  updateTrafficMetrics();
+  updateProcessMetrics();
   Metrics.eachCount([](std::string_view Counter, std::string_view Label,
                        uint64_t Value) {
     if (Value > 0 && Counter.ends_with(BytesSuffix))
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -35,7 +35,7 @@
 
 private:
   void handleHealth(const std::shared_ptr<http_exchange> &Exchange);
-  void updateTrafficMetrics();
+  void updateProcessMetrics();
   void logTraffic();
   bool ready() const;
   void beginDrain();
