Control records the version before a roll-out

Cause: each gateway guessed the stable version from the first list, by the number of upstreams and, in a tie, by name. Change: control records the version before with the order and sends it with each roll-out; the leader adds it to roll-outs that have none. Without it, a gateway never takes the target for the stable version.

--- a/control/control_task.cpp
+++ b/control/control_task.cpp
@@ -55,6 +55,9 @@
   Task->Duties =
       std::make_unique<duty_driver>(Loop, Metrics, O.Duties, *Task->Log);
   Task->Api = std::make_unique<operator_api>(*Raw, Loop);
+  Task->Api->routing().CountByVersion = [Raw](std::string_view Service) {
+    return Raw->Upstreams.countByVersion(Service);
+  };
   if (!Task->Api->bind(O.OperatorAddress))
     return makeError(error_kind::BadConfiguration,
                      "control.operator_address: cannot bind " +
@@ -349,6 +352,7 @@
   proposeQuarantineChanges(Now);
   Gateways.forgetSilent(Now);
   logEvacuationsInForce();
+  recordFormerVersions();
   for (rollout_judgement &Judgement :
        Rollouts.judge(Log->state().rollouts(), Gateways, Now, wallSeconds())) {
     reportRollout(Judgement);
@@ -360,6 +364,29 @@
   }
 }
 
+// Adds the former version to roll-outs that have none: the list of upstreams
+// was not known when they were ordered, or they were ordered at a control VM
+// that does not record it.
+void control_task::recordFormerVersions() {
+  for (const auto &[Service, Rollout] : Log->state().rollouts().all()) {
+    if (Rollout.stage() == wire::COMPLETED || !Rollout.former_version().empty())
+      continue;
+    std::string Former = formerVersion(
+        nullptr, Upstreams.countByVersion(Service), Rollout.target_version());
+    if (Former.empty())
+      continue;
+    wire::command Command;
+    wire::rollout_step &Step = *Command.mutable_rollout_step();
+    Step.set_service(Service);
+    Step.set_target_version(Rollout.target_version());
+    Step.set_from(Rollout.stage());
+    Step.set_to(Rollout.stage());
+    Step.set_reason(Rollout.reason());
+    Step.set_former_version(Former);
+    Log->propose(std::move(Command), [](const apply_result *) {});
+  }
+}
+
 // Shows what the next verdict will rest on, and what a verdict rests on.
 void control_task::reportRollout(const rollout_judgement &Judgement) {
   const wire::rollout_step &Step = Judgement.Step;
--- a/control/control_task.h
+++ b/control/control_task.h
@@ -104,6 +104,7 @@
   void publishGroupMetrics(double Now);
   void guardVersions(double Now);
   void driveRollouts(double Now);
+  void recordFormerVersions();
   void reportRollout(const rollout_judgement &Judgement);
   void proposePlacement(double Now);
   bool isLastOfItsModel(const version_name &Name) const;
--- a/control/routing_api.cpp
+++ b/control/routing_api.cpp
@@ -213,6 +213,16 @@
   auto Order = parseOrder(Exchange->body());
   if (!Order.ok())
     return refuse(*Exchange, error_kind::BadRequest, messageOf(Order.status()));
+  const std::string &Service = Order->service();
+  Order->set_former_version(formerVersion(Log.state().rollouts().find(Service),
+                                          CountByVersion
+                                              ? CountByVersion(Service)
+                                              : std::map<std::string, size_t>(),
+                                          Order->target_version()));
+  logLine(log_level::Info, "roll-out of a service proposed",
+          {{"service", Service},
+           {"version", Order->target_version()},
+           {"former_version", Order->former_version()}});
   wire::command Command;
   *Command.mutable_begin_rollout() = *std::move(Order);
   propose(Exchange, std::move(Command));
--- a/control/routing_api.h
+++ b/control/routing_api.h
@@ -15,6 +15,7 @@
 #include "control/replicated_log.h"
 #include "net/http_server.h"
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +30,11 @@
   /// operator sent to this VM, and forgets it. Saves parsing a large document
   /// twice.
   std::optional<routing_config> takeParsed(const std::string &Document);
+  /// Returns the number of listed upstreams of a service with each software
+  /// version; empty: not known.
+  std::function<std::map<std::string, size_t>(std::string_view Service)>
+      CountByVersion;
+
   /// Handles the exchange and returns true if its path belongs to this
   /// interface.
   bool handle(const std::shared_ptr<http_exchange> &Exchange);
--- a/control/upstream_list_publisher.cpp
+++ b/control/upstream_list_publisher.cpp
@@ -65,6 +65,15 @@
   return Counts;
 }
 
+std::map<std::string, size_t>
+upstream_history::countByVersion(std::string_view Service) const {
+  std::map<std::string, size_t> Counts;
+  for (const auto &[Id, Entry] : Entries)
+    if (Entry.Service == Service)
+      ++Counts[Entry.Version];
+  return Counts;
+}
+
 bool upstream_history::contains(uint64_t Held) const {
   return std::any_of(Changes.begin(), Changes.end(), [&](const change &Change) {
     return Change.Revision == Held;
--- a/control/upstream_list_publisher.h
+++ b/control/upstream_list_publisher.h
@@ -32,6 +32,8 @@
   size_t size() const { return Entries.size(); }
   /// Number of upstreams in each data hall.
   std::map<std::string, size_t> countByHall() const;
+  /// Number of upstreams of a service with each software version.
+  std::map<std::string, size_t> countByVersion(std::string_view Service) const;
   /// True if the changes since \p HeldRevision are kept; otherwise a gateway
   /// that holds it needs the complete list.
   bool contains(uint64_t HeldRevision) const;
@@ -70,6 +72,11 @@
   std::map<std::string, size_t> countByHall() const {
     return History.countByHall();
   }
+  /// Number of upstreams of a service with each software version; empty: the
+  /// list has none, or was not received yet.
+  std::map<std::string, size_t> countByVersion(std::string_view Service) const {
+    return History.countByVersion(Service);
+  }
   /// False: gateways have to fetch the list for themselves.
   bool fetchesList() const { return bool(Client); }
   /// Fetches the list if it is time to and this VM is the leader (\p Leads).
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -169,6 +169,7 @@
       logLine(log_level::Info, "roll-out of a service",
               {{"service", Rollout.service()},
                {"version", Rollout.target_version()},
+               {"former_version", Rollout.former_version()},
                {"stage", wire::rollout_stage_Name(Rollout.stage())}});
   };
   Watch.OnQuarantine = [this](const wire::notice &Notice) {
--- a/gateway/software_versions.cpp
+++ b/gateway/software_versions.cpp
@@ -21,9 +21,10 @@
     Rollouts[Rollout.service()] = Rollout;
     if (Rollout.stage() == wire::COMPLETED)
       Upstreams.setStableVersion(Rollout.service(), Rollout.target_version());
+    else if (!Rollout.former_version().empty())
+      Upstreams.setStableVersion(Rollout.service(), Rollout.former_version());
     else
-      Upstreams.replaceStableVersion(Rollout.service(),
-                                     Rollout.target_version());
+      Upstreams.setUnstableVersion(Rollout.service(), Rollout.target_version());
     if (!isCanaryVersion(Rollout.service(), Rollout.target_version()))
       addUpUpstreams(Rollout.service(), Rollout.target_version());
   }
--- a/gateway/upstream_table.cpp
+++ b/gateway/upstream_table.cpp
@@ -132,11 +132,9 @@
   std::map<std::string, std::shared_ptr<upstream>> Next;
   ByService.clear();
   ByKey.clear();
-  std::map<std::string, std::map<std::string, int>> Versions;
   for (platform::listed_upstream &Listed : List) {
     auto Upstream = incarnationOf(std::move(Listed), Now);
     Upstream->Evacuated = EvacuatedHalls.contains(Upstream->Listed.DataHall);
-    ++Versions[Upstream->Listed.Service][Upstream->Listed.Version];
     ByService[Upstream->Listed.Service].push_back(Upstream);
     ByKey[Upstream->Key] = Upstream;
     std::string Id = Upstream->Listed.Id;
@@ -152,12 +150,9 @@
       Removed.push_back(Upstream);
     }
   ById = std::move(Next);
-  for (auto &[Service, Counts] : Versions) {
-    auto Most = std::max_element(
-        Counts.begin(), Counts.end(),
-        [](const auto &A, const auto &B) { return A.second < B.second; });
-    StableVersions.try_emplace(Service, Most->first);
-  }
+  for (const auto &[Service, Upstreams] : ByService)
+    if (!StableVersions.contains(Service))
+      chooseStableVersion(Service);
   return Removed;
 }
 
@@ -218,14 +213,28 @@
   return It == ByService.end() ? None : It->second;
 }
 
-void upstream_table::replaceStableVersion(const std::string &Service,
-                                          const std::string &Version) {
+void upstream_table::setUnstableVersion(const std::string &Service,
+                                        const std::string &Version) {
+  UnstableVersions[Service] = Version;
   auto It = StableVersions.find(Service);
   if (It == StableVersions.end() || It->second != Version)
     return;
+  StableVersions.erase(It);
+  chooseStableVersion(Service);
+}
+
+void upstream_table::chooseStableVersion(const std::string &Service) {
+  auto Unstable = UnstableVersions.find(Service);
+  std::map<std::string, int> Counts;
   for (const auto &Upstream : ofService(Service))
-    if (Upstream->Listed.Version != Version)
-      It->second = Upstream->Listed.Version;
+    if (Unstable == UnstableVersions.end() ||
+        Upstream->Listed.Version != Unstable->second)
+      ++Counts[Upstream->Listed.Version];
+  auto Most = std::max_element(
+      Counts.begin(), Counts.end(),
+      [](const auto &A, const auto &B) { return A.second < B.second; });
+  if (Most != Counts.end())
+    StableVersions[Service] = Most->first;
 }
 
 const std::string &
--- a/gateway/upstream_table.h
+++ b/gateway/upstream_table.h
@@ -170,27 +170,30 @@
   bool allEvacuated(const std::string &Service) const;
   /// This gateway's requests in flight in each evacuated data hall.
   std::map<std::string, uint32_t> openInEvacuated() const;
-  /// The stable software version of the service: the one that most of its
-  /// upstreams had when the service was first listed, or the one set since;
-  /// empty if the service was never listed.
+  /// The stable software version of the service: the one set, or else the one
+  /// that most of its upstreams had when the service was first listed, without
+  /// those of the unstable version; empty if neither is known.
   const std::string &stableVersion(const std::string &Service) const;
   /// Makes \p Version the stable one.
   void setStableVersion(const std::string &Service,
                         const std::string &Version) {
     StableVersions[Service] = Version;
   }
-  /// \p Version is being rolled out or was reverted: if it was taken for the
-  /// stable version, another listed one replaces it.
-  void replaceStableVersion(const std::string &Service,
-                            const std::string &Version);
+  /// \p Version is being rolled out or was reverted, and the version before it
+  /// is not known: if it was taken for the stable one, another one is chosen,
+  /// now or once one is listed.
+  void setUnstableVersion(const std::string &Service,
+                          const std::string &Version);
 
 private:
+  void chooseStableVersion(const std::string &Service);
   std::shared_ptr<upstream> incarnationOf(platform::listed_upstream Listed,
                                           double Now) const;
 
   std::map<std::string, std::shared_ptr<upstream>> ById;
   std::map<std::string, std::vector<std::shared_ptr<upstream>>> ByService;
-  std::map<std::string, std::string> StableVersions;
+  std::map<std::string, std::string> StableVersions;   ///< By service.
+  std::map<std::string, std::string> UnstableVersions; ///< By service.
   std::unordered_map<uint64_t, std::shared_ptr<upstream>> ByKey;
   std::set<std::string, std::less<>> EvacuatedHalls;
 };
--- a/ledger/rollouts.cpp
+++ b/ledger/rollouts.cpp
@@ -44,6 +44,8 @@
     return;
   It->second.set_stage(Step.to());
   It->second.set_reason(Step.reason());
+  if (It->second.former_version().empty())
+    It->second.set_former_version(Step.former_version());
   ++Revision;
 }
 
@@ -52,6 +54,30 @@
   return It == Rollouts.end() ? nullptr : &It->second;
 }
 
+std::string formerVersion(const wire::rollout *Previous,
+                          const std::map<std::string, size_t> &Listed,
+                          std::string_view Target) {
+  bool WasCompleted = Previous && Previous->stage() == wire::COMPLETED;
+  std::string_view Known = !Previous      ? std::string_view()
+                           : WasCompleted ? Previous->target_version()
+                                          : Previous->former_version();
+  std::string_view Reverted = Previous && !WasCompleted
+                                  ? Previous->target_version()
+                                  : std::string_view();
+  bool IsKnown = !Known.empty() && Known != Target;
+  if (IsKnown && Listed.contains(std::string(Known)))
+    return std::string(Known);
+  std::string_view Most = IsKnown ? Known : std::string_view();
+  size_t Upstreams = 0;
+  for (const auto &[Version, Count] : Listed) {
+    if (Version == Target || Version == Reverted || Count <= Upstreams)
+      continue;
+    Most = Version;
+    Upstreams = Count;
+  }
+  return std::string(Most);
+}
+
 void rollout_store::save(wire::state_image &Image) const {
   Image.set_rollouts_revision(Revision);
   for (const auto &[Service, Rollout] : Rollouts)
--- a/ledger/rollouts.h
+++ b/ledger/rollouts.h
@@ -21,6 +21,15 @@
   return Stage == wire::CANARY || Stage == wire::HOLD || Stage == wire::SHIFT;
 }
 
+/// The version that serves before a roll-out to \p Target. \p Previous: the
+/// last roll-out of the service; null: none. \p Listed: the number of listed
+/// upstreams by version; empty: not known. The result of the last roll-out is
+/// taken if it is still listed, else the other version with the most upstreams;
+/// empty: not known.
+std::string formerVersion(const wire::rollout *Previous,
+                          const std::map<std::string, size_t> &Listed,
+                          std::string_view Target);
+
 /// The newest roll-out of each service.
 class rollout_store {
 public:
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -451,6 +451,77 @@
   }
 }
 
+BOOST_AUTO_TEST_SUITE(at_a_gateway_that_starts_during_it)
+
+constexpr wire::rollout_stage NotCompleted[] = {wire::CANARY, wire::HOLD,
+                                                wire::SHIFT, wire::REVERTED};
+
+wire::notice noticeTo(const std::string &Target, wire::rollout_stage Stage,
+                      const std::string &Former) {
+  wire::notice Notice = noticeOf(Stage);
+  Notice.mutable_rollouts(0)->set_target_version(Target);
+  Notice.mutable_rollouts(0)->set_former_version(Former);
+  return Notice;
+}
+
+// Guards against sessions that move to the new version at a gateway that takes
+// it for the stable one.
+BOOST_AUTO_TEST_CASE(take_the_recorded_version_for_the_stable_one) {
+  using list = std::vector<platform::listed_upstream>;
+  const list Lists[] = {
+      {listed("i-1", "v9"), listed("i-2", "v10")},
+      {listed("i-1", "v9"), listed("i-2", "v10"), listed("i-3", "v10")},
+      {listed("i-1", "v9"), listed("i-2", "v8"), listed("i-3", "v8")},
+      {listed("i-2", "v10")}};
+  for (wire::rollout_stage Stage : NotCompleted)
+    for (const list &List : Lists) {
+      upstream_table Upstreams;
+      software_versions Versions;
+      Versions.apply(noticeTo("v10", Stage, "v9"), Upstreams);
+      Upstreams.update(List, 0);
+      BOOST_TEST(Upstreams.stableVersion("llm") == "v9");
+      if (Stage == wire::CANARY || Stage == wire::HOLD)
+        BOOST_TEST(Versions.versionFor("llm", Upstreams.stableVersion("llm"),
+                                       "v9", 1, 0.06) == "v9");
+      Versions.apply(noticeTo("v10", wire::COMPLETED, "v9"), Upstreams);
+      BOOST_TEST(Upstreams.stableVersion("llm") == "v10");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(never_take_the_new_version_if_none_is_recorded) {
+  for (wire::rollout_stage Stage : NotCompleted)
+    BOOST_TEST_CONTEXT(wire::rollout_stage_Name(Stage)) {
+      upstream_table Upstreams;
+      software_versions Versions;
+      Versions.apply(noticeTo("v10", Stage, ""), Upstreams);
+      BOOST_TEST_CONTEXT("the new upstreams are listed first")
+      Upstreams.update({listed("i-2", "v10")}, 0);
+      BOOST_TEST(Upstreams.stableVersion("llm").empty());
+      BOOST_TEST_CONTEXT("of the others, the version of most upstreams")
+      Upstreams.update({listed("i-1", "v9"), listed("i-4", "v9"),
+                        listed("i-2", "v10"), listed("i-3", "v10"),
+                        listed("i-5", "v10"), listed("i-6", "v8")},
+                       1);
+      BOOST_TEST(Upstreams.stableVersion("llm") == "v9");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(correct_a_choice_made_before_the_rollout_was_known) {
+  upstream_table Upstreams;
+  software_versions Versions;
+  Upstreams.update({listed("i-1", "v9"), listed("i-2", "v10"),
+                    listed("i-3", "v10"), listed("i-4", "v9"),
+                    listed("i-5", "v8")},
+                   0);
+  BOOST_TEST(Upstreams.stableVersion("llm") == "v10");
+  Versions.apply(noticeTo("v10", wire::CANARY, ""), Upstreams);
+  BOOST_TEST(Upstreams.stableVersion("llm") == "v9");
+  Versions.apply(noticeTo("v10", wire::HOLD, "v8"), Upstreams);
+  BOOST_TEST(Upstreams.stableVersion("llm") == "v8");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(tallies_are_reported_per_version) {
   software_versions Versions;
   Versions.count("llm", "v1", false, 0.5);
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -184,6 +184,62 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_version_before_a_rollout)
+
+using counts = std::map<std::string, size_t>;
+
+wire::rollout ended(const std::string &Target, wire::rollout_stage Stage,
+                    const std::string &Former) {
+  wire::rollout Rollout = order(Target);
+  Rollout.set_stage(Stage);
+  Rollout.set_former_version(Former);
+  return Rollout;
+}
+
+BOOST_AUTO_TEST_CASE(is_what_the_last_rollout_left) {
+  const counts Listed = {{"v1", 1}, {"v2", 2}, {"v3", 3}};
+  wire::rollout Completed = ended("v2", wire::COMPLETED, "v1");
+  wire::rollout Reverted = ended("v2", wire::REVERTED, "v1");
+  BOOST_TEST(formerVersion(&Completed, Listed, "v3") == "v2");
+  BOOST_TEST(formerVersion(&Reverted, Listed, "v3") == "v1");
+  BOOST_TEST(formerVersion(&Reverted, Listed, "v2") == "v1");
+  BOOST_TEST_CONTEXT("also while the list is not known")
+  BOOST_TEST(formerVersion(&Completed, {}, "v3") == "v2");
+  BOOST_TEST_CONTEXT("unless it is no longer listed")
+  BOOST_TEST(formerVersion(&Completed, {{"v7", 1}, {"v3", 3}}, "v3") == "v7");
+}
+
+BOOST_AUTO_TEST_CASE(is_else_that_of_most_other_upstreams) {
+  BOOST_TEST(formerVersion(nullptr, {{"v10", 3}, {"v8", 1}, {"v9", 2}},
+                           "v10") == "v9");
+  BOOST_TEST(formerVersion(nullptr, {{"v10", 3}}, "v10").empty());
+  BOOST_TEST(formerVersion(nullptr, {}, "v10").empty());
+  wire::rollout Reverted = ended("v2", wire::REVERTED, "");
+  BOOST_TEST(formerVersion(&Reverted, {{"v1", 1}, {"v2", 4}}, "v3") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(is_recorded_once) {
+  rollout_store Store;
+  BOOST_TEST(Store.begin(order("v2"), 100).ok());
+  wire::rollout_step Step;
+  Step.set_service("llm");
+  Step.set_target_version("v2");
+  Step.set_former_version("v1");
+  Store.step(Step);
+  BOOST_TEST(Store.find("llm")->former_version() == "v1");
+  BOOST_TEST(Store.find("llm")->stage() == wire::CANARY);
+  Step.set_former_version("v0");
+  Store.step(Step);
+  BOOST_TEST(Store.find("llm")->former_version() == "v1");
+  wire::state_image Image;
+  Store.save(Image);
+  rollout_store Copy;
+  Copy.load(Image);
+  BOOST_TEST(Copy.find("llm")->former_version() == "v1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(service_rollout_guard)
 
 namespace {
