Responses without end are bounded together

Callers saw: 504 at the timeout for interim responses or an event without end, and with twelve endless bodies at once a gateway of 230 to 272 MB, where its VM has 110. Cause: each response had a bound of 16 MiB, all of them together had none. An event beyond the bound was read on and discarded, interim responses and those to other requests had no bound, nor had a response that is kept during a switch of models. Change: responses that a gateway holds take 32 MiB together; beyond it the largest is given up, one of unknown length first, with the 502 that says that the request ran. A response that states a length above 16 MiB is given up at its head. 16 interim responses and 16 MiB of other responses are read. The other HTTP clients bound heads and collected bodies.

--- a/ctl/operator_client.cpp
+++ b/ctl/operator_client.cpp
@@ -18,6 +18,8 @@
 // Timeout of a status request. A healthy control VM answers within
 // milliseconds; one that hangs is skipped after this time.
 constexpr double ProbeSeconds = 1;
+// The largest replies list all bills or all nodes.
+constexpr size_t MaxReplyBytes = 64 << 20;
 constexpr const char *StatusPath = "/v1/status";
 
 error_kind kindForCode(const std::string &Code) {
@@ -43,6 +45,7 @@
     Request.Url = "http://" + Address + Path;
     Request.Body = Body;
     Request.TimeoutSeconds = Seconds;
+    Request.MaxBodyBytes = MaxReplyBytes;
     Request.Headers = {"Content-Type: application/json"};
     if (!Options.Key.empty())
       Request.Headers.push_back("Authorization: Bearer " + Options.Key);
--- a/entry/rater.cpp
+++ b/entry/rater.cpp
@@ -18,6 +18,8 @@
 constexpr size_t MaxActiveRequests = 64;
 // Question and answer are each cut to this size before they are sent.
 constexpr size_t MaxTextBytes = 32 << 10;
+// A reply holds a number.
+constexpr size_t MaxReplyBytes = 64 << 10;
 
 std::optional<double> parseScore(const std::string &Body) {
   json Object = parseJsonOrNull(Body);
@@ -54,6 +56,7 @@
   Request.Body = jsonText(Question);
   Request.Headers = {"Content-Type: application/json"};
   Request.TimeoutSeconds = Seconds;
+  Request.MaxBodyBytes = MaxReplyBytes;
   auto Body = std::make_shared<std::string>();
   Request.OnBytes = [Body](std::string_view Bytes) {
     Body->append(Bytes);
--- a/gateway/fallback_response.cpp
+++ b/gateway/fallback_response.cpp
@@ -11,6 +11,9 @@
 // complete within this time. Longer is not allowed: a request must not be
 // processed by two upstreams for 0.4 s.
 constexpr double KeepReceivingSeconds = 0.3;
+// A response that is larger by then is received no further either; a model
+// makes some kilobytes in this time.
+constexpr size_t MaxKeptBytes = 256 << 10;
 
 } // namespace
 
@@ -47,6 +50,8 @@
 
 void fallback_response::onAnswerBytes(std::string_view NewBytes, size_t) {
   Bytes.append(NewBytes);
+  if (Bytes.size() + Parts.Connection->heldBackBytes() > MaxKeptBytes)
+    release();
 }
 
 void fallback_response::onAnswerEnd() {
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -53,7 +53,10 @@
       Facts(platform::readCaller(Head)), ArrivedAt(steadySeconds()),
       EndsAt(ArrivedAt), Timer(State.Loop, [this] { onTimer(); }) {}
 
-forwarding::~forwarding() { leaveUpstream(); }
+forwarding::~forwarding() {
+  leaveUpstream();
+  recordHeldBytes(0);
+}
 
 void forwarding::park(double Seconds, std::string_view Why) {
   ParkedReason = Why;
@@ -558,6 +561,7 @@
   --Upstream->InFlight;
   State.Peers->reportChange(*Upstream);
   Upstream = nullptr;
+  recordHeldBytes(Answer.Body.size());
 }
 
 bool forwarding::mayRetry(bool WasRun) const {
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -82,6 +82,12 @@
   void countInProgress();
   /// Responds with an error without making an attempt.
   void refuse(error_kind Kind, std::string_view Why) { giveUp(Kind, Why); }
+  /// Bytes of its response that are held in memory.
+  size_t heldResponseBytes() const { return HeldBytes; }
+  /// The response states its length, so it does end.
+  bool hasBoundedResponse() const { return Framing == body_framing::Length; }
+  /// Gives up the response, of which too much is held in memory.
+  void dropResponse(std::string_view Why);
   /// Ends the request at once because the process is about to stop; the
   /// caller's connection is closed.
   void abort();
@@ -155,6 +161,7 @@
   void deliver();
   void finish();
   void complete(std::string_view Outcome, int Status);
+  void recordHeldBytes(size_t Bytes);
   void countAnswer(bool Failed);
   uint64_t paceClass() const;
   void countPace();
@@ -245,6 +252,7 @@
   double FirstEventSeconds = -1;
   /// When the current response last received bytes, or the request was sent.
   double LastReceivedAt = 0;
+  size_t HeldBytes = 0;    ///< Counted in gateway_state::HeldResponseBytes.
   bool MayHaveRun = false; ///< An attempt has run at an upstream, or may have.
   /// An upstream left an attempt without a complete response and may have
   /// crashed.
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -19,6 +19,8 @@
 constexpr size_t MaxUnsentBytes = 256 << 10;
 // Responses that are not event streams are buffered up to this size.
 constexpr size_t MaxBufferedAnswerBytes = 16 << 20;
+constexpr std::string_view TooLarge =
+    "the response of the upstream is larger than 16 MiB";
 // Retry-After of a refusal: another upstream or gateway usually has room within
 // a fraction of a second.
 constexpr double DefaultRetryAfterSeconds = 0.3;
@@ -88,6 +90,10 @@
         !platform::isHopByHop(AnswerHead, Line.Name) &&
         !(Answer.NotRun && platform::isRetryAfter(Line.Name)))
       Answer.Lines.push_back(Line);
+  bool IsTooLong = Framing == body_framing::Length &&
+                   AnswerHead.Length > MaxBufferedAnswerBytes;
+  if (!AnswerIsEvents && IsTooLong)
+    return dropResponse(TooLarge);
   if (Streams && shouldSwitchModel())
     switchToLargerModel();
 }
@@ -213,17 +219,27 @@
   State.Metrics->count("upstream_received_bytes", hallLabel(), Received);
   if (AnswerIsEvents) {
     recordSurvival();
-    return forwardEvents(Bytes);
-  }
-  if (Answer.Body.size() + Bytes.size() <= MaxBufferedAnswerBytes) {
-    Answer.Body.append(Bytes);
-    return;
+    forwardEvents(Bytes);
+    return recordHeldBytes(Connection ? Connection->heldBackBytes() : 0);
   }
+  if (Answer.Body.size() + Bytes.size() > MaxBufferedAnswerBytes)
+    return dropResponse(TooLarge);
+  Answer.Body.append(Bytes);
+  recordHeldBytes(Answer.Body.size());
+}
+
+// May end this request or another one if the number has grown.
+void forwarding::recordHeldBytes(size_t Bytes) {
+  size_t Before = std::exchange(HeldBytes, Bytes);
+  State.HeldResponseBytes += Bytes - Before;
+  if (Bytes > Before && State.HeldResponseBytes > MaxHeldResponseBytes)
+    State.LimitHeldResponses();
+}
+
+void forwarding::dropResponse(std::string_view Why) {
   auto Keep = shared_from_this();
-  leaveUpstream();
   Answer = {};
-  constexpr std::string_view Why =
-      "the response of the upstream is larger than 16 MiB";
+  leaveUpstream();
   if (Fallback)
     return fallBack(Why);
   if (HeadSent)
@@ -483,6 +499,7 @@
     return;
   Timer.stop();
   Fallback.reset();
+  recordHeldBytes(0);
   endRetryWait();
   settle();
   if (std::exchange(RetryTokenHeld, false))
--- a/gateway/gateway_state.h
+++ b/gateway/gateway_state.h
@@ -37,6 +37,10 @@
           .Address = Upstream.Listed.Address};
 }
 
+/// Bounds gateway_state::HeldResponseBytes. Two responses of the largest size.
+/// Responses of some 100 MB in all fill a VM of 110 MB.
+constexpr size_t MaxHeldResponseBytes = 32 << 20;
+
 /// State that a gateway_task owns and all of its requests read and update.
 struct gateway_state {
   struct ev_loop *Loop = nullptr;
@@ -62,6 +66,12 @@
   shared_bound LimitBounds;        ///< Of upstreams that state a limit.
   /// This gateway's shares of the retry bound, by service.
   std::map<std::string, retry_share> Retries;
+  /// Bytes of responses that are held in memory, as the caller gets them only
+  /// when they are complete.
+  size_t HeldResponseBytes = 0;
+  /// Gives up the largest of these responses while all of them together are
+  /// larger than MaxHeldResponseBytes.
+  std::function<void()> LimitHeldResponses;
   /// Asks the leader for retry tokens, soon after the call.
   std::function<void()> AskForRetries;
   /// Times at which refused callers return, by service.
--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -56,6 +56,8 @@
 // Lifetime of a session's pin, as a multiple of the longest pause between its
 // requests.
 constexpr double SessionLifetimeFactor = 2;
+// A response of which less is held is given up for its size alone.
+constexpr size_t MinSuspectBytes = 64 << 10;
 // Requests that arrive within this time ask for retry tokens together.
 constexpr double RetryAskSeconds = 0.01;
 // Number of gateways assumed to share an upstream's connections until control
@@ -122,6 +124,7 @@
     Reports.hear(News.crashes());
     State.Shares.hear(News, steadySeconds());
   };
+  State.LimitHeldResponses = [this] { limitHeldResponses(); };
   State.Random.seed(randomIncarnation());
   State.Shares = account_shares(Options.Shares, &Metrics);
   State.Usage =
@@ -474,6 +477,7 @@
                           Peers.receivedBytes());
   State.Metrics->gauge("callers", double(Callers.size()));
   State.Metrics->gauge("open_requests", double(Requests.size()));
+  State.Metrics->gauge("held_response_bytes", double(State.HeldResponseBytes));
   uint32_t OpenInEvacuated = 0;
   for (const auto &[Hall, Open] : State.Upstreams.openInEvacuated())
     OpenInEvacuated += Open;
@@ -645,6 +649,27 @@
       AwaitingRetryTokens.push_back(std::move(Each));
 }
 
+// Begins with responses of unknown length, which may have no end.
+void gateway_task::limitHeldResponses() {
+  auto Weight = [](const forwarding &Request) {
+    bool MayBeEndless = !Request.hasBoundedResponse() &&
+                        Request.heldResponseBytes() > MinSuspectBytes;
+    return std::pair(MayBeEndless, Request.heldResponseBytes());
+  };
+  while (State.HeldResponseBytes > MaxHeldResponseBytes) {
+    auto Largest = std::max_element(
+        Requests.begin(), Requests.end(), [&](const auto &A, const auto &B) {
+          return Weight(*A.first) < Weight(*B.first);
+        });
+    if (Largest == Requests.end() || Largest->first->heldResponseBytes() == 0)
+      return;
+    State.Metrics->count("responses_dropped", "held in memory");
+    Largest->second->dropResponse(
+        "responses that are held in memory exceed 32 MiB together, and this "
+        "is the largest");
+  }
+}
+
 void gateway_task::leave() {
   abortRequests();
   State.Usage.close();
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -104,6 +104,7 @@
   void askForRetries();
   void applyRetryGrant(const wire::retry_grant &Grant);
   void abortRequests();
+  void limitHeldResponses();
   void applyRouting(const std::shared_ptr<routing_table> &Routing);
   void assumeCold(upstream &Upstream) const;
   void setGatewayCount(uint32_t Gateways);
--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -19,6 +19,13 @@
 // as a request sent while it closes is lost.
 constexpr double IdleMarginSeconds = 0.8;
 
+// Interim responses that are read before the final one. An upstream sends one
+// for each stage of its work at most.
+constexpr unsigned MaxInterimResponses = 16;
+// Bytes that are read of responses to other requests. A late one is as large as
+// a response may be.
+constexpr size_t MaxSkippedBytes = 16 << 20;
+
 // In the order of broken_at.
 constexpr std::array<std::string_view, 10> BreakTexts = {
     "no connection",
@@ -74,6 +81,8 @@
   Exchange = std::move(NewExchange);
   AssignedAt = steadySeconds();
   Skipping = false;
+  SkippedBytes = 0;
+  InterimResponses = 0;
   Reused = IdleSince > 0;
   Body = response_body();
   Reader.next(Exchange.HeadOnly);
@@ -114,9 +123,16 @@
     // Bytes without a request in flight belong to no response.
     if (!User)
       return shutDown();
-    Bytes.remove_prefix(Reader.feed(Bytes));
+    size_t Consumed = Reader.feed(Bytes);
+    Bytes.remove_prefix(Consumed);
     if (Ended || !User)
       continue;
+    if (Skipping)
+      SkippedBytes += Consumed;
+    if (SkippedBytes > MaxSkippedBytes)
+      return fail(broken_at::Garbled);
+    if (Body.isOversized())
+      return fail(broken_at::Incomplete);
     if (Reader.failed())
       return fail(Reader.headDone() && !Skipping ? broken_at::Answering
                                                  : broken_at::Garbled);
@@ -125,6 +141,8 @@
     bool Interim = Reader.head().Status < 200;
     if (!Skipping && !Interim)
       return finish(transfer_end::Framed, !Bytes.empty());
+    if (Interim && ++InterimResponses > MaxInterimResponses)
+      return fail(broken_at::Garbled);
     Skipping = false;
     Reader.next(Exchange.HeadOnly);
   }
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -127,6 +127,9 @@
   double AssignedAt = 0; ///< When the current request was passed to send().
   platform::answer_facts Facts;
   bool Skipping = false; ///< The current response belongs to another request.
+  /// Bytes of such responses since send().
+  size_t SkippedBytes = 0;
+  unsigned InterimResponses = 0; ///< Since send().
   bool Reused = false;
   bool Ended = false;
   double IdleSince = 0;
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -10,6 +10,8 @@
 
 // Connections that libcurl keeps open for reuse.
 constexpr long MaxCachedConnections = 64;
+// Bounds the heads of one response and of interim responses before it.
+constexpr size_t MaxHeadBytes = 256 << 10;
 
 } // namespace
 
@@ -22,6 +24,10 @@
   bool HeadReported = false;
   /// The response head announces a length or chunks.
   bool Framed = false;
+  size_t HeadBytes = 0;
+  size_t BodyBytes = 0;
+  /// Why this client has ended the transfer; empty: it has not.
+  std::string_view Fault;
 
   ~fetch() {
     if (Easy)
@@ -162,6 +168,11 @@
   auto *Fetch = static_cast<fetch *>(Context);
   std::string_view Line(Data, Size * Count);
   std::string_view Name = Line.substr(0, Line.find(':'));
+  Fetch->HeadBytes += Line.size();
+  if (Fetch->HeadBytes > MaxHeadBytes) {
+    Fetch->Fault = "the response heads are larger than 256 KiB";
+    return 0;
+  }
   if (Name.starts_with("HTTP/"))
     Fetch->Framed = false; // The head of another response.
   if (sameHeader(Name, "Content-Length") ||
@@ -177,6 +188,11 @@
   auto *Fetch = static_cast<fetch *>(Context);
   if (!Fetch->Options.OnBytes)
     return 0;
+  size_t Limit = Fetch->Options.MaxBodyBytes;
+  if (Limit > 0 && Fetch->BodyBytes + Size * Count > Limit) {
+    Fetch->Fault = "the response body is larger than allowed";
+    return 0;
+  }
   if (!Fetch->HeadReported) {
     Fetch->HeadReported = true;
     long Status = 0;
@@ -188,8 +204,10 @@
   }
   if (!Fetch->Options.OnBytes)
     return 0;
-  bool Accepted = Fetch->Options.OnBytes({Data, Size * Count});
-  return Accepted ? Size * Count : size_t(CURL_WRITEFUNC_PAUSE);
+  if (!Fetch->Options.OnBytes({Data, Size * Count}))
+    return size_t(CURL_WRITEFUNC_PAUSE);
+  Fetch->BodyBytes += Size * Count;
+  return Size * Count;
 }
 
 void http_client::socketAction(curl_socket_t Socket, int Mask) {
@@ -229,6 +247,8 @@
     fetch_result Result{.Status = int(Status)};
     if (Code != CURLE_OK)
       Result.Error = curl_easy_strerror(Code);
+    if (!Fetch->Fault.empty())
+      Result.Error = Fetch->Fault;
     Result.NeverSent = Code == CURLE_COULDNT_CONNECT;
     Result.TimedOut = Code == CURLE_OPERATION_TIMEDOUT;
     bool NoBody =
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -41,6 +41,8 @@
   std::vector<std::string> Headers; ///< "Name: value".
   double TimeoutSeconds = 0;        ///< For the whole transfer; 0: no limit.
   double ConnectSeconds = 2;        ///< Timeout for establishing a connection.
+  /// A transfer with a larger body fails; 0: no limit.
+  size_t MaxBodyBytes = 0;
   /// Uses a new connection for this request only, so that the request is sent
   /// at most once. When a reused keep-alive connection breaks before any
   /// response, libcurl sends the request again on another one.
--- a/net/response_body.h
+++ b/net/response_body.h
@@ -56,6 +56,8 @@
   /// Bytes that take() has not returned; none of an event beyond 16 MiB, which
   /// makes the response incomplete.
   std::string_view heldBack() const { return Rest; }
+  /// An event is longer than 16 MiB. What follows is of no use.
+  bool isOversized() const { return Oversized; }
 
 private:
   response_body_options Options;
--- a/sidecar/sidecar_task.cpp
+++ b/sidecar/sidecar_task.cpp
@@ -28,6 +28,8 @@
 // The sidecar's copy of a bill is held back so that the entry's is counted
 // first.
 constexpr double BillHoldSeconds = 3;
+// An engine's load has a few numbers.
+constexpr size_t MaxLoadBytes = 64 << 10;
 // Stands for the leader in crash reports: only the leader sends grants, so it
 // need not be told apart from the other control VMs.
 constexpr uint64_t AnyLeader = 1;
@@ -369,6 +371,11 @@
   }
   recordSurvival(*Work);
   std::string_view Ready = Work->Body.take(Bytes);
+  if (Work->Body.isOversized()) {
+    Http.cancel(Work->Fetch);
+    conclude(Ticket, std::string(IncompleteResponse));
+    return true;
+  }
   if (!Ready.empty())
     passOn(*Work, Ready);
   return true;
@@ -587,6 +594,7 @@
   fetch_options Request;
   Request.Url = Options.EngineUrl + "/load";
   Request.TimeoutSeconds = 1;
+  Request.MaxBodyBytes = MaxLoadBytes;
   Request.OnBytes = [Body](std::string_view Bytes) {
     Body->append(Bytes);
     return true;
--- a/sidecar/version_loader.cpp
+++ b/sidecar/version_loader.cpp
@@ -12,6 +12,8 @@
 constexpr int OkStatus = 200;
 constexpr int ConflictStatus = 409;
 constexpr double RequestTimeoutSeconds = 5;
+// A reply names the models of one engine.
+constexpr size_t MaxReplyBytes = 1 << 20;
 // Range of fencing numbers for the orders under one assignment. Each version
 // whose last request in flight ends causes another order.
 constexpr uint64_t FencesPerAssignment = 1 << 16;
@@ -87,6 +89,7 @@
   Request.Body = std::move(Body);
   Request.Headers = {"Content-Type: application/json"};
   Request.TimeoutSeconds = RequestTimeoutSeconds;
+  Request.MaxBodyBytes = MaxReplyBytes;
   Request.OnBytes = [Answer](std::string_view Bytes) {
     Answer->append(Bytes);
     return true;
--- a/tests/replica.cpp
+++ b/tests/replica.cpp
@@ -208,7 +208,7 @@
     return crash();
   if (CrashesBeforeHead && hasSharedBlock(Head, CrashingBlock))
     return crash();
-  if (Head.Target.find("/stream/") != std::string::npos)
+  if (Fault != "raw" && Head.Target.find("/stream/") != std::string::npos)
     return stream(Connection, Head.Target, Id);
   std::string Text = Options.Id + " got " + Body;
   Text.append(size_t(numberOf(Head.Target, "pad", 0)), '.');
@@ -221,13 +221,19 @@
     Answer = "!!! this is not HTTP\r\n\r\n";
   if (Fault == "extra")
     Answer += withBody(answerHead(200, "somebody-else", ""), "not yours");
+  if (Fault == "raw") {
+    const raw_bytes &Bytes = Raw.at(queryOf(Head.Target, "bytes"));
+    Answer = Bytes.Begin;
+    Connection.Repeat = Bytes.Repeat;
+  }
   if (Fault == "unframed") {
     Text.resize(std::min(
         Text.size(), size_t(numberOf(Head.Target, "cut", int(Text.size())))));
     Answer = answerHead(200, Id, "Connection: close\r\n") + "\r\n" + Text;
   }
   Connection.ExitAfter = numberOf(Head.Target, "exit", 0) > 0;
-  Connection.CloseAfter = Fault == "cut" || Fault == "unframed";
+  Connection.CloseAfter = Fault == "cut" || Fault == "unframed" ||
+                          (Fault == "raw" && Connection.Repeat.empty());
   Connection.Answer = std::move(Answer);
   Connection.Later.startOnce(numberOf(Head.Target, "late", 0) * 1e-3);
 }
@@ -279,6 +285,11 @@
     if (Connection.Crashes && Connection.BreakAfter == 0)
       return Connection.Later.startOnce(EventGapSeconds);
   }
+  if (!Connection.Repeat.empty()) {
+    if (Connection.Stream.unsent() == 0)
+      Connection.Stream.write(Connection.Repeat);
+    return Connection.Later.startOnce(0);
+  }
   if (Connection.LastEvent < 0) {
     Connection.Working = false;
     if (Connection.ExitAfter)
--- a/tests/replica.h
+++ b/tests/replica.h
@@ -15,6 +15,7 @@
 //   do=extra     a second, unsolicited response follows the first
 //   do=unframed  no Content-Length; the end of the connection ends the body
 //   do=crash     the upstream crashes
+//   do=raw       the bytes named by bytes=NAME, see replica::Raw
 //   pad=N        N further bytes at the end of the body
 //   late=MS      the response is delayed by MS milliseconds
 // A path with /stream/ gives a stream of events=N events. With break=K the
@@ -62,6 +63,13 @@
 /// Returns the text of the events 1 to \p Last of a stream.
 std::string eventsUpTo(int Last);
 
+/// Bytes in place of a response. Repeat is sent again and again until the
+/// connection ends; empty: the connection is closed after Begin.
+struct raw_bytes {
+  std::string Begin;
+  std::string Repeat;
+};
+
 /// A simulated upstream.
 class replica {
 public:
@@ -120,6 +128,7 @@
   /// Requests per second that each response names as the upstream's limit, for
   /// all gateways together; empty: none is named.
   std::string RequestLimit;
+  std::map<std::string, raw_bytes> Raw; ///< By name.
   /// Load reported with each response: running requests, waiting requests,
   /// slots.
   std::string Load = "1,0,8";
@@ -138,6 +147,7 @@
     double GapSeconds = 0; ///< Between two events.
     body_framing Framing = body_framing::Chunks;
     std::string PlainBody; ///< Sent in place of events.
+    std::string Repeat;    ///< Sent without end.
     int CutAfter = -1;     ///< Body bytes.
     bool Proper = false;
     bool Exits = false; ///< The process exits in place of breaking off.
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -2,7 +2,9 @@
 
 #include "base/fields.h"
 #include "boost/test/unit_test.hpp"
+#include "net/http_client.h"
 #include "net/http_reader.h"
+#include "net/tcp_stream.h"
 #include "platform/headers.h"
 #include "platform/upstream_list.h"
 #include <random>
@@ -48,6 +50,84 @@
 
 } // namespace
 
+/// A server in the loop of its client, which sends the same bytes to each.
+class raw_server {
+public:
+  raw_server(struct ev_loop *Loop, std::string Begin, std::string Repeat)
+      : Begin(std::move(Begin)), Repeat(std::move(Repeat)),
+        Listener(Loop, [this, Loop](int Socket) { accept(Loop, Socket); }),
+        Pump(Loop, [this] { send(); }) {
+    BOOST_REQUIRE(Listener.bind("127.0.0.1:0"));
+    Pump.startRepeating(0.001);
+  }
+  const std::string &address() const { return Listener.address(); }
+
+private:
+  void accept(struct ev_loop *Loop, int Socket) {
+    Stream.emplace(Loop, Socket);
+    Stream->OnBytes = [](std::string_view) {};
+    Stream->OnEnd = [this](bool) { Stream->close(); };
+    Stream->write(Begin);
+  }
+  void send() {
+    if (Stream && Stream->open() && Stream->unsent() == 0)
+      Stream->write(Repeat);
+  }
+
+  std::string Begin;
+  std::string Repeat;
+  std::optional<tcp_stream> Stream;
+  tcp_listener Listener;
+  timer Pump;
+};
+
+fetch_result resultOf(const std::string &Begin, const std::string &Repeat,
+                      size_t MaxBodyBytes) {
+  std::unique_ptr<struct ev_loop, decltype(&ev_loop_destroy)> Loop(
+      ev_loop_new(0), ev_loop_destroy);
+  raw_server Server(Loop.get(), Begin, Repeat);
+  http_client Client(Loop.get());
+  std::optional<fetch_result> Ended;
+  Client.start({.Url = "http://" + Server.address() + "/",
+                .TimeoutSeconds = 20,
+                .MaxBodyBytes = MaxBodyBytes,
+                .OnBytes = [](std::string_view) { return true; },
+                .OnDone = [&](const fetch_result &Result) { Ended = Result; }});
+  while (!Ended)
+    ev_run(Loop.get(), EVRUN_ONCE);
+  return *Ended;
+}
+
+BOOST_AUTO_TEST_SUITE(responses_to_the_client)
+
+BOOST_AUTO_TEST_CASE(without_end_are_errors) {
+  std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::pair<std::string, std::string> Cases[] = {
+      {Ok + "\r\n", std::string(4096, 'x')},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n",
+       "1000\r\n" + std::string(4096, 'x') + "\r\n"},
+      {Ok, "X-More: " + std::string(1000, 'm') + "\r\n"},
+      {"", "HTTP/1.1 103 Early Hints\r\nLink: " + std::string(1000, 'l') +
+               "\r\n\r\n"}};
+  for (const auto &[Begin, Repeat] : Cases)
+    BOOST_TEST_CONTEXT(Begin << Repeat.substr(0, 40)) {
+      fetch_result Result = resultOf(Begin, Repeat, 64 << 10);
+      BOOST_TEST(Result.Error != "");
+      BOOST_TEST(!Result.TimedOut);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(within_the_bound_are_complete) {
+  fetch_result Result = resultOf(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+      "4\r\n\r\ngood",
+      "", 4);
+  BOOST_TEST(Result.Status == 200);
+  BOOST_TEST(Result.Error == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(http_messages)
 
 BOOST_AUTO_TEST_CASE(are_parsed_equally_wherever_the_bytes_are_cut) {
