A first line that begins no response is an error

Callers saw: an answer with status 0 for "HTTP/1.1 000 X", and 504 or the response behind it if the head stated a length. Cause: every status below 200 counted as an interim response, and the status was read by its value alone. Change: net/status_line decides for all clients what begins a response: HTTP/1 and three digits from 100 to 599. 101 is none, as nobody asks for an upgrade. Anything else is no response: 502 with outcome unknown on routes that may not repeat, another upstream on those that may.

--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -67,7 +67,7 @@
   Stream.OnEnd = [this](bool Reset) { onEnd(Reset); };
   Reader.OnHead = [this] { onHead(); };
   Reader.OnBody = [this](std::string_view Bytes) {
-    if (User && !Skipping && Reader.head().Status >= 200)
+    if (User && !Skipping && !Reader.head().IsInterim)
       User->onAnswerBytes(Body.take(Bytes), Bytes.size());
   };
   ConnectTimer.startOnce(ConnectTimeoutSeconds);
@@ -99,7 +99,7 @@
 
 void upstream_connection::onHead() {
   const http_head &Head = Reader.head();
-  if (Head.Status < 200)
+  if (Head.IsInterim)
     return;
   Facts = platform::readAnswer(Head);
   Skipping = !Facts.AttemptId.empty() && Facts.AttemptId != Exchange.AttemptId;
@@ -138,7 +138,7 @@
                                                  : broken_at::Garbled);
     if (!Reader.done())
       return;
-    bool Interim = Reader.head().Status < 200;
+    bool Interim = Reader.head().IsInterim;
     if (!Skipping && !Interim)
       return finish(transfer_end::Framed, !Bytes.empty());
     if (Interim && ++InterimResponses > MaxInterimResponses)
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_client.h"
 #include "net/http_reader.h"
+#include "net/status_line.h"
 #include <utility>
 
 namespace olivevalve {
@@ -26,6 +27,8 @@
   bool Framed = false;
   size_t HeadBytes = 0;
   size_t BodyBytes = 0;
+  /// The status line begins no response.
+  bool IsNoResponse = false;
   /// Why this client has ended the transfer; empty: it has not.
   std::string_view Fault;
 
@@ -173,8 +176,14 @@
     Fetch->Fault = "the response heads are larger than 256 KiB";
     return 0;
   }
-  if (Name.starts_with("HTTP/"))
+  if (Name.starts_with("HTTP/")) {
     Fetch->Framed = false; // The head of another response.
+    if (responseKindOf(Line) == response_kind::None) {
+      Fetch->Fault = "the status line begins no response";
+      Fetch->IsNoResponse = true;
+      return 0;
+    }
+  }
   if (sameHeader(Name, "Content-Length") ||
       sameHeader(Name, "Transfer-Encoding"))
     Fetch->Framed = true;
@@ -244,7 +253,7 @@
       Fetch->Options.OnHead(int(Status), Type ? Type : "");
     if (!Fetch->Options.OnDone)
       continue;
-    fetch_result Result{.Status = int(Status)};
+    fetch_result Result{.Status = Fetch->IsNoResponse ? 0 : int(Status)};
     if (Code != CURLE_OK)
       Result.Error = curl_easy_strerror(Code);
     if (!Fetch->Fault.empty())
--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_reader.h"
 #include "net/event_stream.h"
+#include "net/status_line.h"
 #include <algorithm>
 #include <array>
 #include <cstring>
@@ -83,6 +84,7 @@
   Parser.data = this;
   Head = {};
   Error.clear();
+  FirstLine.clear();
   Bytes = HeadBytes = 0;
   HeadOnly = NewHeadOnly;
   HeadDone = Done = InTrailer = LastWasValue = false;
@@ -111,6 +113,8 @@
 size_t http_reader::feed(std::string_view Input) {
   if (Done || failed() || Input.empty())
     return 0;
+  if (Side == http_side::Answer && !HeadDone)
+    keepFirstLine(Input);
   size_t Consumed =
       http_parser_execute(&Parser, &settings(), Input.data(), Input.size());
   Bytes += Consumed;
@@ -124,6 +128,17 @@
   return Consumed;
 }
 
+// http_parser skips line ends before a message, and does not show how the
+// status was written.
+void http_reader::keepFirstLine(std::string_view Input) {
+  for (char C : Input) {
+    if (FirstLine.size() == StatusPrefixBytes)
+      return;
+    if (!FirstLine.empty() || (C != '\r' && C != '\n'))
+      FirstLine += C;
+  }
+}
+
 bool http_reader::endOfInput() {
   if (!Done && !failed() && HeadDone)
     http_parser_execute(&Parser, &settings(), nullptr, 0);
@@ -204,6 +219,13 @@
   }
   if (Parser.uses_transfer_encoding && (Parser.flags & F_CONTENTLENGTH))
     Error = "both Content-Length and Transfer-Encoding are present";
+  if (Side == http_side::Answer) {
+    response_kind Kind = responseKindOf(
+        std::string_view(FirstLine).substr(0, FirstLine.find_first_of("\r\n")));
+    Head.IsInterim = Kind == response_kind::Interim;
+    if (Kind == response_kind::None)
+      Error = "the status line begins no response";
+  }
   if (Side == http_side::Request && Hosts > 1)
     Error = "more than one Host header";
   if (Side == http_side::Request && Head.Method == "CONNECT")
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -44,6 +44,8 @@
   std::string Method; ///< Requests only.
   std::string Target; ///< Requests only: path and query as sent.
   int Status = 0;     ///< Responses only.
+  /// Responses only: the final response follows.
+  bool IsInterim = false;
   std::string Reason; ///< Responses only: the reason phrase.
   /// The message allows the connection to be reused after it.
   bool KeepAlive = false;
@@ -110,12 +112,14 @@
   static int onBodyBytes(http_parser *Parser, const char *At, size_t Size);
   static int onMessageComplete(http_parser *Parser);
   static const http_parser_settings &settings();
+  void keepFirstLine(std::string_view Input);
   void checkHead();
 
   http_side Side;
   http_parser Parser{};
   http_head Head;
   std::string Error;
+  std::string FirstLine; ///< Responses only: its first StatusPrefixBytes.
   size_t Bytes = 0;
   size_t HeadBytes = 0;
   bool HeadOnly = false;
--- a/tests/system/no_response_test.cpp
+++ b/tests/system/no_response_test.cpp
@@ -80,6 +80,36 @@
 
 BOOST_AUTO_TEST_SUITE(bytes_that_are_no_response)
 
+// Guards against a status such as 000 that callers get as an answer.
+BOOST_AUTO_TEST_CASE(are_not_passed_on_and_end_the_request_at_once) {
+  raw_world World;
+  const std::string Ok = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+  const std::string FirstLines[] = {
+      "HTTP/1.1 000 X",  "HTTP/1.1 099 X",
+      "HTTP/1.1 20 OK",  "HTTP/1.1 600 X",
+      "HTTP/1.1 999 X",  "HTTP/1.1 0200 OK",
+      "HTTP/2.0 200 OK", "HTTP/1.1 101 Switching Protocols"};
+  for (const std::string &Line : FirstLines)
+    for (const std::string &Rest :
+         {std::string("\r\nwrong"),
+          "Upgrade: other\r\nConnection: Upgrade\r\n\r\n" + Ok,
+          "Content-Length: 5\r\n\r\nwrong" + Ok})
+      for (bool Closes : {true, false})
+        for (const char *Route : {"unsafe", "safe", "stream"})
+          BOOST_TEST_CONTEXT(Route << ", closes " << Closes << ": " << Line
+                                   << " " << Rest) {
+            // Without a close, silence follows.
+            World.setRaw("line", {Line + "\r\n" + Rest, Closes ? "" : "\r\n"});
+            client_response Answer =
+                World.request(World.rawPath(Route, "line"));
+            BOOST_TEST(Answer.Status == 502);
+            BOOST_TEST(Answer.outcome() == "unknown");
+            BOOST_TEST(Answer.Body.find("wrong") == std::string::npos);
+            if (Route == std::string("unsafe"))
+              BOOST_TEST(World.runs(World.LastId) == 1);
+          }
+}
+
 BOOST_AUTO_TEST_CASE(do_not_hide_interim_responses) {
   raw_world World;
   World.setRaw(
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -4,6 +4,7 @@
 #include "boost/test/unit_test.hpp"
 #include "net/http_client.h"
 #include "net/http_reader.h"
+#include "net/status_line.h"
 #include "net/tcp_stream.h"
 #include "platform/headers.h"
 #include "platform/upstream_list.h"
@@ -100,6 +101,21 @@
 
 BOOST_AUTO_TEST_SUITE(responses_to_the_client)
 
+// Guards against a status such as 000 that counts as a response.
+BOOST_AUTO_TEST_CASE(without_a_status_of_the_protocol_are_errors) {
+  for (const char *Line : {"HTTP/1.1 000 X", "HTTP/1.1 101 Switching Protocols",
+                           "HTTP/1.1 600 X", "HTTP/1.1 099 X"})
+    BOOST_TEST_CONTEXT(Line) {
+      fetch_result Result =
+          resultOf(Line + "\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"
+                          "Content-Length: 0\r\n\r\n"s,
+                   "", 0);
+      BOOST_TEST(Result.Status == 0);
+      BOOST_TEST(Result.Error != "");
+      BOOST_TEST(!Result.TimedOut);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(without_end_are_errors) {
   std::string Ok = "HTTP/1.1 200 OK\r\n";
   const std::pair<std::string, std::string> Cases[] = {
@@ -197,6 +213,45 @@
   }
 }
 
+// Guards against a first line that is no response and is taken for one.
+BOOST_AUTO_TEST_CASE(begin_with_a_status_of_the_protocol) {
+  using enum response_kind;
+  const std::pair<std::string, response_kind> Cases[] = {
+      {"HTTP/1.1 200 OK", Final},
+      {"HTTP/1.1 200", Final},
+      {"HTTP/1.1 200 ", Final},
+      {"HTTP/1.0 599 X", Final},
+      {"HTTP/1.1 100 Continue", Interim},
+      {"HTTP/1.1 103 Early Hints", Interim},
+      {"HTTP/1.1 101 Switching Protocols", None},
+      {"HTTP/1.1 000 X", None},
+      {"HTTP/1.1 099 X", None},
+      {"HTTP/1.1 600 X", None},
+      {"HTTP/1.1 20 OK", None},
+      {"HTTP/1.1 2000 OK", None},
+      {"HTTP/1.1 0200 OK", None},
+      {"HTTP/1.1  200 OK", None},
+      {"HTTP/1.1 20x OK", None},
+      {"HTTP/2.0 200 OK", None},
+      {"HTTP/0.9 200 OK", None},
+      {"HTTP/1.1", None},
+      {"", None}};
+  for (const auto &[Line, Kind] : Cases)
+    BOOST_TEST_CONTEXT(Line) {
+      BOOST_TEST((responseKindOf(Line) == Kind));
+      BOOST_TEST((responseKindOf(Line + "\r\n") == Kind));
+      BOOST_TEST_CONTEXT("the reader agrees, wherever the bytes are cut")
+      for (size_t Cut = 0; Cut < Line.size(); ++Cut) {
+        read_message Message(http_side::Answer);
+        std::string Text = "\r\n" + Line + "\r\nContent-Length: 0\r\n\r\n";
+        Message.Reader.feed(Text.substr(0, Cut));
+        Message.Reader.feed(Text.substr(Cut));
+        BOOST_TEST(Message.Reader.failed() == (Kind == None));
+        BOOST_TEST(Message.Reader.head().IsInterim == (Kind == Interim));
+      }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(with_random_bytes_do_not_crash_the_reader) {
   std::mt19937_64 Random(7);
   for (int I = 0; I < 20000; ++I) {
