--- a/tests/unit/new_leader_test.cpp
+++ b/tests/unit/new_leader_test.cpp
@@ -121,8 +121,8 @@
   }
 
   temporary_folder Folder;
-  std::shared_ptr<struct ev_loop> Loop_{ev_loop_new(0), ev_loop_destroy};
-  struct ev_loop *Loop = Loop_.get();
+  std::shared_ptr<struct ev_loop> OwnedLoop{ev_loop_new(0), ev_loop_destroy};
+  struct ev_loop *Loop = OwnedLoop.get();
   link_context Context;
   std::unique_ptr<replicated_log> Log;
   std::unique_ptr<routing_api> Api;
