--- a/tests/system/no_response_test.cpp
+++ b/tests/system/no_response_test.cpp
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "boost/test/unit_test.hpp"
 #include "tests/gateway_world.h"
-#include <fstream>
+#include "tests/process_use.h"
 
 using namespace olivevalve;
 
@@ -62,21 +62,7 @@
                              const std::string &Name) {
     return "/" + Route + "/x?do=raw&bytes=" + Name;
   }
-  /// The most memory that the gateway ever had, in units of 10^6 bytes; 0 if it
-  /// is instrumented, which takes a multiple.
-  double peakMb() {
-#ifdef __SANITIZE_ADDRESS__
-    return 0;
-#else
-    std::ifstream Status("/proc/" + std::to_string(Gateway->pid()) + "/status");
-    double Kilobytes = 0;
-    for (std::string Line; std::getline(Status, Line);)
-      if (Line.starts_with("VmHWM:"))
-        Kilobytes = std::atof(Line.c_str() + sizeof("VmHWM:"));
-    BOOST_REQUIRE(Kilobytes > 0);
-    return Kilobytes * 1024 / 1e6;
-#endif
-  }
+  double peakMb() const { return olivevalve::peakMb(Gateway->pid()); }
 };
 
 } // namespace
