A long body is shared by its attempts and its connections

Callers saw: 60 whole bodies of 4 MiB at a slow upstream made a gateway take 586 MB for 240 MB of bodies. Cause: each attempt appended the body to its head, and the stream kept a copy of what the kernel had not accepted, in one string that was freed only once all of it was sent. A response was copied twice on its way to the caller. Change: tcp_stream buffers pieces, frees each one when it is sent, and refers to a long body without a copy. Up to 16 KiB a copy is cheaper than a system call.

No functional change

--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -49,9 +49,10 @@
                        caller_connection &NewCaller, http_head NewHead,
                        std::string NewBody, completion_handler OnFinished)
     : State(State), Host(Host), Caller(&NewCaller), Head(std::move(NewHead)),
-      Body(std::move(NewBody)), OnFinished(std::move(OnFinished)),
-      Facts(platform::readCaller(Head)), ArrivedAt(steadySeconds()),
-      EndsAt(ArrivedAt), Timer(State.Loop, [this] { onTimer(); }) {}
+      Body(std::make_shared<const std::string>(std::move(NewBody))),
+      OnFinished(std::move(OnFinished)), Facts(platform::readCaller(Head)),
+      ArrivedAt(steadySeconds()), EndsAt(ArrivedAt),
+      Timer(State.Loop, [this] { onTimer(); }) {}
 
 forwarding::~forwarding() {
   leaveUpstream();
@@ -119,7 +120,7 @@
                       .Method = Head.Method,
                       .Host = Host ? std::string_view(*Host) : "",
                       .Target = Head.Target,
-                      .Body = Body})};
+                      .Body = *Body})};
   if (!Facts.Model)
     return Found;
   Found.Service = checksum(Service);
@@ -415,11 +416,12 @@
   State.Versions.countSent(Service, Upstream->Listed.Version);
   Framing = body_framing::None;
   UnfinishedEventBytes = 0;
-  std::string Bytes = platform::writeRequestHead(Head, Sent, Body.size());
-  Bytes.append(Body);
-  State.Metrics->count("upstream_sent_bytes", hallLabel(), Bytes.size());
+  std::string SentHead = platform::writeRequestHead(Head, Sent, Body->size());
+  State.Metrics->count("upstream_sent_bytes", hallLabel(),
+                       SentHead.size() + Body->size());
   armTimer();
-  Connection->send(*this, {.Bytes = Bytes,
+  Connection->send(*this, {.Head = std::move(SentHead),
+                           .Body = Body,
                            .AttemptId = Facts.AttemptId,
                            .HeadOnly = Head.Method == "HEAD",
                            .MayStream = streaming()});
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -177,7 +177,8 @@
   forwarding_host &Host;
   caller_connection *Caller;
   http_head Head;
-  std::string Body;
+  /// Shared with the connections of its attempts.
+  std::shared_ptr<const std::string> Body;
   completion_handler OnFinished;
   platform::caller_facts Facts;
   /// In force now, updated in place.
--- a/gateway/forwarding_response.cpp
+++ b/gateway/forwarding_response.cpp
@@ -464,7 +464,8 @@
   if (Answer.NotRun && platform::mayCarryRetryAfter(Answer.Status))
     Answer.Lines.push_back(retryAfterLine());
   if (Caller)
-    Caller->reply(Answer.Status, Answer.Reason, Answer.Lines, Answer.Body);
+    Caller->reply(Answer.Status, Answer.Reason, Answer.Lines,
+                  std::move(Answer.Body));
   complete(Answer.Status < 400 ? "served" : "error response of the upstream",
            Answer.Status);
 }
--- a/gateway/upstream_connection.cpp
+++ b/gateway/upstream_connection.cpp
@@ -86,7 +86,8 @@
   Reused = IdleSince > 0;
   Body = response_body();
   Reader.next(Exchange.HeadOnly);
-  Stream.write(std::exchange(Exchange.Bytes, {}));
+  Stream.write(std::exchange(Exchange.Head, {}),
+               std::exchange(Exchange.Body, nullptr));
 }
 
 // The request is sent only now, so an upstream that stopped taking requests, or
--- a/gateway/upstream_connection.h
+++ b/gateway/upstream_connection.h
@@ -65,8 +65,9 @@
 
 /// A request and what is known of its response in advance.
 struct upstream_exchange {
-  std::string_view Bytes; ///< All of the request.
-  std::string AttemptId;  ///< Names the response.
+  std::string Head;
+  std::shared_ptr<const std::string> Body;
+  std::string AttemptId; ///< Names the response.
   /// The response has no body, as for HEAD.
   bool HeadOnly = false;
   /// A successful response without a content type may be an event stream.
--- a/net/caller_connection.cpp
+++ b/net/caller_connection.cpp
@@ -150,7 +150,7 @@
 
 void caller_connection::writeWhole(int Status, std::string_view Reason,
                                    const std::vector<header_field> &Lines,
-                                   std::string_view ResponseBody) {
+                                   std::string ResponseBody) {
   if (Ended)
     return;
   Chunked = EndsByClose = false;
@@ -158,10 +158,11 @@
   std::vector<header_field> All = Lines;
   if (!hasNoBody(Status))
     All.push_back({"Content-Length", std::to_string(ResponseBody.size())});
-  std::string Bytes = headOf(Status, Reason, All);
-  if (!HeadOnly && !hasNoBody(Status))
-    Bytes.append(ResponseBody);
-  Stream.write(Bytes);
+  std::string ResponseHead = headOf(Status, Reason, All);
+  if (HeadOnly || hasNoBody(Status))
+    return Stream.write(ResponseHead);
+  Stream.write(std::move(ResponseHead),
+               std::make_shared<const std::string>(std::move(ResponseBody)));
 }
 
 void caller_connection::begin(int Status, std::string_view Reason,
--- a/net/caller_connection.h
+++ b/net/caller_connection.h
@@ -61,15 +61,14 @@
   /// Sends a complete response and ends the request. \p Lines must not contain
   /// hop-by-hop headers.
   void reply(int Status, std::string_view Reason,
-             const std::vector<header_field> &Lines, std::string_view Body) {
-    writeWhole(Status, Reason, Lines, Body);
+             const std::vector<header_field> &Lines, std::string Body) {
+    writeWhole(Status, Reason, Lines, std::move(Body));
     finish();
   }
   /// Like reply(), but the connection reads no further request until finish()
   /// is called.
   void writeWhole(int Status, std::string_view Reason,
-                  const std::vector<header_field> &Lines,
-                  std::string_view Body);
+                  const std::vector<header_field> &Lines, std::string Body);
   /// Starts a streamed response of unknown length: write() adds to the body and
   /// finish() ends it.
   void begin(int Status, std::string_view Reason,
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -91,7 +91,8 @@
     return;
   Answered = Finished = true;
   Connection->writeWhole(Status, reasonPhrase(Status),
-                         withType(ContentType, Headers), ReplyBody);
+                         withType(ContentType, Headers),
+                         std::string(ReplyBody));
   if (Connection && Connection->unsent() == 0)
     Server->settleSoon(*this);
 }
--- a/net/tcp_stream.cpp
+++ b/net/tcp_stream.cpp
@@ -20,6 +20,10 @@
 // trip time, and below the time a caller would wait.
 constexpr unsigned UnackedTimeoutMs = 5000;
 constexpr int Backlog = 1024;
+// Unsent bytes are buffered in pieces, so that sent ones are freed early.
+constexpr size_t SegmentBytes = 64 << 10;
+// Up to this size a copy costs less than a further system call.
+constexpr size_t MaxCopiedBytes = 16 << 10;
 // Connections accepted in one loop iteration, so that a burst does not delay
 // the open connections.
 constexpr int AcceptsPerTurn = 64;
@@ -133,39 +137,101 @@
     OnEnd(Reset);
 }
 
-void tcp_stream::write(std::string_view Bytes) {
-  if (!open() || Closing)
-    return;
-  bool Waiting = unsent() > 0 || !Connected;
-  Unsent.append(Bytes);
-  if (!Waiting)
-    flush();
-}
-
-void tcp_stream::flush() {
-  if (!Connected)
-    return;
-  while (unsent() > 0) {
-    ssize_t Count =
-        ::send(Socket, Unsent.data() + Sent, unsent(), MSG_NOSIGNAL);
+// Bytes that the kernel accepts. An error is reported from the loop, as write()
+// may be on the stack and its caller must not get OnEnd inside that call.
+size_t tcp_stream::sendSome(std::string_view Bytes) {
+  size_t Accepted = 0;
+  while (Accepted < Bytes.size()) {
+    ssize_t Count = ::send(Socket, Bytes.data() + Accepted,
+                           Bytes.size() - Accepted, MSG_NOSIGNAL);
     if (Count < 0 && errno == EINTR)
       continue;
     if (Count < 0 && errno == EAGAIN)
-      return watch();
+      break;
     if (Count < 0) {
-      // write() may be on the stack, and its caller must not get OnEnd inside
-      // that call: report the error from the loop.
-      Unsent.clear();
-      Sent = 0;
+      Failed = true;
+      discardUnsent();
       Watch.stop();
       Watched = 0;
-      return Failure.startOnce(0);
+      Failure.startOnce(0);
+      break;
     }
-    Sent += size_t(Count);
+    Accepted += size_t(Count);
     SentBytes += uint64_t(Count);
   }
+  return Accepted;
+}
+
+void tcp_stream::discardUnsent() {
   Unsent.clear();
-  Sent = 0;
+  UnsentBytes = HeldBytes = 0;
+}
+
+void tcp_stream::write(std::string_view Bytes) {
+  if (!mayWrite() || Bytes.empty())
+    return;
+  bool AtOnce = Connected && Unsent.empty();
+  if (AtOnce)
+    Bytes.remove_prefix(sendSome(Bytes));
+  if (Failed)
+    return;
+  buffer(Bytes);
+  if (AtOnce && Unsent.empty())
+    return onAllSent();
+  watch();
+}
+
+// Short writes share a segment.
+void tcp_stream::buffer(std::string_view Bytes) {
+  if (Bytes.empty())
+    return;
+  UnsentBytes += Bytes.size();
+  bool Fits = !Unsent.empty() && !Unsent.back().Shared &&
+              Unsent.back().Own.size() + Bytes.size() <= SegmentBytes;
+  if (!Fits)
+    Unsent.emplace_back();
+  else
+    HeldBytes -= Unsent.back().heldBytes();
+  Unsent.back().Own.append(Bytes);
+  HeldBytes += Unsent.back().heldBytes();
+}
+
+void tcp_stream::write(std::string Head,
+                       std::shared_ptr<const std::string> Body) {
+  if (Body->size() <= MaxCopiedBytes)
+    return write(Head.append(*Body));
+  if (!mayWrite())
+    return;
+  bool AtOnce = Connected && Unsent.empty();
+  buffer(Head);
+  UnsentBytes += Body->size();
+  Unsent.push_back({.Shared = std::move(Body)});
+  HeldBytes += Unsent.back().heldBytes();
+  if (AtOnce)
+    flush();
+  else
+    watch();
+}
+
+void tcp_stream::flush() {
+  if (!Connected)
+    return;
+  while (!Unsent.empty()) {
+    segment &First = Unsent.front();
+    size_t Accepted = sendSome(First.bytes().substr(First.Sent));
+    if (Failed)
+      return;
+    First.Sent += Accepted;
+    UnsentBytes -= Accepted;
+    if (First.Sent < First.bytes().size())
+      return watch();
+    HeldBytes -= First.heldBytes();
+    Unsent.pop_front();
+  }
+  onAllSent();
+}
+
+void tcp_stream::onAllSent() {
   watch();
   if (Closing)
     return close();
@@ -193,6 +259,7 @@
   if (Socket >= 0)
     ::close(Socket);
   Socket = -1;
+  discardUnsent();
 }
 
 tcp_listener::tcp_listener(struct ev_loop *Loop,
--- a/net/tcp_stream.h
+++ b/net/tcp_stream.h
@@ -11,6 +11,8 @@
 
 #include "base/loop.h"
 #include <functional>
+#include <list>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -40,6 +42,9 @@
 
   /// Sends or buffers \p Bytes. Ignored once the stream is closing or closed.
   void write(std::string_view Bytes);
+  /// Like write() of \p Head and then \p Body, which is not copied unless it is
+  /// short.
+  void write(std::string Head, std::shared_ptr<const std::string> Body);
   /// Closes the stream once the kernel has accepted all bytes written.
   void closeWhenSent();
   /// Closes the stream at once and discards unsent bytes.
@@ -56,16 +61,34 @@
   /// at the address.
   bool refused() const { return Refused; }
   /// Bytes written that the kernel has not accepted yet.
-  size_t unsent() const { return Unsent.size() - Sent; }
+  size_t unsent() const { return UnsentBytes; }
+  /// Bytes of memory that the buffered bytes take.
+  size_t heldBytes() const { return HeldBytes; }
   /// Total bytes accepted by the kernel.
   uint64_t sentBytes() const { return SentBytes; }
   /// Pauses or resumes reading.
   void setReading(bool On);
 
 private:
+  /// Bytes that wait to be sent, owned or shared.
+  struct segment {
+    std::string Own;
+    std::shared_ptr<const std::string> Shared;
+    size_t Sent = 0;
+    std::string_view bytes() const { return Shared ? *Shared : Own; }
+    size_t heldBytes() const {
+      return sizeof(*this) + (Shared ? Shared->size() : Own.capacity());
+    }
+  };
+
   void onReady(int Events);
   void readSome();
+  bool mayWrite() const { return open() && !Closing && !Failed; }
+  size_t sendSome(std::string_view Bytes);
+  void buffer(std::string_view Bytes);
+  void discardUnsent();
   void flush();
+  void onAllSent();
   void fail();
   void watch();
 
@@ -74,9 +97,11 @@
   bool Refused = false;
   bool Reading = true;
   bool Closing = false;
-  int Watched = 0; ///< EV_READ / EV_WRITE bits that Watch waits for.
-  std::string Unsent;
-  size_t Sent = 0; ///< Bytes at the start of Unsent that have been sent.
+  int Watched = 0;     ///< EV_READ / EV_WRITE bits that Watch waits for.
+  bool Failed = false; ///< A write failed; OnEnd follows.
+  std::list<segment> Unsent;
+  size_t UnsentBytes = 0;
+  size_t HeldBytes = 0;
   uint64_t SentBytes = 0;
   descriptor_watch Watch;
   /// Reports an error found inside a call of the owner through OnEnd later.
