Requests sent ahead are answered one a turn, each after the last has left

Callers saw: 30 clients that send a megabyte of one-line requests ahead and read nothing took 224 MB of a gateway and kept it; ordinary callers waited meanwhile. 60 clients that ask 50 times for 600 KB and read nothing took 436 MB. Cause: the end of a response parsed the next request, which was refused at once and ended in turn: a recursion with a copy of what was left at each level, and the ended requests were freed only after it. The next request was read although the last response had not left, so responses piled up. Change: the next request begins when the kernel has accepted the last response, from a queue of the pool, one of each connection in a turn of the event loop. A connection with unsent bytes is busy: the idle timeout starts once they have left, and it is not closed for being idle.

--- a/net/caller_connection.cpp
+++ b/net/caller_connection.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdio>
 #include <unistd.h>
+#include <utility>
 
 namespace olivevalve {
 
@@ -14,7 +15,7 @@
 // Bytes of further requests that are buffered while one is being answered;
 // above this the connection stops reading. Callers are not expected to pipeline
 // but a short request may arrive early.
-constexpr size_t MaxPipelinedBytes = 64 << 10;
+constexpr size_t MaxAheadBytes = 64 << 10;
 // How long a connection stays open after its last response. Closing at once
 // while the caller is still sending its body would reset the connection, and
 // the caller could lose the response.
@@ -40,15 +41,11 @@
 } // namespace
 
 caller_connection::caller_connection(struct ev_loop *Loop, caller_host &Host,
-                                     int Socket)
-    : Host(Host), Stream(Loop, Socket), Reader(http_side::Request) {
+                                     caller_pool &Pool, int Socket)
+    : Host(Host), Pool(Pool), Stream(Loop, Socket), Reader(http_side::Request) {
   Stream.OnBytes = [this](std::string_view Bytes) { receive(Bytes); };
   Stream.OnEnd = [this](bool) { onEnd(); };
-  Stream.OnDrained = [this] {
-    confirmEnd();
-    if (Producer)
-      Producer->onCallerDrained();
-  };
+  Stream.OnDrained = [this] { onDrained(); };
   Reader.OnHead = [this] { onHead(); };
   Reader.OnBody = [this](std::string_view Bytes) {
     if (!Lingering)
@@ -66,19 +63,60 @@
 void caller_connection::receive(std::string_view Bytes) {
   if (Lingering)
     return;
-  if (!Busy)
-    return parse(Bytes);
-  PipelinedBytes.append(Bytes);
-  if (PipelinedBytes.size() > MaxPipelinedBytes)
+  if (!busy() && Ahead.empty())
+    Bytes.remove_prefix(parse(Bytes));
+  if (Lingering || Ended)
+    return;
+  Ahead.erase(0, std::exchange(AheadParsed, 0));
+  Ahead.append(Bytes);
+  if (Ahead.size() > MaxAheadBytes)
     Stream.setReading(false);
+  proceed();
+}
+
+// Goes on with the next request if the response to the last one has been sent.
+void caller_connection::proceed() {
+  if (Lingering || Ended || busy())
+    return;
+  if (Ahead.empty())
+    Stream.setReading(true);
+  else
+    Pool.continueSoon(*this);
+}
+
+void caller_connection::continueAhead() {
+  if (Lingering || Ended || busy())
+    return;
+  AheadParsed += parse(std::string_view(Ahead).substr(AheadParsed));
+  if (AheadParsed == Ahead.size()) {
+    Ahead = {};
+    AheadParsed = 0;
+  }
+  proceed();
+}
+
+void caller_connection::onDrained() {
+  if (!Busy && Reader.fresh())
+    becomeIdle();
+  if (Lingering)
+    linger();
+  if (Producer)
+    Producer->onCallerDrained();
+  else
+    proceed();
 }
 
-void caller_connection::parse(std::string_view Bytes) {
+// Parses up to the end of the current request. Returns the bytes parsed.
+size_t caller_connection::parse(std::string_view Bytes) {
   if (Reader.fresh())
     TimeoutAt = steadySeconds() + Host.limits().HeaderSeconds;
   size_t Consumed = Reader.feed(Bytes);
-  if (Lingering || Ended)
-    return;
+  if (!Lingering && !Ended)
+    onParsed();
+  return Consumed;
+}
+
+void caller_connection::onParsed() {
   const caller_limits &Limits = Host.limits();
   if (Reader.failed())
     return refuse(400, Reader.error());
@@ -89,10 +127,8 @@
   // While a body is received, the idle timeout runs from its latest bytes.
   if (Reader.headDone())
     TimeoutAt = steadySeconds() + Limits.IdleSeconds;
-  if (!Reader.done())
-    return;
-  PipelinedBytes.assign(Bytes.substr(Consumed));
-  dispatch();
+  if (Reader.done())
+    dispatch();
 }
 
 void caller_connection::onHead() {
@@ -128,7 +164,16 @@
                Text);
   Lingering = true;
   Busy = false;
-  TimeoutAt = steadySeconds() + LingerSeconds;
+  linger();
+}
+
+// Keeps the connection open for a while after its last response. Without
+// chunked coding the response only ends when the connection does.
+void caller_connection::linger() {
+  TimeoutAt = steadySeconds() + (EndsByClose ? 0 : LingerSeconds);
+  // All bytes of a response that the connection ends have been handed over.
+  if (EndsByClose && Stream.unsent() == 0)
+    Stream.setResetOnClose(false);
 }
 
 std::string
@@ -204,12 +249,6 @@
   endRequest();
 }
 
-// All bytes of a response that the connection ends have been handed over.
-void caller_connection::confirmEnd() {
-  if (EndsByClose && Lingering && Stream.unsent() == 0)
-    Stream.setResetOnClose(false);
-}
-
 void caller_connection::abortResponse() {
   if (Ended)
     return;
@@ -222,21 +261,12 @@
   Busy = false;
   if (!KeepAlive) {
     Lingering = true;
-    // Without chunked coding the response only ends when the connection does,
-    // so don't linger.
-    TimeoutAt = steadySeconds() + (EndsByClose ? 0 : LingerSeconds);
-    confirmEnd();
-    return;
+    return linger();
   }
   Body.clear();
   Reader.next();
   becomeIdle();
-  Stream.setReading(true);
-  if (PipelinedBytes.empty())
-    return;
-  std::string Next = std::move(PipelinedBytes);
-  PipelinedBytes.clear();
-  parse(Next);
+  proceed();
 }
 
 bool caller_connection::stalled(double Now, double Seconds) {
@@ -251,12 +281,6 @@
   bool PartlyReceived = !Lingering && !Reader.fresh();
   if (PartlyReceived)
     return refuse(408, "the request was not received in time");
-  if (Lingering && Stream.unsent() > 0) {
-    // The response is still being sent. If the caller takes no more of it,
-    // caller_pool::sweep() closes the connection as stalled.
-    TimeoutAt = steadySeconds() + LingerSeconds;
-    return;
-  }
   endConnection();
 }
 
@@ -282,6 +306,7 @@
 caller_pool::caller_pool(struct ev_loop *Loop, caller_host &Host,
                          size_t MaxConnections)
     : Loop(Loop), Host(Host), MaxConnections(MaxConnections),
+      Turn(Loop, [this] { continueWaiting(); }),
       Sweep(Loop, [this] { sweep(); }),
       Prepare(Loop, [this] { EndedConnections.clear(); }) {
   Sweep.startRepeating(SweepSeconds);
@@ -292,7 +317,8 @@
     ::close(Socket);
     return;
   }
-  auto Connection = std::make_unique<caller_connection>(Loop, Host, Socket);
+  auto Connection =
+      std::make_unique<caller_connection>(Loop, Host, *this, Socket);
   caller_connection *Raw = Connection.get();
   Open[Raw] = std::move(Connection);
 }
@@ -303,6 +329,20 @@
     return;
   EndedConnections.push_back(std::move(It->second));
   Open.erase(It);
+  Waiting.erase(&Connection);
+}
+
+void caller_pool::continueSoon(caller_connection &Connection) {
+  Waiting.insert(&Connection);
+  if (!Turn.active())
+    Turn.startOnce(0);
+}
+
+// One request of each connection, so that none holds up the event loop.
+void caller_pool::continueWaiting() {
+  for (caller_connection *Each : std::exchange(Waiting, {}))
+    if (Open.contains(Each))
+      Each->continueAhead();
 }
 
 bool caller_pool::closeLongestIdle() {
--- a/net/caller_connection.h
+++ b/net/caller_connection.h
@@ -2,7 +2,9 @@
 //
 // The server side of a caller's HTTP connection. It reads one request at a
 // time, passes it to the host once head and body are complete, and writes the
-// response. It enforces the size limits and timeouts of caller_limits.
+// response. The next request begins once the kernel has accepted that response,
+// and at the earliest in the next turn of the event loop. It enforces the size
+// limits and timeouts of caller_limits.
 //
 //===----------------------------------------------------------------------===//
 
@@ -14,10 +16,12 @@
 #include "net/tcp_stream.h"
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace olivevalve {
 
 class caller_connection;
+class caller_pool;
 
 /// Produces the response to one request and is notified about the connection.
 class response_producer {
@@ -52,7 +56,8 @@
 class caller_connection {
 public:
   /// Takes over the connected \p Socket.
-  caller_connection(struct ev_loop *Loop, caller_host &Host, int Socket);
+  caller_connection(struct ev_loop *Loop, caller_host &Host, caller_pool &Pool,
+                    int Socket);
 
   /// Makes \p NewProducer the producer of the response to the current request.
   void setProducer(std::shared_ptr<response_producer> NewProducer) {
@@ -80,8 +85,9 @@
   /// missing, or for callers of HTTP/1.0 the connection is reset.
   void abortResponse();
 
-  /// True while a request is being answered.
-  bool busy() const { return Busy; }
+  /// True while a request is being answered, until the kernel has accepted the
+  /// whole response.
+  bool busy() const { return Busy || Stream.unsent() > 0; }
   /// Bytes written that the kernel has not accepted yet.
   size_t unsent() const { return Stream.unsent(); }
   /// When onTimeout() is due, in seconds of steadySeconds(); 0 means that
@@ -94,34 +100,40 @@
   /// When the connection last became idle, in seconds of steadySeconds().
   double idleSince() const { return IdleSince; }
   /// Handles an expired timeout: answers a partly received request with 408,
-  /// and closes the connection in all other cases, but not before a final
-  /// response has been sent.
+  /// and closes the connection in all other cases.
   void onTimeout();
+  /// Begins the next request with bytes that were received ahead.
+  void continueAhead();
   /// Closes the connection and notifies the producer of a pending response.
   void close();
 
 private:
   void receive(std::string_view Bytes);
-  void parse(std::string_view Bytes);
+  size_t parse(std::string_view Bytes);
+  void proceed();
+  void onDrained();
   void onHead();
   void refuse(int Status, std::string_view Message);
+  void onParsed();
   void dispatch();
+  void linger();
   void onEnd();
   void endRequest();
-  void confirmEnd();
   void becomeIdle();
   void endConnection();
   std::string headOf(int Status, std::string_view Reason,
                      const std::vector<header_field> &Lines) const;
 
   caller_host &Host;
+  caller_pool &Pool;
   tcp_stream Stream;
   http_reader Reader;
   std::shared_ptr<response_producer> Producer;
   std::string Body;
-  /// Bytes of the next request, received while this one is being answered.
-  std::string PipelinedBytes;
-  bool Busy = false; ///< A request is being answered.
+  /// Bytes of the next requests, received while this one is being answered.
+  std::string Ahead;
+  size_t AheadParsed = 0; ///< Bytes at the start of Ahead that were parsed.
+  bool Busy = false;      ///< A request is being answered.
   /// The last response has been written; further input is discarded until the
   /// connection is closed.
   bool Lingering = false;
@@ -148,12 +160,15 @@
   void take(int Socket);
   /// Must be called by the host for each connection that has ended.
   void ended(caller_connection &Connection);
+  /// Calls \p Connection's continueAhead() in the next turn of the event loop.
+  void continueSoon(caller_connection &Connection);
   /// Closes all connections that are not answering a request.
   void closeIdle();
   size_t size() const { return Open.size(); }
 
 private:
   bool closeLongestIdle();
+  void continueWaiting();
   void sweep();
 
   struct ev_loop *Loop;
@@ -164,6 +179,9 @@
   // Ended connections. They are destroyed before the loop waits again, because
   // a connection must not be destroyed inside one of its own callbacks.
   std::vector<std::unique_ptr<caller_connection>> EndedConnections;
+  /// Connections with requests that were received ahead.
+  std::unordered_set<caller_connection *> Waiting;
+  timer Turn;
   timer Sweep;
   before_wait Prepare;
 };
