One bound on what the callers of a listener make the process hold

Callers saw: 60 bodies of 4 MiB that stopped one byte short of their end, or that were whole and at work, ended a gateway on a VM of 110 MB; operators' bodies did the same to a control VM, and callers' to an entry. Cause: connections, heads and bodies had a bound each, and their sum had none: 2,500 connections with 4 MiB of body, doubled by the growth of its string. Change: caller_pool keeps an account of what its connections hold, at the size of their buffers, from caller_memory_mb of the settings, a quarter of the VM's memory by default. Above it the slowest and largest are given up first: 503 entry_full with Retry-After for an incomplete request, which has not run, a close for a caller that does not read; never a request at work whose caller waits. A quarter of the bound is kept for requests of up to 8 KiB. Accepted sockets get a receive buffer of known size, as unread bytes count as well. Metrics callers_shed and *_caller_bytes, at most one log line in 5 s. Why it works: each buffer that a caller can grow is charged to its connection before more is read, and the excess is given up before a request is handed on.

--- a/control/control_task.h
+++ b/control/control_task.h
@@ -37,6 +37,8 @@
   /// the list and each gateway fetches it for itself.
   std::string UpstreamListAddress;
   duty_options Duties;
+  /// That operators' requests together may make this process hold.
+  size_t MaxCallerBytes = defaultCallerBytes();
   /// Of the retries of all gateways. Where the gateways have another bound, the
   /// stricter one holds for what is lent.
   retry_window_bounds Retries;
@@ -63,6 +65,7 @@
   bool drained() const { return Api->idle(); }
   std::string address() const { return Server.address(); }
   std::string operatorAddress() const { return Api->address(); }
+  const caller_pool &callers() const { return Api->callers(); }
 
   /// Called when the disk has failed; the process must terminate.
   std::function<void()> OnFailed;
--- a/control/operator_api.cpp
+++ b/control/operator_api.cpp
@@ -13,8 +13,12 @@
 
 namespace {
 
-constexpr http_limits Limits = {
-    .MaxBodyBytes = 16 << 20, .MaxConnections = 200, .IdleSeconds = 60};
+http_limits limitsOf(const control_options &Options) {
+  return {.MaxBodyBytes = 16 << 20,
+          .MaxConnections = 200,
+          .IdleSeconds = 60,
+          .MaxHeldBytes = Options.MaxCallerBytes};
+}
 constexpr const char *Json = "application/json";
 
 void replyJson(http_exchange &Exchange, int Status, const json &Body) {
@@ -81,7 +85,7 @@
 
 operator_api::operator_api(control_task &Control, struct ev_loop *Loop)
     : Control(Control), Routing(*Control.Log),
-      Server(Loop, Limits,
+      Server(Loop, limitsOf(Control.Options),
              [this](const exchange &Exchange) { handle(Exchange); }) {}
 
 bool operator_api::allowed(const http_exchange &Exchange) const {
--- a/control/operator_api.h
+++ b/control/operator_api.h
@@ -24,6 +24,7 @@
   /// Starts to listen; false if \p Address cannot be bound.
   bool bind(const std::string &Address) { return Server.bind(Address); }
   std::string address() const { return Server.address(); }
+  const caller_pool &callers() const { return Server.callers(); }
   /// Accepts no new connections.
   void drain() { Server.stopListening(); }
   /// True if no request is in progress.
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// Answers about the process itself are short, and few ask for them.
+constexpr size_t HealthBytes = 4 << 20;
 constexpr double DrainPollSeconds = 0.05;
 // Interval between logs of link traffic, about a dozen short lines each.
 constexpr double TrafficLogSeconds = 10;
@@ -24,7 +26,10 @@
 node::node(struct ev_loop *Loop, const settings &Settings, link_keys Keys)
     : Loop(Loop), Settings(Settings), Context(std::move(Keys)),
       LinkAuthenticator(Context, Loop),
-      Health(Loop, {.MaxBodyBytes = 1024, .MaxConnections = 50},
+      Health(Loop,
+             {.MaxBodyBytes = 1024,
+              .MaxConnections = 50,
+              .MaxHeldBytes = HealthBytes},
              [this](const std::shared_ptr<http_exchange> &Exchange) {
                handleHealth(Exchange);
              }),
@@ -114,7 +119,24 @@
                   "known: /healthz /readyz /metrics, PUT /log-level\n");
 }
 
+void node::recordCallers(const std::string &Role, const caller_pool &Callers) {
+  Metrics.gauge(Role + "_caller_bytes", double(Callers.memory().heldBytes()));
+  Metrics.gauge(Role + "_caller_bytes_max",
+                double(Callers.memory().maxBytes()));
+  Metrics.setCount("callers_shed", Role + ", refused",
+                   Callers.shedCounts().Refused);
+  Metrics.setCount("callers_shed", Role + ", closed",
+                   Callers.shedCounts().Closed);
+}
+
 void node::updateProcessMetrics() {
+  if (Gateway)
+    recordCallers("gateway", Gateway->callers());
+  if (Entry)
+    recordCallers("entry", Entry->callers());
+  if (Control)
+    recordCallers("control", Control->callers());
+  recordCallers("health", Health.callers());
   for (size_t Kind = 0; Kind < link_traffic::Kinds; ++Kind) {
     const message_traffic &Traffic = Context.traffic().ByKind[Kind];
     if (Traffic.SentMessages + Traffic.ReceivedMessages == 0)
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -36,6 +36,7 @@
 private:
   void handleHealth(const std::shared_ptr<http_exchange> &Exchange);
   void updateProcessMetrics();
+  void recordCallers(const std::string &Role, const caller_pool &Callers);
   void logTraffic();
   bool ready() const;
   void beginDrain();
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -80,6 +80,14 @@
   return Members;
 }
 
+// In units of 10^6 bytes.
+void readCallerMemory(object_reader &Reader, size_t &MaxCallerBytes) {
+  constexpr double Unit = 1e6;
+  double Megabytes = double(MaxCallerBytes) / Unit;
+  Reader.number("caller_memory_mb", Megabytes, {16, 1e6});
+  MaxCallerBytes = size_t(Megabytes * Unit);
+}
+
 entry_options readEntry(object_reader &Reader, address_reader &Addresses) {
   entry_options Entry;
   Addresses.read(Reader, "address", Entry.Address, presence::Required);
@@ -88,6 +96,7 @@
                 {0.1, 3600});
   Reader.integer("max_body_bytes", Entry.MaxBodyBytes, {1024, 64 << 20});
   Reader.integer("max_open_requests", Entry.MaxOpenRequests, {1, 60000});
+  readCallerMemory(Reader, Entry.MaxCallerBytes);
   return Entry;
 }
 
@@ -196,6 +205,7 @@
                 {1, 86400});
   Reader.integer("snapshot_bytes", SnapshotBytes, {1024, 1 << 30});
   Reader.integer("loads_at_once", MaxConcurrentLoads, {1, 1000});
+  readCallerMemory(Reader, Control.MaxCallerBytes);
   Control.Log.Address = Control.Address;
   Control.Log.OperatorAddress = Control.OperatorAddress;
   Control.Log.Peers = Members;
@@ -244,6 +254,7 @@
   Reader.number("session_seconds", Gateway.SessionSeconds, {0.1, 86400});
   Reader.flag("upstream_pace", Gateway.UpstreamPace);
   Reader.integer("max_connections", Connections, {1, 60000});
+  readCallerMemory(Reader, Gateway.MaxCallerBytes);
   Reader.flag("engine_memory", Gateway.EngineMemory);
   Gateway.MaxConnections = size_t(Connections);
   Reader.flag("account_shares", Gateway.Shares.Enabled);
--- a/entry/entry_task.cpp
+++ b/entry/entry_task.cpp
@@ -24,7 +24,8 @@
 http_limits limitsOf(const entry_options &Options) {
   return {.MaxBodyBytes = size_t(Options.MaxBodyBytes),
           .MaxConnections =
-              unsigned(Options.MaxOpenRequests) + ExtraConnections};
+              unsigned(Options.MaxOpenRequests) + ExtraConnections,
+          .MaxHeldBytes = Options.MaxCallerBytes};
 }
 
 // A candidate without a version stands for all versions of its model.
--- a/entry/entry_task.h
+++ b/entry/entry_task.h
@@ -22,6 +22,8 @@
   double DefaultDeadlineSeconds = 60; ///< Seconds, for callers that give none.
   int64_t MaxBodyBytes = 8 << 20;
   int64_t MaxOpenRequests = 4000;
+  /// That callers together may make this process hold.
+  size_t MaxCallerBytes = defaultCallerBytes();
   std::vector<control_member_address> Control;
 };
 
@@ -33,6 +35,7 @@
 
   bool bind() { return Server.bind(Options.Address); }
   std::string address() const { return Server.address(); }
+  const caller_pool &callers() const { return Server.callers(); }
   /// True if the entry can serve requests: it holds a lease, is not draining,
   /// and has the first reports of its upstreams.
   bool ready() const;
--- a/gateway/forwarding.cpp
+++ b/gateway/forwarding.cpp
@@ -59,6 +59,19 @@
   recordHeldBytes(0);
 }
 
+// The head is sent with each attempt, and the prompt's blocks are kept as the
+// caller stated them and by their keys.
+size_t forwarding::heldBytes() const {
+  size_t Bytes = sizeof(*this) + Head.heldBytes() + Facts.AttemptId.capacity() +
+                 Facts.Credential.capacity() + Facts.Session.capacity() +
+                 Facts.LastEventId.capacity();
+  if (Facts.Model)
+    Bytes += Facts.Model->Model.capacity() +
+             Facts.Model->PrefixBlocks.capacity() *
+                 (sizeof(platform::prefix_block) + sizeof(prompt_block));
+  return Bytes;
+}
+
 void forwarding::park(double Seconds, std::string_view Why) {
   ParkedReason = Why;
   double Deadline = Facts.DeadlineSeconds.value_or(NoDeadlineSeconds);
--- a/gateway/forwarding.h
+++ b/gateway/forwarding.h
@@ -94,6 +94,7 @@
 
   void onCallerGone() override;
   void onCallerDrained() override;
+  size_t heldBytes() const override;
   void onAnswerHead(const http_head &Head, const platform::answer_facts &Facts,
                     body_content Content) override;
   void onAnswerBytes(std::string_view Bytes, size_t Received) override;
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -43,6 +43,8 @@
   /// Learns how fast each upstream is, where upstreams tell of the moment.
   bool UpstreamPace = false;
   size_t MaxConnections = 2500; ///< Of callers.
+  /// That callers together may make this process hold.
+  size_t MaxCallerBytes = defaultCallerBytes();
   /// Upstreams keep shared prefixes by their rates.
   bool EngineMemory = false;
   account_share_options Shares; ///< Of client accounts.
@@ -59,6 +61,7 @@
 
   bool bind() { return Peers.bind() && Listener.bind(Options.Address); }
   std::string address() const { return Listener.address(); }
+  const caller_pool &callers() const { return Callers; }
   /// True once the routing configuration and the list have been received.
   bool ready() const { return State.Routing && ListReceived; }
   /// From now on, responses announce that their connection closes.
--- a/net/caller_connection.cpp
+++ b/net/caller_connection.cpp
@@ -2,7 +2,7 @@
 
 #include "net/caller_connection.h"
 #include "base/clock.h"
-#include "base/error.h"
+#include "base/log.h"
 #include <array>
 #include <cstdio>
 #include <unistd.h>
@@ -20,6 +20,13 @@
 // while the caller is still sending its body would reset the connection, and
 // the caller could lose the response.
 constexpr double LingerSeconds = 0.5;
+// A caller that sends or reads nothing for this long is stalled.
+constexpr double StallSeconds = 1;
+constexpr double ShedLogSeconds = 5;
+constexpr std::string_view HeadTooLarge =
+    "the request head exceeds the size limit";
+constexpr std::string_view BodyTooLarge =
+    "the request body exceeds the size limit";
 // Interval at which timeouts are checked, and so their precision.
 constexpr double SweepSeconds = 0.25;
 
@@ -31,11 +38,16 @@
     return "Request Timeout";
   case 413:
     return "Content Too Large";
+  case 503:
+    return "Service Unavailable";
   default:
     return "Request Header Fields Too Large";
   }
 }
 
+// An assignment would keep the capacity.
+void release(std::string &Text) { std::string().swap(Text); }
+
 bool hasNoBody(int Status) { return Status == 204 || Status == 304; }
 
 } // namespace
@@ -47,10 +59,7 @@
   Stream.OnEnd = [this](bool) { onEnd(); };
   Stream.OnDrained = [this] { onDrained(); };
   Reader.OnHead = [this] { onHead(); };
-  Reader.OnBody = [this](std::string_view Bytes) {
-    if (!Lingering)
-      Body.append(Bytes);
-  };
+  Reader.OnBody = [this](std::string_view Bytes) { appendBody(Bytes); };
   becomeIdle();
 }
 
@@ -60,9 +69,74 @@
   TimeoutAt = IdleSince + Host.limits().IdleSeconds;
 }
 
+void caller_connection::setProducer(
+    std::shared_ptr<response_producer> NewProducer) {
+  Producer = std::move(NewProducer);
+  RequestBytes += Producer->heldBytes();
+  recordHeldBytes();
+}
+
+// A body grows by doubling, but not beyond what it may become.
+void caller_connection::appendBody(std::string_view Bytes) {
+  if (Lingering)
+    return;
+  size_t Needed = Body.size() + Bytes.size();
+  if (Needed > Body.capacity()) {
+    size_t Most = Reader.head().Length.value_or(Host.limits().BodyBytes);
+    Body.reserve(std::max(Needed, std::min(2 * Needed, Most)));
+  }
+  Body.append(Bytes);
+}
+
+// Bytes that arrive at a connection that is not read stay in the kernel's
+// buffer, which counts as memory of this process as well.
+void caller_connection::setReading(bool On) {
+  Reading = On;
+  Stream.setReading(On);
+}
+
+void caller_connection::recordHeldBytes() {
+  size_t Now = 0;
+  if (!Ended)
+    Now = RequestBytes + Reader.head().heldBytes() + Body.capacity() +
+          Ahead.capacity() + Stream.heldBytes() +
+          (Reading ? 0 : tcp_listener::KernelBufferBytes);
+  if (Now != HeldBytes)
+    Pool.memory().update(std::exchange(HeldBytes, Now), Now);
+}
+
+shed_order caller_connection::shedOrder(double Now) const {
+  bool Responding = busy();
+  bool HoldsMore = Stream.unsent() > 0 || !Ahead.empty() || !Reading;
+  if (Responding ? !HoldsMore : Reader.fresh() || Lingering)
+    return shed_order::Never;
+  double MovedAt = Stream.unsent() > 0 ? LastProgressAt : LastReceivedAt;
+  bool Stalled = Now > MovedAt + StallSeconds;
+  if (Responding)
+    return Stalled ? shed_order::StalledResponse : shed_order::Response;
+  if (Stalled)
+    return shed_order::StalledRequest;
+  return caller_memory::isLarge(HeldBytes) ? shed_order::LargeRequest
+                                           : shed_order::Request;
+}
+
+void caller_connection::shed() {
+  if (busy())
+    return close();
+  sendRefusal(503, error_kind::EntryFull,
+              "callers make this entry hold too much memory");
+  release(Body);
+  release(Ahead);
+  AheadParsed = 0;
+  Reader.next();
+  setReading(true);
+  recordHeldBytes();
+}
+
 void caller_connection::receive(std::string_view Bytes) {
   if (Lingering)
     return;
+  LastReceivedAt = steadySeconds();
   if (!busy() && Ahead.empty())
     Bytes.remove_prefix(parse(Bytes));
   if (Lingering || Ended)
@@ -70,7 +144,9 @@
   Ahead.erase(0, std::exchange(AheadParsed, 0));
   Ahead.append(Bytes);
   if (Ahead.size() > MaxAheadBytes)
-    Stream.setReading(false);
+    setReading(false);
+  recordHeldBytes();
+  Pool.shedExcess();
   proceed();
 }
 
@@ -78,18 +154,21 @@
 void caller_connection::proceed() {
   if (Lingering || Ended || busy())
     return;
-  if (Ahead.empty())
-    Stream.setReading(true);
-  else
-    Pool.continueSoon(*this);
+  if (!Ahead.empty())
+    return Pool.continueSoon(*this);
+  setReading(true);
+  recordHeldBytes();
 }
 
 void caller_connection::continueAhead() {
   if (Lingering || Ended || busy())
     return;
-  AheadParsed += parse(std::string_view(Ahead).substr(AheadParsed));
+  size_t Parsed = parse(std::string_view(Ahead).substr(AheadParsed));
+  if (Lingering || Ended)
+    return;
+  AheadParsed += Parsed;
   if (AheadParsed == Ahead.size()) {
-    Ahead = {};
+    release(Ahead);
     AheadParsed = 0;
   }
   proceed();
@@ -104,6 +183,7 @@
     Producer->onCallerDrained();
   else
     proceed();
+  recordHeldBytes();
 }
 
 // Parses up to the end of the current request. Returns the bytes parsed.
@@ -119,11 +199,15 @@
 void caller_connection::onParsed() {
   const caller_limits &Limits = Host.limits();
   if (Reader.failed())
-    return refuse(400, Reader.error());
+    return refuse(400, error_kind::BadRequest, Reader.error());
   if (!Reader.headDone() && Reader.headBytes() > Limits.HeaderBytes)
-    return refuse(431, "the request head exceeds the size limit");
+    return refuse(431, error_kind::BadRequest, HeadTooLarge);
   if (Body.size() > Limits.BodyBytes)
-    return refuse(413, "the request body exceeds the size limit");
+    return refuse(413, error_kind::BodyTooLarge, BodyTooLarge);
+  recordHeldBytes();
+  Pool.shedExcess();
+  if (Lingering || Ended)
+    return;
   // While a body is received, the idle timeout runs from its latest bytes.
   if (Reader.headDone())
     TimeoutAt = steadySeconds() + Limits.IdleSeconds;
@@ -133,10 +217,11 @@
 
 void caller_connection::onHead() {
   const http_head &Head = Reader.head();
+  IsHttp10 = Head.IsHttp10;
   if (Reader.headBytes() > Host.limits().HeaderBytes)
-    return refuse(431, "the request head exceeds the size limit");
+    return refuse(431, error_kind::BadRequest, HeadTooLarge);
   if (Head.Length && *Head.Length > Host.limits().BodyBytes)
-    return refuse(413, "the request body exceeds the size limit");
+    return refuse(413, error_kind::BodyTooLarge, BodyTooLarge);
   auto Expect = Head.find("Expect");
   if (Expect && sameHeader(*Expect, "100-continue"))
     Stream.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -148,20 +233,27 @@
   const http_head &Head = Reader.head();
   KeepAlive = Head.KeepAlive;
   HeadOnly = Head.Method == "HEAD";
-  Host.onRequest(*this, Head, std::move(Body));
+  RequestBytes = Head.heldBytes() + Body.capacity();
+  Host.onRequest(*this, Reader.takeHead(), std::exchange(Body, {}));
 }
 
-void caller_connection::refuse(int Status, std::string_view Message) {
+void caller_connection::refuse(int Status, error_kind Kind,
+                               std::string_view Message) {
   Host.onMalformed(Status, Message);
+  sendRefusal(Status, Kind, Message);
+}
+
+void caller_connection::sendRefusal(int Status, error_kind Kind,
+                                    std::string_view Message) {
   KeepAlive = false;
-  error_kind Kind =
-      Status == 413 ? error_kind::BodyTooLarge : error_kind::BadRequest;
   std::string Text = errorBody(Kind, Message);
-  Stream.write(headOf(Status, reasonPhrase(Status),
-                      {{"Content-Type", "application/json"},
-                       {"X-Olivevalve-Outcome", "not-run"},
-                       {"Content-Length", std::to_string(Text.size())}}) +
-               Text);
+  std::vector<header_field> Lines = {
+      {"Content-Type", "application/json"},
+      {"X-Olivevalve-Outcome", "not-run"},
+      {"Content-Length", std::to_string(Text.size())}};
+  if (int Seconds = responseFor(Kind).RetryAfterSeconds)
+    Lines.push_back({"Retry-After", std::to_string(Seconds)});
+  Stream.write(headOf(Status, reasonPhrase(Status), Lines) + Text);
   Lingering = true;
   Busy = false;
   linger();
@@ -187,7 +279,7 @@
     Out.append(Line.Name).append(": ").append(Line.Value).append("\r\n");
   if (!KeepAlive)
     Out.append("Connection: close\r\n");
-  else if (Reader.head().IsHttp10)
+  else if (IsHttp10)
     Out.append("Connection: keep-alive\r\n");
   Out.append("\r\n");
   return Out;
@@ -205,9 +297,11 @@
     All.push_back({"Content-Length", std::to_string(ResponseBody.size())});
   std::string ResponseHead = headOf(Status, Reason, All);
   if (HeadOnly || hasNoBody(Status))
-    return Stream.write(ResponseHead);
-  Stream.write(std::move(ResponseHead),
-               std::make_shared<const std::string>(std::move(ResponseBody)));
+    Stream.write(ResponseHead);
+  else
+    Stream.write(std::move(ResponseHead),
+                 std::make_shared<const std::string>(std::move(ResponseBody)));
+  recordHeldBytes();
 }
 
 void caller_connection::begin(int Status, std::string_view Reason,
@@ -217,7 +311,7 @@
   KeepAlive = KeepAlive && !Host.closesAfterAnswer();
   // HTTP/1.0 has no chunked coding: there the end of the connection marks the
   // end of the body, and only a reset shows that the body is incomplete.
-  Chunked = !Reader.head().IsHttp10;
+  Chunked = !IsHttp10;
   EndsByClose = !Chunked;
   if (EndsByClose)
     Stream.setResetOnClose(true);
@@ -226,19 +320,23 @@
   if (Chunked)
     All.push_back({"Transfer-Encoding", "chunked"});
   Stream.write(headOf(Status, Reason, All));
+  recordHeldBytes();
 }
 
 void caller_connection::write(std::string_view Bytes) {
   if (Ended || Bytes.empty())
     return;
-  if (!Chunked)
-    return Stream.write(Bytes);
+  if (!Chunked) {
+    Stream.write(Bytes);
+    return recordHeldBytes();
+  }
   std::array<char, 24> Size{};
   int Length = std::snprintf(Size.data(), Size.size(), "%zx\r\n", Bytes.size());
   std::string Chunk;
   Chunk.reserve(Bytes.size() + size_t(Length) + 2);
   Chunk.append(Size.data(), size_t(Length)).append(Bytes).append("\r\n");
   Stream.write(Chunk);
+  recordHeldBytes();
 }
 
 void caller_connection::finish() {
@@ -259,6 +357,8 @@
 void caller_connection::endRequest() {
   Producer = nullptr;
   Busy = false;
+  RequestBytes = 0;
+  recordHeldBytes();
   if (!KeepAlive) {
     Lingering = true;
     return linger();
@@ -280,7 +380,8 @@
 void caller_connection::onTimeout() {
   bool PartlyReceived = !Lingering && !Reader.fresh();
   if (PartlyReceived)
-    return refuse(408, "the request was not received in time");
+    return refuse(408, error_kind::BadRequest,
+                  "the request was not received in time");
   endConnection();
 }
 
@@ -300,20 +401,23 @@
   Ended = true;
   Busy = false;
   Stream.close();
+  recordHeldBytes();
   Host.ended(*this);
 }
 
 caller_pool::caller_pool(struct ev_loop *Loop, caller_host &Host,
-                         size_t MaxConnections)
-    : Loop(Loop), Host(Host), MaxConnections(MaxConnections),
-      Turn(Loop, [this] { continueWaiting(); }),
-      Sweep(Loop, [this] { sweep(); }),
-      Prepare(Loop, [this] { EndedConnections.clear(); }) {
+                         caller_pool_limits Limits)
+    : Loop(Loop), Host(Host), MaxConnections(Limits.MaxConnections),
+      Memory(Limits.MaxHeldBytes), Turn(Loop, [this] { continueWaiting(); }),
+      Sweep(Loop, [this] { sweep(); }), Prepare(Loop, [this] {
+        shedExcess();
+        EndedConnections.clear();
+      }) {
   Sweep.startRepeating(SweepSeconds);
 }
 
 void caller_pool::take(int Socket) {
-  if (Open.size() >= MaxConnections && !closeLongestIdle()) {
+  if (Open.size() >= MaxConnections && !closeLongestIdle() && !closeStalled()) {
     ::close(Socket);
     return;
   }
@@ -345,6 +449,52 @@
       Each->continueAhead();
 }
 
+caller_connection *caller_pool::firstToShed() {
+  double Now = steadySeconds();
+  bool LargeOnly = Memory.isFullOfLarge();
+  caller_connection *First = nullptr;
+  shed_order FirstOrder = shed_order::Never;
+  for (auto &[Raw, Connection] : Open) {
+    if (LargeOnly && !caller_memory::isLarge(Raw->heldBytes()))
+      continue;
+    shed_order Order = Raw->shedOrder(Now);
+    bool IsSooner =
+        Order < FirstOrder ||
+        (First && Order == FirstOrder && Raw->heldBytes() > First->heldBytes());
+    if (!IsSooner)
+      continue;
+    First = Raw;
+    FirstOrder = Order;
+  }
+  return First;
+}
+
+void caller_pool::shedExcess() {
+  while (Memory.isFull()) {
+    caller_connection *First = firstToShed();
+    if (!First)
+      return;
+    ++(First->busy() ? Shed.Closed : Shed.Refused);
+    First->shed();
+  }
+}
+
+// At most one line in a while, however many connections were given up.
+void caller_pool::logShed() {
+  uint64_t Refused = Shed.Refused - LoggedShed.Refused;
+  uint64_t Closed = Shed.Closed - LoggedShed.Closed;
+  double Now = steadySeconds();
+  if (Refused + Closed == 0 || Now < LoggedShedAt + ShedLogSeconds)
+    return;
+  LoggedShed = Shed;
+  LoggedShedAt = Now;
+  logLine(log_level::Warning, "callers made this process hold too much memory",
+          {{"held_bytes", int64_t(Memory.heldBytes())},
+           {"max_bytes", int64_t(Memory.maxBytes())},
+           {"refused", int64_t(Refused)},
+           {"closed", int64_t(Closed)}});
+}
+
 bool caller_pool::closeLongestIdle() {
   caller_connection *Longest = nullptr;
   for (auto &[Raw, Connection] : Open)
@@ -355,6 +505,16 @@
   return Longest != nullptr;
 }
 
+bool caller_pool::closeStalled() {
+  double Now = steadySeconds();
+  for (auto &[Raw, Connection] : Open)
+    if (Raw->shedOrder(Now) == shed_order::StalledResponse) {
+      Raw->close();
+      return true;
+    }
+  return false;
+}
+
 void caller_pool::closeIdle() {
   std::vector<caller_connection *> Idle;
   for (auto &[Raw, Connection] : Open)
@@ -365,6 +525,7 @@
 }
 
 void caller_pool::sweep() {
+  logShed();
   double Now = steadySeconds();
   std::vector<caller_connection *> TimedOut;
   std::vector<caller_connection *> Stalled;
--- a/net/caller_connection.h
+++ b/net/caller_connection.h
@@ -4,7 +4,8 @@
 // time, passes it to the host once head and body are complete, and writes the
 // response. The next request begins once the kernel has accepted that response,
 // and at the earliest in the next turn of the event loop. It enforces the size
-// limits and timeouts of caller_limits.
+// limits and timeouts of caller_limits, and caller_pool bounds what all
+// connections together make the process hold.
 //
 //===----------------------------------------------------------------------===//
 
@@ -12,6 +13,8 @@
 #define OLIVEVALVE_NET_CALLER_CONNECTION_H
 
 #include "base/caller_limits.h"
+#include "base/error.h"
+#include "net/caller_memory.h"
 #include "net/http_reader.h"
 #include "net/tcp_stream.h"
 #include <memory>
@@ -31,6 +34,8 @@
   virtual void onCallerGone() = 0;
   /// The kernel has accepted all bytes written so far.
   virtual void onCallerDrained() = 0;
+  /// Bytes of memory that the request takes besides its head and its body.
+  virtual size_t heldBytes() const = 0;
 };
 
 /// Owner of a set of connections. Receives their requests.
@@ -52,6 +57,17 @@
   virtual void ended(caller_connection &Connection) = 0;
 };
 
+/// How soon a connection is given up when callers hold too much memory: those
+/// first that move least, and those at work last.
+enum class shed_order : uint8_t {
+  StalledRequest,  ///< An incomplete request that does not go on.
+  LargeRequest,    ///< An incomplete request that holds much.
+  StalledResponse, ///< Its caller does not read, or sends requests ahead.
+  Request,         ///< Any other incomplete request.
+  Response,        ///< As StalledResponse, but the caller reads.
+  Never            ///< It holds nothing, or only a request at work.
+};
+
 /// One connection of a caller. Handles one request at a time.
 class caller_connection {
 public:
@@ -60,9 +76,7 @@
                     int Socket);
 
   /// Makes \p NewProducer the producer of the response to the current request.
-  void setProducer(std::shared_ptr<response_producer> NewProducer) {
-    Producer = std::move(NewProducer);
-  }
+  void setProducer(std::shared_ptr<response_producer> NewProducer);
   /// Sends a complete response and ends the request. \p Lines must not contain
   /// hop-by-hop headers.
   void reply(int Status, std::string_view Reason,
@@ -97,6 +111,13 @@
   /// than \p Seconds. \p Now is in seconds of steadySeconds(). Progress is only
   /// noticed by calls, so this must be called regularly.
   bool stalled(double Now, double Seconds);
+  /// Bytes of memory that the connection and its request take.
+  size_t heldBytes() const { return HeldBytes; }
+  /// \p Now is in seconds of steadySeconds().
+  shed_order shedOrder(double Now) const;
+  /// Gives up what the connection holds: refuses an incomplete request, which
+  /// has not run, and closes the connection in all other cases.
+  void shed();
   /// When the connection last became idle, in seconds of steadySeconds().
   double idleSince() const { return IdleSince; }
   /// Handles an expired timeout: answers a partly received request with 408,
@@ -113,7 +134,11 @@
   void proceed();
   void onDrained();
   void onHead();
-  void refuse(int Status, std::string_view Message);
+  void refuse(int Status, error_kind Kind, std::string_view Message);
+  void sendRefusal(int Status, error_kind Kind, std::string_view Message);
+  void appendBody(std::string_view Bytes);
+  void setReading(bool On);
+  void recordHeldBytes();
   void onParsed();
   void dispatch();
   void linger();
@@ -133,7 +158,12 @@
   /// Bytes of the next requests, received while this one is being answered.
   std::string Ahead;
   size_t AheadParsed = 0; ///< Bytes at the start of Ahead that were parsed.
-  bool Busy = false;      ///< A request is being answered.
+  size_t HeldBytes = 0;   ///< Recorded in caller_pool::memory().
+  /// Of these, head and body of the request that is being answered, and what
+  /// its producer takes.
+  size_t RequestBytes = 0;
+  bool Reading = true;
+  bool Busy = false; ///< A request is being answered.
   /// The last response has been written; further input is discarded until the
   /// connection is closed.
   bool Lingering = false;
@@ -144,19 +174,37 @@
   /// The end of the connection marks the end of the response body.
   bool EndsByClose = false;
   bool HeadOnly = false; ///< The request is a HEAD request.
+  bool IsHttp10 = false; ///< So is the request.
   double TimeoutAt = 0;
   double IdleSince = 0;
+  double LastReceivedAt = 0;
   uint64_t LastSentBytes = 0; ///< Bytes sent as of the last call of stalled().
   double LastProgressAt = 0;  ///< When stalled() last noticed progress.
 };
 
-/// All connections of one listener, limited in number.
+/// Bounds of a caller_pool.
+struct caller_pool_limits {
+  size_t MaxConnections = 0;
+  /// Bytes that callers together may make the process hold, besides the
+  /// connections themselves.
+  size_t MaxHeldBytes = defaultCallerBytes();
+};
+
+/// Connections given up because callers held too much memory.
+struct shed_counts {
+  uint64_t Refused = 0; ///< An incomplete request was refused.
+  uint64_t Closed = 0;  ///< The connection was closed.
+};
+
+/// All connections of one listener, limited in number and in memory.
 class caller_pool {
 public:
-  caller_pool(struct ev_loop *Loop, caller_host &Host, size_t MaxConnections);
+  caller_pool(struct ev_loop *Loop, caller_host &Host,
+              caller_pool_limits Limits);
 
   /// Takes over the connected \p Socket. At the limit, the connection that has
-  /// been idle longest is closed first; if all are busy, \p Socket is closed.
+  /// been idle longest is closed first; if all are busy, one whose caller does
+  /// not read, and if there is none, \p Socket.
   void take(int Socket);
   /// Must be called by the host for each connection that has ended.
   void ended(caller_connection &Connection);
@@ -165,15 +213,27 @@
   /// Closes all connections that are not answering a request.
   void closeIdle();
   size_t size() const { return Open.size(); }
+  caller_memory &memory() { return Memory; }
+  const caller_memory &memory() const { return Memory; }
+  const shed_counts &shedCounts() const { return Shed; }
+  /// Gives up connections while callers hold too much.
+  void shedExcess();
 
 private:
   bool closeLongestIdle();
+  bool closeStalled();
   void continueWaiting();
+  caller_connection *firstToShed();
+  void logShed();
   void sweep();
 
   struct ev_loop *Loop;
   caller_host &Host;
   size_t MaxConnections;
+  caller_memory Memory;
+  shed_counts Shed;
+  shed_counts LoggedShed; ///< As of the last log line.
+  double LoggedShedAt = 0;
   std::unordered_map<caller_connection *, std::unique_ptr<caller_connection>>
       Open;
   // Ended connections. They are destroyed before the loop waits again, because
--- a/net/http_reader.cpp
+++ b/net/http_reader.cpp
@@ -8,7 +8,6 @@
 #include <cstring>
 #include <limits>
 #include <strings.h>
-#include <utility>
 
 namespace olivevalve {
 
@@ -90,7 +89,7 @@
   http_parser_init(&Parser,
                    Side == http_side::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   Parser.data = this;
-  Head = {};
+  takeHead(); // An assignment would keep the capacity of the strings.
   Error.clear();
   FirstLine.clear();
   Bytes = HeadBytes = 0;
--- a/net/http_reader.h
+++ b/net/http_reader.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace olivevalve {
@@ -63,6 +64,11 @@
   std::vector<std::string_view> connectionOptions() const;
   /// True if a Connection header lists \p Name.
   bool isConnectionOption(std::string_view Name) const;
+  /// Bytes of memory that the head takes besides its own size.
+  size_t heldBytes() const {
+    return Method.capacity() + Target.capacity() + Reason.capacity() +
+           Lines.heldBytes();
+  }
   /// True if Content-Type is text/event-stream.
   bool isEventStream() const;
 };
@@ -93,6 +99,8 @@
   void next(bool HeadOnly = false);
 
   const http_head &head() const { return Head; }
+  /// Moves the head out; it is empty until the next message.
+  http_head takeHead() { return std::exchange(Head, {}); }
   /// True once the head is complete and valid.
   bool headDone() const { return HeadDone; }
   /// True once the message is complete.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -177,7 +177,9 @@
                          .IdleSeconds = double(NewLimits.IdleSeconds)},
       Handler(std::move(Handler)),
       Listener(Loop, [this](int Socket) { Callers.take(Socket); }),
-      Callers(Loop, *this, NewLimits.MaxConnections),
+      Callers(Loop, *this,
+              {.MaxConnections = NewLimits.MaxConnections,
+               .MaxHeldBytes = NewLimits.MaxHeldBytes}),
       Prepare(Loop, [this] { beforeWait(); }) {}
 
 http_server::~http_server() {
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -27,6 +27,8 @@
   /// How long a connection may stay idle or make no progress.
   unsigned IdleSeconds = 75;
   size_t MaxHeaderBytes = 16 << 10;
+  /// See caller_pool_limits.
+  size_t MaxHeldBytes = defaultCallerBytes();
 };
 
 /// One request and its response. Shared by the handler and, until the exchange
@@ -74,6 +76,7 @@
 
   void onCallerGone() override;
   void onCallerDrained() override;
+  size_t heldBytes() const override { return sizeof(*this); }
 
 private:
   friend class http_server;
@@ -108,6 +111,7 @@
   void stopListening() { Listener.close(); }
   /// Number of requests whose response is not complete.
   size_t openExchanges() const { return Live.size(); }
+  const caller_pool &callers() const { return Callers; }
 
 private:
   friend class http_exchange;
--- a/net/tcp_stream.cpp
+++ b/net/tcp_stream.cpp
@@ -271,6 +271,9 @@
   Socket = listenOn(Address, Backlog, Bound);
   if (Socket < 0)
     return false;
+  // Accepted sockets inherit it. The kernel doubles the value.
+  int BufferBytes = KernelBufferBytes / 2;
+  setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &BufferBytes, sizeof(BufferBytes));
   Watch.start(Socket, EV_READ);
   return true;
 }
--- a/net/tcp_stream.h
+++ b/net/tcp_stream.h
@@ -111,6 +111,10 @@
 /// A listening TCP socket.
 class tcp_listener {
 public:
+  /// The most memory that bytes which were not read yet take in the kernel, for
+  /// each accepted connection.
+  static constexpr size_t KernelBufferBytes = 128 << 10;
+
   /// \p OnAccept takes over each accepted, non-blocking socket.
   tcp_listener(struct ev_loop *Loop, std::function<void(int Socket)> OnAccept);
   ~tcp_listener() { close(); }
--- a/tests/gateway_world.cpp
+++ b/tests/gateway_world.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr size_t SeedCount = 3;
+/// Memory of the smallest VM of each role, in units of 10^6 bytes.
+constexpr double GatewayVmMb = 110;
+constexpr double ControlVmMb = 256;
 
 int portOf(const std::string &Address) {
   return std::stoi(Address.substr(Address.rfind(':') + 1));
@@ -76,7 +79,8 @@
         {"upstream_list", List->address()},
         {"may_start_group", MayStartGroup},
         {"tolerated_losses", 2},
-        {"replace_after_seconds", 1.5}}}};
+        {"replace_after_seconds", 1.5},
+        {"caller_memory_mb", ControlVmMb / 4}}}};
   if (UsageWindowSeconds > 0)
     Settings["control"]["duties"] = {
         {"platform", Duties->address()},
@@ -132,7 +136,8 @@
                      {"upstream_list", List->address()},
                      {"list_seconds", 0.2},
                      {"retry_ratio", 5},
-                     {"retry_slack", 1000}}}};
+                     {"retry_slack", 1000},
+                     {"caller_memory_mb", GatewayVmMb / 4}}}};
   if (UsageWindowSeconds > 0)
     Settings["gateway"]["usage_window_seconds"] = UsageWindowSeconds;
   return Settings;
--- a/tests/system/crowds_test.cpp
+++ b/tests/system/crowds_test.cpp
@@ -247,6 +247,7 @@
 BOOST_AUTO_TEST_CASE(with_unfinished_bodies_fill_no_entry) {
   constexpr size_t EntryBodyBytes = 8 << 20;
   world World;
+  World.EntrySettings = {{"caller_memory_mb", EntryVmMb / 4}};
   World.startDefaultSystem();
   entry_node &Entry = *World.Entries.begin()->second;
   playCrowd(
