Session ids that callers choose are kept short and bounded in number

Callers saw: 2,000 requests with session ids of 60,000 bytes, legal at a header limit of 64 KiB, took 165 MB of a gateway's 110. Cause: the pin of a session was stored under its id, whatever its length, and nothing bounded the number of pins between the expiries. Change: ids of over 64 bytes are kept as their 128-bit digest. A gateway keeps 65,536 pins at most; new sessions are not pinned above that, existing ones stay.

--- a/gateway/session_pins.h
+++ b/gateway/session_pins.h
@@ -3,6 +3,7 @@
 #ifndef OLIVEVALVE_GATEWAY_SESSION_PINS_H
 #define OLIVEVALVE_GATEWAY_SESSION_PINS_H
 
+#include "base/digest.h"
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -52,6 +53,8 @@
 /// after the last request of its session.
 class session_pins {
 public:
+  static constexpr size_t MaxPins = 65536;
+
   /// Seconds after the last request at which a pin expires.
   void setLifetime(double Seconds) { Lifetime = Seconds; }
 
@@ -62,10 +65,13 @@
     bool Fresh = It != Pins.end() && Now < It->second.TouchedAt + Lifetime;
     return Fresh ? &It->second : nullptr;
   }
-  /// Sets or renews the pin of a session.
+  /// Sets or renews the pin of a session. A new one is not set while there are
+  /// MaxPins.
   void touch(const std::string &Service, const std::string &Session,
              session_pin Pin) {
-    Pins[keyOf(Service, Session)] = std::move(Pin);
+    std::string Key = keyOf(Service, Session);
+    if (Pins.size() < MaxPins || Pins.contains(Key))
+      Pins[std::move(Key)] = std::move(Pin);
   }
   /// Sessions of the stable version that no canary may take over.
   shared_pins &stable() { return Stable; }
@@ -89,12 +95,17 @@
   size_t size() const { return Pins.size(); }
 
 private:
-  // Neither name contains a zero byte.
+  // Callers choose the ids, so long ones are kept as their digest. Neither name
+  // contains a byte below a space.
   static std::string keyOf(const std::string &Service,
                            const std::string &Session) {
-    return Service + '\0' + Session;
+    if (Session.size() <= MaxIdBytes)
+      return Service + '\0' + Session;
+    return Service + '\1' + hexOf(shortDigest(Session));
   }
 
+  static constexpr size_t MaxIdBytes = 64;
+
   std::unordered_map<std::string, session_pin> Pins;
   shared_pins Stable;
   shared_pins Canary;
--- a/tests/system/crowds_test.cpp
+++ b/tests/system/crowds_test.cpp
@@ -18,8 +18,9 @@
 constexpr size_t MaxDescriptors = 4096 - 200;
 /// Nothing has happened for this long.
 constexpr double RestSeconds = 1;
+/// A crowd that goes on for longer has not been answered or stopped.
+constexpr double MaxCrowdSeconds = 120;
 
-constexpr size_t HeaderBytes = 16 << 10;
 constexpr size_t BodyBytes = 4 << 20;
 constexpr size_t PieceBytes = 64 << 10;
 
@@ -63,11 +64,14 @@
     crowd Crowd(World.Loop, Options);
     uint64_t Progress = 0;
     double RestsSince = steadySeconds();
-    World.until("the crowd is at rest", [&] {
-      if (std::exchange(Progress, Crowd.progress()) != Crowd.progress())
-        RestsSince = steadySeconds();
-      return steadySeconds() > RestsSince + RestSeconds;
-    });
+    World.until(
+        "the crowd is at rest",
+        [&] {
+          if (std::exchange(Progress, Crowd.progress()) != Crowd.progress())
+            RestsSince = steadySeconds();
+          return steadySeconds() > RestsSince + RestSeconds;
+        },
+        MaxCrowdSeconds);
     checkBounds(Watched);
     BOOST_TEST(Ordinary().Status == 200);
   }
@@ -78,22 +82,28 @@
   checkBounds(Watched);
 }
 
+struct crowded_options {
+  size_t HeaderBytes = 16 << 10;
+  double SessionSeconds = 5;
+};
+
 class crowded_gateway : public gateway_world {
 public:
-  crowded_gateway() {
+  explicit crowded_gateway(crowded_options Options = {}) {
     for (const char *Id : {"i-1", "i-2"})
       addReplica({.Id = Id});
     json Routing = defaultRouting();
     // Nothing may end by a timeout, however slow the machine is.
     for (json &Route : Routing["routes"])
       Route["timeout_ms"] = 30000;
-    Routing["limits"] = {{"max_header_bytes", HeaderBytes},
+    Routing["limits"] = {{"max_header_bytes", Options.HeaderBytes},
                          {"max_body_bytes", BodyBytes},
                          {"header_timeout_ms", 60000},
                          {"idle_timeout_ms", 60000}};
     // Enough also while the gateway does not know how many share them.
     Routing["services"][0]["max_connections"] = 40000;
-    startServing(Routing, {{"max_connections", 2500}});
+    startServing(Routing, {{"max_connections", 2500},
+                           {"session_seconds", Options.SessionSeconds}});
   }
   void play(crowd_options Options) {
     Options.Address = GatewayAddress.text();
@@ -220,6 +230,17 @@
        .Begin = requestLines("/stream/x?do=raw&bytes=events") + lengthLine(0)});
 }
 
+// Guards against session ids that are remembered at their full length.
+BOOST_AUTO_TEST_CASE(that_name_very_long_sessions_fill_no_memory) {
+  crowded_gateway World;
+  std::string Requests;
+  for (size_t I = 0; I < 9000; ++I)
+    Requests += requestLines("/unsafe/x") +
+                "Session: " + std::string(15000, 's') + std::to_string(I) +
+                "\r\n" + lengthLine(0);
+  World.play({.Begin = Requests, .Reads = true});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(crowds_at_other_listeners)
--- a/tests/unit/gateway_test.cpp
+++ b/tests/unit/gateway_test.cpp
@@ -547,6 +547,23 @@
   BOOST_TEST(!Pins.find("llm", "s", 11));
   Pins.forgetOld(11);
   BOOST_TEST(Pins.size() == 0U);
+  BOOST_TEST_CONTEXT("long ids are told apart") {
+    std::string Long(15000, 's');
+    Pins.touch("llm", Long + "1", {.Version = "v1"});
+    Pins.touch("llm", Long + "2", {.Version = "v2"});
+    BOOST_TEST(Pins.find("llm", Long + "1", 1)->Version == "v1");
+    BOOST_TEST(Pins.find("llm", Long + "2", 1)->Version == "v2");
+    BOOST_TEST(!Pins.find("llm", Long + "3", 1));
+  }
+  BOOST_TEST_CONTEXT("their number is bounded, and those that exist are kept") {
+    for (size_t I = 0; I < 2 * session_pins::MaxPins; ++I)
+      Pins.touch("llm", std::to_string(I), {.Version = "v1", .TouchedAt = 2});
+    BOOST_TEST(Pins.size() == session_pins::MaxPins);
+    Pins.touch("llm", "0", {.Version = "v3", .TouchedAt = 2});
+    BOOST_TEST(Pins.find("llm", "0", 2)->Version == "v3");
+    Pins.forgetOld(20);
+    BOOST_TEST(Pins.size() == 0U);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(stable_pins_are_reported_once_and_expire) {
