The blocks that a gateway remembers of prompts are bounded in number

Cause, found by reading: prefix_cache_model evicted blocks by the tokens that callers state for them, so blocks of no or one token stayed for good, some 90 bytes each: 16 with each request, and 545,000 for each upstream with one token. Change: 131,072 blocks for all upstreams together, 512 for each at least, which is above what a cache of 545,000 tokens holds of prompts of 3,000. The oldest go first, as before. Evidence: the unit test adds 600,000 blocks of at most one token; the former model has no bound that it could meet. Not shown with real processes: a request brings 16 blocks at most, so that it takes minutes.

--- a/policy/prefix_cache_model.cpp
+++ b/policy/prefix_cache_model.cpp
@@ -1,6 +1,7 @@
 //===- prefix_cache_model.cpp - What upstreams have cached ----------------===//
 
 #include "policy/prefix_cache_model.h"
+#include <algorithm>
 #include <iterator>
 
 namespace olivevalve {
@@ -10,6 +11,10 @@
 // The share of an upstream's KV cache that holds blocks of finished prompts.
 // The rest holds the running requests and their output.
 constexpr double CachedShare = 0.8;
+// Of all upstreams together, some 90 bytes of memory each, and for each
+// upstream at least.
+constexpr size_t MaxBlocks = 1 << 17;
+constexpr size_t MinBlocksEach = 512;
 
 } // namespace
 
@@ -38,11 +43,22 @@
   block_cache &Cache = Caches[Upstream];
   for (size_t I = Blocks.size(); I-- > 0;)
     touch(Cache, Blocks[I]);
-  while (Cache.Tokens > uint64_t(CachedShare * double(CapacityTokens)) &&
-         Cache.Blocks.size() > Blocks.size())
+  while (Cache.Blocks.size() > Blocks.size() &&
+         (Cache.Tokens > uint64_t(CachedShare * double(CapacityTokens)) ||
+          Cache.Blocks.size() > maxBlocks()))
     erase(Cache, std::prev(Cache.Blocks.end()));
 }
 
+size_t prefix_cache_model::maxBlocks() const {
+  return std::max(MinBlocksEach,
+                  MaxBlocks / std::max<size_t>(Caches.size(), 1));
+}
+
+size_t prefix_cache_model::blockCount(uint64_t Upstream) const {
+  auto It = Caches.find(Upstream);
+  return It == Caches.end() ? 0 : It->second.Blocks.size();
+}
+
 void prefix_cache_model::removeBlocks(uint64_t Upstream,
                                       std::span<const prompt_block> Blocks) {
   auto It = Caches.find(Upstream);
--- a/policy/prefix_cache_model.h
+++ b/policy/prefix_cache_model.h
@@ -44,6 +44,11 @@
   void removeUpstream(uint64_t Upstream) { Caches.erase(Upstream); }
   /// The number of upstreams that have blocks.
   size_t upstreamCount() const { return Caches.size(); }
+  /// The most blocks that are kept for one upstream, however few tokens callers
+  /// state for each.
+  size_t maxBlocks() const;
+  /// The number of blocks that are kept for \p Upstream.
+  size_t blockCount(uint64_t Upstream) const;
 
 private:
   struct block_cache {
--- a/tests/unit/choice_test.cpp
+++ b/tests/unit/choice_test.cpp
@@ -268,6 +268,20 @@
   BOOST_TEST(Caches.cachedTokens(Home, Review) == 0U);
 }
 
+// Guards against callers that state very many blocks of no tokens.
+BOOST_AUTO_TEST_CASE(keeps_few_blocks_however_small_they_are) {
+  prefix_cache_model Caches;
+  for (uint64_t Key = 0; Key < 300000; ++Key)
+    Caches.addPrompt(Home,
+                     std::vector<prompt_block>{{2 * Key, 0}, {2 * Key + 1, 1}});
+  BOOST_TEST(Caches.blockCount(Home) == Caches.maxBlocks());
+  for (uint64_t Upstream = 100; Upstream < 1100; ++Upstream)
+    Caches.addPrompt(Upstream, Review);
+  Caches.addPrompt(Home, Review);
+  BOOST_TEST(Caches.blockCount(Home) == Caches.maxBlocks());
+  BOOST_TEST(Caches.cachedTokens(Home, Review) == 9200U);
+}
+
 BOOST_AUTO_TEST_CASE(removes_blocks_that_may_not_have_been_prefilled) {
   prefix_cache_model Caches;
   Caches.addPrompt(Home, std::span(Review).first(1));
