Connections of callers leave descriptors for others

Callers saw: 600 unfinished requests at a gateway that may have 256 descriptors locked out every caller with a new connection until the crowd's timeouts passed, 60 s in the test. Cause: the limit of connections did not know that of the descriptors. accept4() failed with EMFILE and was called again in each turn of the loop. Change: callers get five eighths of the descriptors at most, which is above the default of 2,500 connections at 4,096; the connection idle longest is closed for a new one. A listener without descriptors closes such a connection, and tries again after 50 ms.

--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -101,6 +101,7 @@
   State.Loop = Loop;
   State.Metrics = &Metrics;
   State.DataHall = Options.DataHall;
+  Listener.OnExhausted = [this] { Callers.makeRoom(); };
   State.StartedAt = steadySeconds();
   ListRetryDelay = ListRetrySeconds;
   State.RetryBounds = Options.Retries;
--- a/net/caller_connection.cpp
+++ b/net/caller_connection.cpp
@@ -5,6 +5,8 @@
 #include "base/log.h"
 #include <array>
 #include <cstdio>
+#include <limits>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <utility>
 
@@ -45,6 +47,16 @@
   }
 }
 
+// Of the descriptors that the process may have, those for callers.
+size_t callerDescriptors() {
+  constexpr size_t Parts = 8;
+  constexpr size_t CallerParts = 5;
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0 || Limit.rlim_cur == RLIM_INFINITY)
+    return std::numeric_limits<size_t>::max();
+  return std::max<size_t>(1, Limit.rlim_cur / Parts * CallerParts);
+}
+
 // An assignment would keep the capacity.
 void release(std::string &Text) { std::string().swap(Text); }
 
@@ -407,7 +419,8 @@
 
 caller_pool::caller_pool(struct ev_loop *Loop, caller_host &Host,
                          caller_pool_limits Limits)
-    : Loop(Loop), Host(Host), MaxConnections(Limits.MaxConnections),
+    : Loop(Loop), Host(Host),
+      MaxConnections(std::min(Limits.MaxConnections, callerDescriptors())),
       Memory(Limits.MaxHeldBytes), Turn(Loop, [this] { continueWaiting(); }),
       Sweep(Loop, [this] { sweep(); }), Prepare(Loop, [this] {
         shedExcess();
@@ -417,7 +430,7 @@
 }
 
 void caller_pool::take(int Socket) {
-  if (Open.size() >= MaxConnections && !closeLongestIdle() && !closeStalled()) {
+  if (Open.size() >= MaxConnections && !makeRoom()) {
     ::close(Socket);
     return;
   }
@@ -505,6 +518,8 @@
   return Longest != nullptr;
 }
 
+bool caller_pool::makeRoom() { return closeLongestIdle() || closeStalled(); }
+
 bool caller_pool::closeStalled() {
   double Now = steadySeconds();
   for (auto &[Raw, Connection] : Open)
--- a/net/caller_connection.h
+++ b/net/caller_connection.h
@@ -184,6 +184,8 @@
 
 /// Bounds of a caller_pool.
 struct caller_pool_limits {
+  /// At most five eighths of the descriptors that the process may have: the
+  /// others are for upstreams.
   size_t MaxConnections = 0;
   /// Bytes that callers together may make the process hold, besides the
   /// connections themselves.
@@ -210,6 +212,8 @@
   void ended(caller_connection &Connection);
   /// Calls \p Connection's continueAhead() in the next turn of the event loop.
   void continueSoon(caller_connection &Connection);
+  /// Closes a connection, as take() does at the limit. False: none can be.
+  bool makeRoom();
   /// Closes all connections that are not answering a request.
   void closeIdle();
   size_t size() const { return Open.size(); }
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -180,7 +180,9 @@
       Callers(Loop, *this,
               {.MaxConnections = NewLimits.MaxConnections,
                .MaxHeldBytes = NewLimits.MaxHeldBytes}),
-      Prepare(Loop, [this] { beforeWait(); }) {}
+      Prepare(Loop, [this] { beforeWait(); }) {
+  Listener.OnExhausted = [this] { Callers.makeRoom(); };
+}
 
 http_server::~http_server() {
   for (http_exchange *Exchange : std::set(Live)) {
--- a/net/tcp_stream.cpp
+++ b/net/tcp_stream.cpp
@@ -27,6 +27,13 @@
 // Connections accepted in one loop iteration, so that a burst does not delay
 // the open connections.
 constexpr int AcceptsPerTurn = 64;
+// Until a listener that could not accept a connection tries again.
+constexpr double ExhaustedSeconds = 0.05;
+
+bool isExhausted(int Error) {
+  return Error == EMFILE || Error == ENFILE || Error == ENOBUFS ||
+         Error == ENOMEM;
+}
 
 void disableNagle(int Socket) {
   int On = 1;
@@ -264,8 +271,8 @@
 
 tcp_listener::tcp_listener(struct ev_loop *Loop,
                            std::function<void(int Socket)> OnAccept)
-    : OnAccept(std::move(OnAccept)),
-      Watch(Loop, [this](int) { acceptSome(); }) {}
+    : OnAccept(std::move(OnAccept)), Watch(Loop, [this](int) { acceptSome(); }),
+      Resume(Loop, [this] { Watch.start(Socket, EV_READ); }) {}
 
 bool tcp_listener::bind(const std::string &Address) {
   Socket = listenOn(Address, Backlog, Bound);
@@ -282,6 +289,13 @@
   for (int I = 0; I < AcceptsPerTurn; ++I) {
     int Accepted =
         accept4(Socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Accepted < 0 && isExhausted(errno)) {
+      // The socket stays ready, and the loop would call this in each turn.
+      Watch.stop();
+      Resume.startOnce(ExhaustedSeconds);
+      if (OnExhausted)
+        OnExhausted();
+    }
     if (Accepted < 0)
       return;
     OnAccept(Accepted);
@@ -290,6 +304,7 @@
 
 void tcp_listener::close() {
   Watch.stop();
+  Resume.stop();
   if (Socket >= 0)
     ::close(Socket);
   Socket = -1;
--- a/net/tcp_stream.h
+++ b/net/tcp_stream.h
@@ -115,6 +115,10 @@
   /// each accepted connection.
   static constexpr size_t KernelBufferBytes = 128 << 10;
 
+  /// Called when there are no descriptors or buffers left for a connection.
+  /// After a while the listener goes on.
+  std::function<void()> OnExhausted;
+
   /// \p OnAccept takes over each accepted, non-blocking socket.
   tcp_listener(struct ev_loop *Loop, std::function<void(int Socket)> OnAccept);
   ~tcp_listener() { close(); }
@@ -132,6 +136,7 @@
   std::string Bound;
   std::function<void(int)> OnAccept;
   descriptor_watch Watch;
+  timer Resume; ///< After OnExhausted.
 };
 
 } // namespace olivevalve
--- a/tests/crowd.cpp
+++ b/tests/crowd.cpp
@@ -3,7 +3,6 @@
 #include "tests/crowd.h"
 #include "boost/test/unit_test.hpp"
 #include "net/ip_address.h"
-#include <algorithm>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -34,7 +33,7 @@
   client(struct ev_loop *Loop, int Socket) : Stream(Loop, Socket) {}
   tcp_stream Stream;
   size_t NextPart = 0; ///< 0: Begin, then the repeats, then End.
-  uint64_t Received = 0;
+  std::string Received;
   bool Sending = false;
   bool Ended = false;
 };
@@ -47,7 +46,7 @@
     client &New = *Clients.back();
     New.Stream.setReading(Options.Reads);
     New.Stream.OnBytes = [&New](std::string_view Bytes) {
-      New.Received += Bytes.size();
+      New.Received.append(Bytes);
     };
     New.Stream.OnEnd = [&New](bool) {
       New.Ended = true;
@@ -78,13 +77,10 @@
 uint64_t crowd::progress() const {
   uint64_t Sum = 0;
   for (const auto &Each : Clients)
-    Sum += Each->Stream.sentBytes() + Each->Received + Each->Ended;
+    Sum += Each->Stream.sentBytes() + Each->Received.size() + Each->Ended;
   return Sum;
 }
 
-size_t crowd::open() const {
-  return size_t(std::count_if(Clients.begin(), Clients.end(),
-                              [](const auto &Each) { return !Each->Ended; }));
-}
+const std::string &crowd::received() const { return Clients.front()->Received; }
 
 } // namespace olivevalve
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -37,8 +37,8 @@
   /// Bytes sent and received, and ended connections: grows while anything
   /// happens.
   uint64_t progress() const;
-  /// Connections that have not ended.
-  size_t open() const;
+  /// What the first client has received.
+  const std::string &received() const;
 
 private:
   struct client;
--- a/tests/system/crowds_test.cpp
+++ b/tests/system/crowds_test.cpp
@@ -5,6 +5,7 @@
 #include "tests/crowd.h"
 #include "tests/gateway_world.h"
 #include "tests/process_use.h"
+#include <sys/resource.h>
 
 using namespace olivevalve;
 
@@ -110,6 +111,15 @@
     playCrowd(*this, {*Gateway, GatewayVmMb}, Options,
               [this] { return request("/safe/x"); });
   }
+  client_response requestOnNewConnection() {
+    crowd Caller(Loop, {.Address = GatewayAddress.text(),
+                        .Begin = requestLines("/safe/x") + lengthLine(0),
+                        .Reads = true});
+    const std::string Status = "HTTP/1.1 ";
+    until("a response on a new connection",
+          [&] { return Caller.received().size() > Status.size() + 3; });
+    return {.Status = std::atoi(Caller.received().c_str() + Status.size())};
+  }
 };
 
 /// Bodies that stop one byte short of their end, in chunks of \p ChunkBytes; 0:
@@ -230,6 +240,24 @@
        .Begin = requestLines("/stream/x?do=raw&bytes=events") + lengthLine(0)});
 }
 
+// Guards against connections that leave no descriptor for others.
+BOOST_AUTO_TEST_CASE(of_more_connections_than_descriptors_lock_nobody_out) {
+  constexpr rlim_t Descriptors = 256;
+  rlimit Before{};
+  BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &Before) == 0);
+  rlimit Few{.rlim_cur = Descriptors, .rlim_max = Before.rlim_max};
+  // The processes that the world starts inherit it.
+  BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &Few) == 0);
+  crowded_gateway World;
+  BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &Before) == 0);
+  crowd_options Crowd{.Address = World.GatewayAddress.text(),
+                      .Clients = 600,
+                      .Begin = "GET /safe/x HTTP/1.1\r\n"};
+  playCrowd(World, {*World.Gateway, GatewayVmMb}, Crowd,
+            [&] { return World.requestOnNewConnection(); });
+  BOOST_TEST(openDescriptors(World.Gateway->pid()) < Descriptors);
+}
+
 // Guards against session ids that are remembered at their full length.
 BOOST_AUTO_TEST_CASE(that_name_very_long_sessions_fill_no_memory) {
   crowded_gateway World;
