Refused incomplete requests share a log line a second

Cause, found by reading: a gateway logged each request that it refused before it was complete, so a crowd wrote as many lines as it sent requests, and the lines of others were dropped for them. Change: at most one line a second, with the number since the last. The counter of malformed requests is unchanged. No test: the bound is one of time.

--- a/gateway/gateway_task.cpp
+++ b/gateway/gateway_task.cpp
@@ -65,6 +65,9 @@
 constexpr uint32_t AssumedGateways = 20;
 // Connections to one upstream if its service has no limit.
 constexpr uint32_t DefaultConnections = 1000;
+// Between two log lines of requests that were refused before they were
+// complete.
+constexpr double MalformedLogSeconds = 1;
 // An idle connection to an upstream that has few left is closed after this.
 constexpr double ShortIdleSeconds = 0.5;
 
@@ -98,10 +101,10 @@
               }),
       Pauses(Loop, PauseSeconds,
              [this](double Seconds) { resumedAfterPause(Seconds); }) {
+  Listener.OnExhausted = [this] { Callers.makeRoom(); };
   State.Loop = Loop;
   State.Metrics = &Metrics;
   State.DataHall = Options.DataHall;
-  Listener.OnExhausted = [this] { Callers.makeRoom(); };
   State.StartedAt = steadySeconds();
   ListRetryDelay = ListRetrySeconds;
   State.RetryBounds = Options.Retries;
@@ -384,8 +387,15 @@
 
 void gateway_task::onMalformed(int Status, std::string_view Why) {
   State.Metrics->count("requests", "malformed");
+  ++UnloggedMalformed;
+  double Now = steadySeconds();
+  if (Now < MalformedLoggedAt + MalformedLogSeconds)
+    return;
+  MalformedLoggedAt = Now;
   logLine(log_level::Info, "request refused before it was complete",
-          {{"status", int64_t(Status)}, {"reason", Why}});
+          {{"status", int64_t(Status)},
+           {"reason", Why},
+           {"since_last_line", int64_t(std::exchange(UnloggedMalformed, 0))}});
 }
 
 void gateway_task::ended(caller_connection &Connection) {
--- a/gateway/gateway_task.h
+++ b/gateway/gateway_task.h
@@ -152,6 +152,9 @@
   bool ListReceived = false;
   bool Stopping = false;
   bool Draining = false; ///< New requests are refused.
+  /// Requests refused before they were complete, since the last such log line.
+  uint64_t UnloggedMalformed = 0;
+  double MalformedLoggedAt = 0;
   timer SweepTimer;
   timer ListTimer;
   timer CatchUpTimer;
