What is learned by the names of models is bounded

Cause, found by reading: where a route does not choose the model, callers name it, and three tables of upstream_paces and one of prefill_estimator got an entry for each name that an upstream answered, with the name at its full length, for good. Change: 4,096 classes of work and 1,024 models are learned, further ones keep their first estimates. Evidence: unit tests with twice as many names; the former tables have no such bound. Not shown with real processes.

--- a/pace/upstream_paces.cpp
+++ b/pace/upstream_paces.cpp
@@ -46,14 +46,16 @@
 }
 
 template <class map, class view>
-usual_time &findOrAdd(map &Times, const view &Key, double LongerWeight = 1) {
+usual_time *findOrAdd(map &Times, const view &Key, double LongerWeight = 1) {
   if (auto It = Times.find(Key); It != Times.end())
-    return It->second;
+    return &It->second;
+  if (Times.size() >= upstream_paces::MaxClasses)
+    return nullptr;
   const auto &[Service, Work, Class] = Key;
-  return Times
-      .try_emplace({std::string(Service), Work, std::string(Class)},
-                   LongerWeight)
-      .first->second;
+  return &Times
+              .try_emplace({std::string(Service), Work, std::string(Class)},
+                           LongerWeight)
+              .first->second;
 }
 
 } // namespace
@@ -90,21 +92,23 @@
     return;
   class_view Key{Seen.Service, Seen.Work, Seen.Class};
   if (Seen.ExpectedSeconds > 0)
-    findOrAdd(Ratios, Key)
-        .record(std::log(Seen.Seconds / Seen.ExpectedSeconds));
+    if (usual_time *Ratio = findOrAdd(Ratios, Key))
+      Ratio->record(std::log(Seen.Seconds / Seen.ExpectedSeconds));
   double LogTime = std::log(Seen.Seconds / Seen.Usual / Seen.Slowdown);
   double AtUsualPace = LogTime - std::log(paceOf(Seen.Upstream, Now));
   if (Seen.ExpectedTokens > 0)
-    findOrAdd(Outputs, Key)
-        .record(AtUsualPace + std::log(Seen.Usual / Seen.ExpectedTokens));
+    if (usual_time *Output = findOrAdd(Outputs, Key))
+      Output->record(AtUsualPace + std::log(Seen.Usual / Seen.ExpectedTokens));
   if (!Seen.TellsPace)
     return;
-  usual_time &Times = findOrAdd(Usual, Key, LongerWeight);
-  Times.record(AtUsualPace);
-  double Longer = AtUsualPace > Times.logMean() ? LongerWeight : 1;
-  double Weight = Longer * Times.precision();
+  usual_time *Times = findOrAdd(Usual, Key, LongerWeight);
+  if (!Times)
+    return;
+  Times->record(AtUsualPace);
+  double Longer = AtUsualPace > Times->logMean() ? LongerWeight : 1;
+  double Weight = Longer * Times->precision();
   log_sum Part{
-      .Sum = Weight * Times.residual(LogTime), .Weight = Weight, .At = Now};
+      .Sum = Weight * Times->residual(LogTime), .Weight = Weight, .At = Now};
   upstream_entry &Entry = ByUpstream[Seen.Upstream];
   Entry.Own.add(Part, 1, Now);
   Entry.All.add(Part, 1, Now);
--- a/pace/upstream_paces.h
+++ b/pace/upstream_paces.h
@@ -65,6 +65,10 @@
 /// enable() nothing is learned and each pace is 1.
 class upstream_paces {
 public:
+  /// Classes of work that are learned; callers name the models. Further ones
+  /// keep their first estimates.
+  static constexpr size_t MaxClasses = 4096;
+
   void enable() { Enabled = true; }
   /// An upstream of \p Service tells how long work takes at the moment: the
   /// paces of this service are learned from now on.
@@ -101,6 +105,8 @@
   /// The pace if operators should read of it: it is known well and differs from
   /// what was returned last. At most one for each upstream in some seconds.
   std::optional<double> paceToLog(uint64_t Upstream, double Now);
+  /// Classes whose times are known.
+  size_t classCount() const { return Usual.size(); }
   /// Forgets an upstream that is gone.
   void forget(uint64_t Upstream) { ByUpstream.erase(Upstream); }
 
--- a/policy/prefill_estimator.cpp
+++ b/policy/prefill_estimator.cpp
@@ -50,6 +50,8 @@
                                          double Seconds) {
   if (Tokens < MinUncachedTokens || Tokens - MinUncachedTokens < Cached)
     return;
+  if (Paces.size() >= MaxModels && !Paces.contains(Model))
+    return;
   estimated_pace &Pace =
       Paces.try_emplace(Model, estimated_pace{InitialSecondsPerToken * Cost, 0})
           .first->second;
--- a/policy/prefill_estimator.h
+++ b/policy/prefill_estimator.h
@@ -26,6 +26,10 @@
 /// Estimates the prefill time per token of each model.
 class prefill_estimator {
 public:
+  /// Models that are learned; callers name them. Further ones keep their first
+  /// estimate.
+  static constexpr size_t MaxModels = 1024;
+
   /// Expected seconds for the prefill of a prompt of \p Tokens tokens, of which
   /// the first \p Cached are in the upstream's KV cache. \p Cost is the cost of
   /// the model relative to the cheapest one; the initial estimate is
@@ -36,6 +40,7 @@
   /// the request was sent. Prompts with few uncached tokens are ignored.
   void recordFirstToken(const std::string &Model, double Cost, uint32_t Tokens,
                         uint32_t Cached, double Seconds);
+  size_t modelCount() const { return Paces.size(); }
 
 private:
   struct estimated_pace {
--- a/tests/unit/choice_test.cpp
+++ b/tests/unit/choice_test.cpp
@@ -205,6 +205,14 @@
   BOOST_TEST(Estimator.estimateSeconds("small", 1, Tokens) < 1.5 * Real);
 }
 
+// Guards against callers that name ever more models.
+BOOST_AUTO_TEST_CASE(are_kept_for_a_bounded_number_of_models) {
+  prefill_estimator Estimator;
+  for (size_t I = 0; I < 2 * prefill_estimator::MaxModels; ++I)
+    Estimator.recordFirstToken(std::to_string(I), 1, 10000, 0, 9);
+  BOOST_TEST(Estimator.modelCount() == prefill_estimator::MaxModels);
+}
+
 BOOST_AUTO_TEST_CASE(do_not_mistake_cached_tokens_for_a_fast_model) {
   prefill_estimator Estimator;
   double Before = Estimator.estimateSeconds("small", 1, 10000);
--- a/tests/unit/pace_test.cpp
+++ b/tests/unit/pace_test.cpp
@@ -63,6 +63,20 @@
 
 BOOST_AUTO_TEST_SUITE(is_learned)
 
+// Guards against callers that name ever more models.
+BOOST_AUTO_TEST_CASE(for_a_bounded_number_of_classes) {
+  upstream_paces Paces = learningPaces();
+  std::mt19937_64 Random(1);
+  for (size_t I = 0; I < 2 * upstream_paces::MaxClasses; ++I) {
+    work_time Seen = timeAt(1, Random);
+    std::string Name = std::to_string(I);
+    Seen.Class = Name;
+    Seen.ExpectedSeconds = Seen.ExpectedTokens = 1;
+    Paces.record(Seen, 0);
+  }
+  BOOST_TEST(Paces.classCount() == upstream_paces::MaxClasses);
+}
+
 // Callers of a slow upstream wait longer than expected for as long as its pace
 // is not known: it has to be within a tenth after some seconds of traffic.
 BOOST_AUTO_TEST_CASE(within_a_tenth_after_five_seconds_of_scattered_times) {
