A refused request gives up its body, and work at an upstream goes last

Cause, found by reading the account: a request that was refused as malformed kept its body of up to 4 MiB while the connection lingered, where it could not be given up, so others were given up for it. A request at work whose caller had sent more bytes ahead was given up before incomplete requests of others, though it may not be repeatable. Change: each refusal frees the body. Connections with a request at work are given up last, and only if their callers have sent more ahead.

--- a/net/caller_connection.cpp
+++ b/net/caller_connection.cpp
@@ -118,15 +118,14 @@
 }
 
 shed_order caller_connection::shedOrder(double Now) const {
-  bool Responding = busy();
-  bool HoldsMore = Stream.unsent() > 0 || !Ahead.empty() || !Reading;
-  if (Responding ? !HoldsMore : Reader.fresh() || Lingering)
+  if (Stream.unsent() > 0)
+    return Now > LastProgressAt + StallSeconds ? shed_order::StalledResponse
+                                               : shed_order::Response;
+  if (Busy)
+    return Ahead.empty() ? shed_order::Never : shed_order::AtWorkWithMore;
+  if (Reader.fresh() || Lingering)
     return shed_order::Never;
-  double MovedAt = Stream.unsent() > 0 ? LastProgressAt : LastReceivedAt;
-  bool Stalled = Now > MovedAt + StallSeconds;
-  if (Responding)
-    return Stalled ? shed_order::StalledResponse : shed_order::Response;
-  if (Stalled)
+  if (Now > LastReceivedAt + StallSeconds)
     return shed_order::StalledRequest;
   return caller_memory::isLarge(HeldBytes) ? shed_order::LargeRequest
                                            : shed_order::Request;
@@ -137,7 +136,6 @@
     return close();
   sendRefusal(503, error_kind::EntryFull,
               "callers make this entry hold too much memory");
-  release(Body);
   release(Ahead);
   AheadParsed = 0;
   Reader.next();
@@ -268,6 +266,8 @@
   Stream.write(headOf(Status, reasonPhrase(Status), Lines) + Text);
   Lingering = true;
   Busy = false;
+  release(Body);
+  recordHeldBytes();
   linger();
 }
 
--- a/net/caller_connection.h
+++ b/net/caller_connection.h
@@ -62,9 +62,10 @@
 enum class shed_order : uint8_t {
   StalledRequest,  ///< An incomplete request that does not go on.
   LargeRequest,    ///< An incomplete request that holds much.
-  StalledResponse, ///< Its caller does not read, or sends requests ahead.
+  StalledResponse, ///< Its caller does not read.
   Request,         ///< Any other incomplete request.
-  Response,        ///< As StalledResponse, but the caller reads.
+  Response,        ///< Unsent, but its caller reads.
+  AtWorkWithMore,  ///< A request at work, and bytes sent ahead.
   Never            ///< It holds nothing, or only a request at work.
 };
 
