--- a/net/caller_connection.cpp
+++ b/net/caller_connection.cpp
@@ -50,7 +50,7 @@
 // Of the descriptors that the process may have, those for callers.
 size_t callerDescriptors() {
   constexpr size_t Parts = 8;
-  constexpr size_t CallerParts = 5;
+  constexpr size_t CallerParts = 5; // The others are for upstreams.
   rlimit Limit{};
   if (getrlimit(RLIMIT_NOFILE, &Limit) != 0 || Limit.rlim_cur == RLIM_INFINITY)
     return std::numeric_limits<size_t>::max();
@@ -492,7 +492,7 @@
   }
 }
 
-// At most one line in a while, however many connections were given up.
+// At most one line in ShedLogSeconds, however many connections were given up.
 void caller_pool::logShed() {
   uint64_t Refused = Shed.Refused - LoggedShed.Refused;
   uint64_t Closed = Shed.Closed - LoggedShed.Closed;
--- a/net/caller_connection.h
+++ b/net/caller_connection.h
@@ -57,8 +57,9 @@
   virtual void ended(caller_connection &Connection) = 0;
 };
 
-/// How soon a connection is given up when callers hold too much memory: those
-/// first that move least, and those at work last.
+/// The order in which connections are given up when callers hold too much
+/// memory: first those that make no progress, last those with a request at
+/// work.
 enum class shed_order : uint8_t {
   StalledRequest,  ///< An incomplete request that does not go on.
   LargeRequest,    ///< An incomplete request that holds much.
@@ -175,7 +176,7 @@
   /// The end of the connection marks the end of the response body.
   bool EndsByClose = false;
   bool HeadOnly = false; ///< The request is a HEAD request.
-  bool IsHttp10 = false; ///< So is the request.
+  bool IsHttp10 = false; ///< The request is of HTTP/1.0 or older.
   double TimeoutAt = 0;
   double IdleSince = 0;
   double LastReceivedAt = 0;
